--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -1,5 +1,4 @@
 //! Speaks the simulator's line protocol on standard input and output for many independent routers.
-mod settings;
 mod wire;
 
 use gateproxy::{Action, Router};
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -1,5 +1,5 @@
 //! Lines of the simulator's protocol, in and out.
-use crate::settings::{self, micros};
+use gateproxy::settings::{self, micros};
 use gateproxy::{
     Action, Event, Get, Host, Members, Micros, Note, Outcome, Request, Scope, Settings, State, Status,
 };
--- /dev/null
+++ b/gateway/src/config.rs
@@ -0,0 +1,172 @@
+//! The only place that reads, checks and defaults configuration. Errors name the faulty key.
+use crate::bulletin::{self, Item};
+use gateproxy::settings::{as_f64, as_u64, get, read_value};
+use gateproxy::{Micros, Settings};
+use miniserde::json::{self, Value};
+use std::net::SocketAddr;
+
+/// What the gateway is told at its start.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name, the same after a restart.
+    pub name: String,
+    /// Where clients of the platform's front connect.
+    pub listen: SocketAddr,
+    /// Feeds random numbers; new with each start.
+    pub seed: u64,
+    /// Most memory, in bytes.
+    pub memory: usize,
+    /// Most descriptors.
+    pub sockets: usize,
+    /// Where the bulletin is, if there is one.
+    pub bulletin: Option<SocketAddr>,
+    /// Number of the last event known.
+    pub known: u64,
+    /// The events known at the start.
+    pub items: Vec<Item>,
+    /// The module's settings.
+    pub settings: Settings,
+    /// What the wires need of the settings.
+    pub terms: Terms,
+}
+
+/// Names and limits of the settings that concern the wires.
+#[derive(Debug, Clone, Default)]
+pub struct Terms {
+    /// Names of the classes.
+    pub classes: Vec<String>,
+    /// Names of the zones.
+    pub zones: Vec<String>,
+    /// Names of the machine kinds.
+    pub kinds: Vec<String>,
+    /// A connection not made by then has failed.
+    pub connect_timeout: Micros,
+    /// Stores close a connection that is idle for so long.
+    pub idle: Micros,
+}
+
+/// Reads the configuration named by the environment.
+pub fn from_env() -> Result<Config, String> {
+    let path = std::env::var("EDGE_CONFIG").map_err(|_| "EDGE_CONFIG is not set".to_string())?;
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("EDGE_CONFIG: cannot read {path}: {e}"))?;
+    read(&text, std::env::var("EDGE_NAME").ok(), std::env::var("EDGE_LISTEN").ok())
+}
+
+/// Reads JSON text of any kind.
+pub fn parse(text: &str) -> Result<Value, String> {
+    let all: Value = json::from_str(text).map_err(|_| "the configuration is not JSON".to_string())?;
+    match all {
+        Value::Object(_) => Ok(all),
+        _ => Err("the configuration is not an object".into()),
+    }
+}
+
+/// A text member, if there is one.
+pub fn text<'a>(value: &'a Value, key: &str) -> Result<Option<&'a str>, String> {
+    match get(value, key) {
+        None | Some(Value::Null) => Ok(None),
+        Some(Value::String(text)) => Ok(Some(text)),
+        Some(_) => Err(format!("{key} must be a string")),
+    }
+}
+
+/// An address member, if there is one.
+pub fn address(value: &Value, key: &str) -> Result<Option<SocketAddr>, String> {
+    let parse = |t: &str| t.parse().map_err(|_| format!("{key}: {t:?} is not an address with a port"));
+    text(value, key)?.map(parse).transpose()
+}
+
+/// A list member; absent is empty.
+pub fn list<'a>(value: &'a Value, key: &str) -> Result<&'a [Value], String> {
+    match get(value, key) {
+        None | Some(Value::Null) => Ok(&[]),
+        Some(Value::Array(items)) => Ok(items),
+        Some(_) => Err(format!("{key} must be a list")),
+    }
+}
+
+/// A list of texts; absent is empty.
+pub fn texts(value: &Value, key: &str) -> Result<Vec<String>, String> {
+    let one = |v: &Value| match v {
+        Value::String(text) => Ok(text.clone()),
+        _ => Err(format!("{key} must hold strings")),
+    };
+    list(value, key)?.iter().map(one).collect()
+}
+
+/// A whole number member within bounds, with a default.
+pub fn whole(value: &Value, key: &str, default: u64, least: u64) -> Result<u64, String> {
+    match get(value, key) {
+        None | Some(Value::Null) => Ok(default),
+        Some(v) => {
+            let wrong = || format!("{key} must be a whole number, {least} at least");
+            as_u64(v).filter(|n| *n >= least).ok_or_else(wrong)
+        }
+    }
+}
+
+fn terms(settings: &Value) -> Result<Terms, String> {
+    let none = Value::Null;
+    let limits = get(settings, "limits").unwrap_or(&none);
+    let class = |v: &Value| {
+        text(v, "name")
+            .map_err(|e| format!("settings.services: {e}"))?
+            .map(str::to_string)
+            .ok_or_else(|| "settings.services: name is missing".to_string())
+    };
+    let span = |key: &str, default: f64| match get(limits, key) {
+        None => Ok(gateproxy::settings::micros(default)),
+        Some(v) => as_f64(v)
+            .filter(|ms| *ms > 0.0)
+            .map(gateproxy::settings::micros)
+            .ok_or_else(|| format!("settings.limits.{key} must be a number above 0")),
+    };
+    let nested = |e: String| format!("settings.{e}");
+    Ok(Terms {
+        classes: list(settings, "services").map_err(nested)?.iter().map(class).collect::<Result<_, _>>()?,
+        zones: texts(settings, "zones").map_err(nested)?,
+        kinds: texts(settings, "models").map_err(nested)?,
+        connect_timeout: span("connectTimeoutMs", 400.0)?,
+        idle: span("connIdleMs", 30_000.0)?,
+    })
+}
+
+/// Reads the configuration; what the environment names goes before what the file says.
+pub fn read(text_: &str, name: Option<String>, listen: Option<String>) -> Result<Config, String> {
+    let all = parse(text_)?;
+    let none = Value::Null;
+    let name = match name {
+        Some(name) => name,
+        None => text(&all, "name")?.ok_or("name is missing (or EDGE_NAME)")?.to_string(),
+    };
+    let listen = match listen {
+        Some(l) => l.parse().map_err(|_| format!("EDGE_LISTEN: {l:?} is not an address with a port"))?,
+        None => address(&all, "listen")?.ok_or("listen is missing (or EDGE_LISTEN)")?,
+    };
+    let seed = match text(&all, "seed")? {
+        None => 0,
+        Some(s) => u64::from_str_radix(s, 16).map_err(|_| format!("seed: {s:?} is not hexadecimal"))?,
+    };
+    let limits = get(&all, "limits").unwrap_or(&none);
+    let limit = |key, default, least| whole(limits, key, default, least).map_err(|e| format!("limits.{e}"));
+    let settings = get(&all, "settings").ok_or("settings is missing")?;
+    let terms = terms(settings)?;
+    if terms.classes.is_empty() {
+        return Err("settings.services is missing or empty".into());
+    }
+    let known = get(&all, "known").unwrap_or(&none);
+    let items = list(known, "items").map_err(|e| format!("known.{e}"))?;
+    let item = |v: &Value| bulletin::item(v, &terms).map_err(|e| format!("known.items: {e}"));
+    Ok(Config {
+        name,
+        listen,
+        seed,
+        memory: limit("memory_mb", 192, 32)? as usize * 1_000_000,
+        sockets: limit("sockets", 1024, 64)? as usize,
+        bulletin: address(&all, "bulletin")?,
+        known: whole(known, "no", 0, 0).map_err(|e| format!("known.{e}"))?,
+        items: items.iter().map(item).collect::<Result<_, _>>()?,
+        settings: read_value(settings).map_err(|e| format!("settings: {e}"))?,
+        terms,
+    })
+}
--- /dev/null
+++ b/gateway/src/core.rs
@@ -0,0 +1,398 @@
+//! Requests, attempts and outcomes: feeds the module its events and carries out its actions. Knows no wire and
+//! no socket; the clock is an argument. Each request gets its final answer exactly once.
+use crate::bulletin::{News, Store};
+use crate::deadlines::{Deadlines, Due};
+use crate::slots::{Key, Slots};
+use gateproxy::{
+    Action, Event, Get, Members, Micros, Note, Outcome, Request, Router, Scope, ServerId, Settings, State,
+    Status,
+};
+use std::collections::{BTreeMap, VecDeque};
+
+/// µs before the client's own deadline at which the final answer goes out: the request was on its way for a
+/// while when it came in, and the answer needs its time too.
+const MARGIN: Micros = 30_000;
+
+/// Who waits for an answer: a connection and the number of the request on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ticket {
+    /// The connection.
+    pub client: Key,
+    /// The request's number on it.
+    pub seq: u64,
+}
+
+/// A request as a front takes it in, with what passes through unchanged.
+#[derive(Debug, Clone, Default)]
+pub struct Ask {
+    /// Its class, by place in the settings.
+    pub class: usize,
+    /// Its id.
+    pub call: String,
+    /// The object, as the client wrote it.
+    pub thing: String,
+    /// The object, as the module and the bulletin know it.
+    pub object: u64,
+    /// The part.
+    pub part: u64,
+    /// The group that a purge may name.
+    pub group: u64,
+    /// For how long the client waits, from when it sent the request.
+    pub ttl: Micros,
+    /// The idempotency key.
+    pub dedupe: Option<String>,
+    /// The bare tag of the client's copy.
+    pub mine: Option<String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// What the sockets have to do.
+#[derive(Debug, PartialEq)]
+pub enum Order {
+    /// Find the attempt a connection and send it.
+    Send(Key),
+    /// Give the attempt up on the connection that carries it.
+    Kill {
+        /// The connection.
+        carrier: Key,
+        /// The attempt, no longer in the table.
+        attempt: Key,
+        /// The id it was sent under.
+        call: String,
+    },
+    /// Final answer: refused; come back after so long.
+    Refused(Ticket, Micros),
+    /// Final answer: failed.
+    Failed(Ticket),
+}
+
+struct Open {
+    ticket: Ticket,
+    ask: Ask,
+    deadline: Micros,
+    attempts: Vec<Key>,
+    out: usize,
+    answered: bool,
+}
+
+/// An attempt that has not ended.
+pub struct Attempt {
+    request: Key,
+    number: u64,
+    get: Get,
+    at: Micros,
+    /// Whether its first byte is written.
+    pub begun: bool,
+    /// The connection that carries it.
+    pub carrier: Option<Key>,
+}
+
+/// What is to be written for an attempt.
+pub struct Pull<'a> {
+    /// The request.
+    pub ask: &'a Ask,
+    /// The name of the source of a fill.
+    pub source: Option<&'a str>,
+    /// How long the gateway will wait, in milliseconds.
+    pub max: u64,
+    /// The oldest copy that will do, in milliseconds; 0 for the class's fresh time.
+    pub within: u64,
+    /// The rank at which the object is kept.
+    pub rank: u8,
+    /// Whether to join a fill that runs.
+    pub join: bool,
+    /// Whether to renew an ageing copy behind the answer.
+    pub renew: bool,
+}
+
+/// The core of a gateway.
+pub struct Core {
+    router: Router,
+    fresh: Vec<Micros>,
+    requests: Slots<Open>,
+    attempts: Slots<Attempt>,
+    stores: BTreeMap<ServerId, (String, State)>,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    /// Whether a list of stores is known.
+    pub well: bool,
+    /// What the sockets have to do, in order.
+    pub orders: VecDeque<Order>,
+    /// All deadlines, also those of connections.
+    pub deadlines: Deadlines,
+    /// Bytes of request bodies held.
+    pub held: usize,
+}
+
+impl Core {
+    /// A core that knows only its settings.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        Core {
+            fresh: settings.classes.iter().map(|c| c.fresh).collect(),
+            router: Router::new(settings, seed),
+            requests: Slots::default(),
+            attempts: Slots::default(),
+            stores: BTreeMap::new(),
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            well: false,
+            orders: VecDeque::new(),
+            deadlines: Deadlines::default(),
+            held: 0,
+        }
+    }
+
+    /// How many requests have not ended, answered ones with attempts out among them.
+    pub fn open(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// How many requests wait for their final answer.
+    pub fn unanswered(&self) -> usize {
+        self.requests.iter().filter(|(_, r)| !r.answered).count()
+    }
+
+    /// Takes a request in; its final answer comes as an order or by [`Core::outcome`].
+    pub fn request(&mut self, now: Micros, ticket: Ticket, ask: Ask) -> Key {
+        let ttl = ask.ttl - MARGIN.min(ask.ttl / 2);
+        let (class, object, part, group) = (ask.class, ask.object, ask.part, ask.group);
+        self.held += ask.body.len();
+        let open = Open { ticket, ask, deadline: now + ttl, attempts: Vec::new(), out: 0, answered: false };
+        let key = self.requests.insert(open);
+        self.deadlines.set(now + ttl, Due::Request(key));
+        let request = Request { id: key.0, class, object, part, group, ttl, size_kb: 0.0 };
+        self.feed(now, Event::Request(request));
+        key
+    }
+
+    /// The client has left: nothing is owed any more.
+    pub fn gone(&mut self, now: Micros, request: Key) {
+        let Some(open) = self.requests.get_mut(request).filter(|r| !r.answered) else { return };
+        open.answered = true;
+        self.feed(now, Event::Gone(request.0));
+    }
+
+    /// News of stores or a purge. An attempt that still waits for its connection was decided before it: one
+    /// that the news concerns ends unsent, so that nothing goes to a store after word of its drain and no old
+    /// copy is asked for after word of a purge.
+    pub fn news(&mut self, now: Micros, news: &News) {
+        let event = match *news {
+            News::Roster { whole, ref stores } => {
+                self.listed(whole, stores);
+                let scope = if whole { Scope::Full } else { Scope::Changes };
+                Event::Members(Members { scope, hosts: stores.iter().map(|s| s.host.clone()).collect() })
+            }
+            News::Recall { object, group, issued } => {
+                Event::Purged { age: now.saturating_sub(issued), group, object }
+            }
+            News::Other => return,
+        };
+        self.feed(now, event);
+        let up = |id| self.stores.get(&id).is_some_and(|(_, state)| *state == State::Up);
+        let void = |a: &Attempt| match *news {
+            News::Recall { object, group, .. } => {
+                self.requests.get(a.request).is_some_and(|r| match object {
+                    Some(object) => r.ask.object == object,
+                    None => r.ask.group == group,
+                })
+            }
+            _ => !up(a.get.server) || !up(a.get.source),
+        };
+        let late: Vec<Key> =
+            self.attempts.iter().filter(|(_, a)| !a.begun && void(a)).map(|(k, _)| k).collect();
+        for key in late {
+            self.withdraw(now, key, Status::Moot);
+        }
+    }
+
+    fn listed(&mut self, whole: bool, stores: &[Store]) {
+        if whole {
+            self.well = true;
+            self.stores.values_mut().for_each(|s| s.1 = State::Removed);
+        }
+        for store in stores {
+            self.stores.insert(store.host.server, (store.name.clone(), store.host.state));
+        }
+    }
+
+    /// A deadline of a request, an attempt or the module has come.
+    pub fn due(&mut self, now: Micros, due: Due) {
+        match due {
+            Due::Module(mark) => self.feed(now, Event::Timer(mark)),
+            Due::Attempt(key) => self.withdraw(now, key, Status::Timeout),
+            Due::Request(key) => {
+                let Some(open) = self.requests.get(key).filter(|r| !r.answered) else { return };
+                for attempt in open.attempts.clone() {
+                    self.withdraw(now, attempt, Status::Timeout);
+                }
+                // Guards the promise of one final answer even where the module has none to give.
+                if let Some(open) = self.requests.get_mut(key).filter(|r| !r.answered) {
+                    open.answered = true;
+                    self.orders.push_back(Order::Failed(open.ticket));
+                    self.feed(now, Event::Gone(key.0));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// The attempt, if it has not ended.
+    pub fn attempt(&mut self, key: Key) -> Option<&mut Attempt> {
+        self.attempts.get_mut(key)
+    }
+
+    /// The store that an attempt goes to, and the id it goes under.
+    pub fn target(&self, key: Key) -> Option<(ServerId, &str)> {
+        let attempt = self.attempts.get(key)?;
+        Some((attempt.get.server, &self.requests.get(attempt.request)?.ask.call))
+    }
+
+    /// What is to be written for an attempt now.
+    pub fn pull(&self, now: Micros, key: Key) -> Option<Pull<'_>> {
+        let attempt = self.attempts.get(key)?;
+        let open = self.requests.get(attempt.request)?;
+        let get = &attempt.get;
+        let stop = get.stop_at.unwrap_or(open.deadline).min(open.deadline);
+        let source = (get.source != get.server).then(|| self.stores.get(&get.source)).flatten();
+        let fresh = self.fresh.get(open.ask.class).copied().unwrap_or(0);
+        // A bound below the fresh time stems from a purge: it moves on with the clock while an attempt waits.
+        let waited = now.saturating_sub(attempt.at);
+        let within = match get.max_age {
+            None => 0,
+            Some(age) if fresh == 0 => (age + waited) / 1000,
+            Some(age) if age < fresh => (age + waited).min(fresh) / 1000,
+            Some(age) => age / 1000,
+        };
+        Some(Pull {
+            ask: &open.ask,
+            source: source.map(|(name, _)| name.as_str()),
+            max: (stop.saturating_sub(now) / 1000).max(1),
+            // 0 would ask for any fresh copy, however old.
+            within: if get.max_age.is_some() { within.max(1) } else { 0 },
+            rank: get.rank,
+            join: get.join,
+            renew: get.renew,
+        })
+    }
+
+    /// An attempt has ended. If that is the final answer, whoever waits for the bytes is returned.
+    pub fn outcome(&mut self, now: Micros, key: Key, status: Status, note: Note) -> Option<Ticket> {
+        let attempt = self.attempts.remove(key)?;
+        if let Some(at) = attempt.get.stop_at {
+            self.deadlines.clear(at, Due::Attempt(key));
+        }
+        let open = self.requests.get_mut(attempt.request)?;
+        open.out -= 1;
+        let served = status == Status::Ok && !open.answered;
+        open.answered |= served;
+        let ticket = open.ticket;
+        let outcome = Outcome {
+            id: attempt.request.0,
+            attempt: attempt.number,
+            status,
+            latency: now.saturating_sub(attempt.at),
+            closed: open.answered,
+            note,
+        };
+        self.feed(now, Event::Outcome(outcome));
+        self.sweep(attempt.request);
+        served.then_some(ticket)
+    }
+
+    /// Ends an attempt from this side; one that was never written never ran.
+    fn withdraw(&mut self, now: Micros, key: Key, status: Status) {
+        let Some(attempt) = self.attempts.get(key) else { return };
+        let unsent = !attempt.begun && status != Status::Timeout;
+        if let (Some(carrier), Some(open)) = (attempt.carrier, self.requests.get(attempt.request)) {
+            self.orders.push_back(Order::Kill { carrier, attempt: key, call: open.ask.call.clone() });
+        }
+        self.outcome(now, key, if unsent { Status::Moot } else { status }, Note::None);
+    }
+
+    fn sweep(&mut self, key: Key) {
+        if self.requests.get(key).is_some_and(|r| r.answered && r.out == 0) {
+            if let Some(open) = self.requests.remove(key) {
+                self.held -= open.ask.body.len();
+                self.deadlines.clear(open.deadline, Due::Request(key));
+            }
+        }
+    }
+
+    fn feed(&mut self, now: Micros, event: Event) {
+        self.events.push_back(event);
+        let mut actions = std::mem::take(&mut self.actions);
+        while let Some(event) = self.events.pop_front() {
+            self.router.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now, action);
+            }
+        }
+        self.actions = actions;
+    }
+
+    fn act(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Get(get) => {
+                let request = Key(get.id);
+                let Some(open) = self.requests.get_mut(request) else { return };
+                let number = open.attempts.len() as u64;
+                let stop_at = get.stop_at.map(|at| at.min(open.deadline));
+                let get = Get { stop_at, ..get };
+                let key = self.attempts.insert(Attempt {
+                    request,
+                    number,
+                    get,
+                    at: now,
+                    begun: false,
+                    carrier: None,
+                });
+                open.attempts.push(key);
+                open.out += 1;
+                if let Some(at) = stop_at {
+                    self.deadlines.set(at, Due::Attempt(key));
+                }
+                self.orders.push_back(Order::Send(key));
+            }
+            Action::Refuse { id, retry_after } => self.finish(Key(id), |t| Order::Refused(t, retry_after)),
+            Action::Fail(id) => self.finish(Key(id), Order::Failed),
+            Action::Cancel { id, attempt } => {
+                let open = self.requests.get(Key(id));
+                let Some(key) = open.and_then(|r| r.attempts.get(attempt as usize).copied()) else { return };
+                // Its outcome is queued behind the actions that are being carried out.
+                self.cancel(now, key);
+            }
+            Action::Timer { at, mark } => self.deadlines.set(at, Due::Module(mark)),
+            // The bulletin brings news unasked.
+            Action::Watch => {}
+        }
+    }
+
+    fn cancel(&mut self, now: Micros, key: Key) {
+        let Some(attempt) = self.attempts.remove(key) else { return };
+        if let Some(at) = attempt.get.stop_at {
+            self.deadlines.clear(at, Due::Attempt(key));
+        }
+        let Some(open) = self.requests.get_mut(attempt.request) else { return };
+        open.out -= 1;
+        if let Some(carrier) = attempt.carrier {
+            self.orders.push_back(Order::Kill { carrier, attempt: key, call: open.ask.call.clone() });
+        }
+        self.events.push_back(Event::Outcome(Outcome {
+            id: attempt.request.0,
+            attempt: attempt.number,
+            status: if attempt.begun { Status::Cancelled } else { Status::Moot },
+            latency: now.saturating_sub(attempt.at),
+            closed: open.answered,
+            note: Note::None,
+        }));
+        self.sweep(attempt.request);
+    }
+
+    fn finish(&mut self, key: Key, order: impl FnOnce(Ticket) -> Order) {
+        let Some(open) = self.requests.get_mut(key).filter(|r| !r.answered) else { return };
+        open.answered = true;
+        self.orders.push_back(order(open.ticket));
+        self.sweep(key);
+    }
+}
--- /dev/null
+++ b/gateway/src/deadlines.rs
@@ -0,0 +1,52 @@
+//! The one ordered structure in which all deadlines hang.
+use crate::slots::Key;
+use gateproxy::Micros;
+use std::collections::BTreeSet;
+
+/// What falls due.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Due {
+    /// A request must have its final answer.
+    Request(Key),
+    /// An attempt is to be abandoned.
+    Attempt(Key),
+    /// The module asked to be woken, with this mark.
+    Module(u64),
+    /// A connection should have come up, gone quiet or made progress: look at it.
+    Connection(Key),
+    /// The bulletin has been silent, or it is time to call it again.
+    Bulletin,
+    /// The ensemble: a ping, a silent server, or the next call.
+    Ensemble,
+    /// The time to go on accepting after SIGTERM is over.
+    Stop,
+}
+
+/// Deadlines in the order of their time.
+#[derive(Debug, Default)]
+pub struct Deadlines(BTreeSet<(Micros, Due)>);
+
+impl Deadlines {
+    /// Adds a deadline.
+    pub fn set(&mut self, at: Micros, due: Due) {
+        self.0.insert((at, due));
+    }
+
+    /// Takes a deadline back.
+    pub fn clear(&mut self, at: Micros, due: Due) {
+        self.0.remove(&(at, due));
+    }
+
+    /// The earliest deadline.
+    pub fn next(&self) -> Option<Micros> {
+        self.0.first().map(|(at, _)| *at)
+    }
+
+    /// Takes out the earliest deadline that has come.
+    pub fn pop(&mut self, now: Micros) -> Option<Due> {
+        if self.next()? > now {
+            return None;
+        }
+        self.0.pop_first().map(|(_, due)| due)
+    }
+}
--- /dev/null
+++ b/gateway/src/lib.rs
@@ -0,0 +1,10 @@
+//! larchway: the decision module on real sockets, by concern.
+pub mod bulletin;
+pub mod config;
+pub mod core;
+pub mod deadlines;
+pub mod log;
+pub mod net;
+pub mod resp;
+pub mod slots;
+pub mod thrift;
--- /dev/null
+++ b/gateway/src/net.rs
@@ -0,0 +1,750 @@
+//! The loop: connections in numbered slots, their buffers, and one poller.
+use crate::bulletin::{self, Reader, Store};
+use crate::config::{Config, Terms};
+use crate::core::{Core, Order, Ticket};
+use crate::deadlines::Due;
+use crate::resp::{self, Link, Reply};
+use crate::slots::{Key, Slots};
+use crate::{log, thrift};
+use gateproxy::{Micros, Note, ServerId, State, Status};
+use polling::{Event, PollMode, Poller};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::UnixStream;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+const PLATFORM: usize = usize::MAX - 1;
+const SIGNAL: usize = usize::MAX - 2;
+/// µs for which requests are still taken in after SIGTERM.
+const ACCEPTING: Micros = 700_000;
+/// µs after which a client that reads nothing of its answers, or asks for nothing, is cut off.
+const STALLED: Micros = 10_000_000;
+const IDLE: Micros = 60_000_000;
+/// Bytes waiting for a client above which nothing more is read from it, and above which it is cut off.
+const CROWDED: usize = 1 << 20;
+const FLOODED: usize = 10 << 20;
+/// Bytes read from one connection before others get their turn.
+const TURN: usize = 512 * 1024;
+/// µs of silence after which the bulletin counts as lost: it says something every second.
+const SILENT: Micros = 3_500_000;
+/// µs: first and longest pause between calls on the bulletin.
+const BACKOFF: (Micros, Micros) = (100_000, 2_000_000);
+
+/// Microseconds of the Unix clock, never going back.
+pub fn now() -> Micros {
+    static LAST: AtomicU64 = AtomicU64::new(0);
+    let clock = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64);
+    LAST.fetch_max(clock, Ordering::Relaxed).max(clock)
+}
+
+/// Bytes on their way in or out.
+#[derive(Default)]
+pub struct Buffer {
+    /// The bytes, those already dealt with in front.
+    pub bytes: Vec<u8>,
+    /// How many are dealt with.
+    pub done: usize,
+}
+
+impl Buffer {
+    /// What is not dealt with.
+    pub fn rest(&self) -> &[u8] {
+        &self.bytes[self.done..]
+    }
+    /// Deals with so many bytes; a buffer that is empty gives back room taken for a large message.
+    pub fn consume(&mut self, n: usize) {
+        self.done += n;
+        if self.done >= self.bytes.len() {
+            self.bytes.clear();
+            self.done = 0;
+            self.bytes.shrink_to(16 * 1024);
+        }
+    }
+    fn compact(&mut self) {
+        if self.done > 64 * 1024 {
+            self.bytes.drain(..self.done);
+            self.done = 0;
+        }
+    }
+}
+
+/// What a connection is for.
+pub enum Role {
+    /// A client of the platform's front, with its open requests by sequence number.
+    Client(BTreeMap<u64, Key>),
+    /// A connection to a store.
+    Store(Link),
+    /// The bulletin.
+    Bulletin(Reader),
+}
+
+/// A connection.
+pub struct Conn {
+    stream: TcpStream,
+    input: Buffer,
+    /// What is to be written.
+    pub output: Buffer,
+    /// What it is for.
+    pub role: Role,
+    /// Whether it has come up.
+    pub up: bool,
+    since: Micros,
+    /// When bytes last moved on it.
+    pub moved: Micros,
+    armed: (bool, bool),
+    due: Micros,
+}
+
+/// A store: its name, its address and the connections to it.
+struct Pool {
+    store: Store,
+    links: Vec<Key>,
+}
+
+/// The bulletin's state between connections.
+struct Feed {
+    address: SocketAddr,
+    last: u64,
+    conn: Option<Key>,
+    heard: Micros,
+    backoff: Micros,
+    due: Micros,
+}
+
+/// The gateway.
+pub struct Gateway {
+    poller: Poller,
+    listener: Option<TcpListener>,
+    signal: UnixStream,
+    conns: Slots<Conn>,
+    pools: BTreeMap<ServerId, Pool>,
+    feed: Option<Feed>,
+    own_zone: usize,
+    /// Names and limits of the wires.
+    pub terms: Terms,
+    /// Requests and attempts.
+    pub core: Core,
+    memory: usize,
+    most_clients: usize,
+    most_links: usize,
+    clients: usize,
+    links: usize,
+    stopping: Option<Micros>,
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, String> {
+    let open = || -> io::Result<TcpListener> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(1024)?;
+        Ok(socket.into())
+    };
+    open().map_err(|e| format!("cannot listen on {address}: {e}"))
+}
+
+impl Gateway {
+    /// Listens where the configuration says and takes in what it knows.
+    pub fn new(config: Config) -> Result<Self, String> {
+        let wrong = |what: &str| {
+            let what = what.to_string();
+            move |e: io::Error| format!("{what}: {e}")
+        };
+        let poller = Poller::new().map_err(wrong("cannot poll"))?;
+        let listener = listen(config.listen)?;
+        poller
+            .add_with_mode(&listener, Event::readable(PLATFORM), PollMode::Level)
+            .map_err(wrong("cannot poll"))?;
+        let (signal, told) = UnixStream::pair().map_err(wrong("cannot make a pipe"))?;
+        signal.set_nonblocking(true).map_err(wrong("cannot make a pipe"))?;
+        for number in [SIGTERM, SIGINT] {
+            let end = told.try_clone().map_err(wrong("cannot make a pipe"))?;
+            signal_hook::low_level::pipe::register(number, end).map_err(wrong("cannot take signals"))?;
+        }
+        poller
+            .add_with_mode(&signal, Event::readable(SIGNAL), PollMode::Level)
+            .map_err(wrong("cannot poll"))?;
+        let own_zone = config.settings.zone;
+        let mut gateway = Gateway {
+            poller,
+            listener: Some(listener),
+            signal,
+            conns: Slots::default(),
+            pools: BTreeMap::new(),
+            feed: None,
+            own_zone,
+            core: Core::new(config.settings, config.seed),
+            memory: config.memory,
+            most_clients: config.sockets * 2 / 5,
+            most_links: (config.sockets / 2).min(config.memory / 3 / resp::LONGEST),
+            clients: 0,
+            links: 0,
+            stopping: None,
+            terms: config.terms,
+        };
+        let now = now();
+        for item in &config.items {
+            gateway.news(now, &item.news);
+        }
+        if let Some(address) = config.bulletin {
+            let last = config.items.iter().map(|i| i.no).max().unwrap_or(0).max(config.known);
+            gateway.feed = Some(Feed { address, last, conn: None, heard: now, backoff: BACKOFF.0, due: now });
+            gateway.core.deadlines.set(now, Due::Bulletin);
+        }
+        Ok(gateway)
+    }
+
+    /// Where the platform's front listens.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.listener.as_ref()?.local_addr().ok()
+    }
+
+    /// Serves until SIGTERM, and then until all that was taken is answered.
+    pub fn run(&mut self) -> Result<(), String> {
+        let mut events = Vec::new();
+        loop {
+            let at = now();
+            while let Some(due) = self.core.deadlines.pop(at) {
+                self.due(at, due);
+                self.carry_out(at);
+            }
+            if self.finished(at) {
+                return Ok(());
+            }
+            let wait =
+                self.core.deadlines.next().map(|next| Duration::from_micros(next.saturating_sub(now())));
+            events.clear();
+            match self.poller.wait(&mut events, wait) {
+                Err(e) if e.kind() != ErrorKind::Interrupted => return Err(format!("cannot poll: {e}")),
+                _ => {}
+            }
+            for event in &events {
+                let at = now();
+                match event.key {
+                    PLATFORM => self.accept(at),
+                    SIGNAL => self.stop(at),
+                    key => self.ready(at, Key(key as u64), event),
+                }
+                self.carry_out(at);
+            }
+        }
+    }
+
+    fn stop(&mut self, at: Micros) {
+        let mut bytes = [0; 64];
+        while matches!(self.signal.read(&mut bytes), Ok(n) if n > 0) {}
+        if self.stopping.is_none() {
+            log!("told to stop: taking requests for {} ms more", ACCEPTING / 1000);
+            self.stopping = Some(at);
+            self.core.deadlines.set(at + ACCEPTING, Due::Stop);
+        }
+    }
+
+    /// Whether it was told to stop, has gone on accepting for long enough, and owes nothing.
+    fn finished(&self, at: Micros) -> bool {
+        let owes = |c: &Conn| matches!(c.role, Role::Client(_)) && !c.output.rest().is_empty();
+        self.stopping.is_some_and(|since| at >= since + ACCEPTING)
+            && self.core.unanswered() == 0
+            && !self.conns.iter().any(|(_, c)| owes(c))
+    }
+
+    fn due(&mut self, at: Micros, due: Due) {
+        match due {
+            Due::Connection(key) => self.look(at, key),
+            Due::Bulletin => self.tend_feed(at),
+            Due::Stop | Due::Ensemble => {}
+            due => self.core.due(at, due),
+        }
+    }
+
+    // Connections.
+
+    fn accept(&mut self, at: Micros) {
+        for _ in 0..64 {
+            let Some(listener) = &self.listener else { return };
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    if self.clients >= self.most_clients && !self.evict(at) {
+                        log!("a client is turned away: {} are connected", self.clients);
+                        continue;
+                    }
+                    if stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true)).is_ok() {
+                        self.adopt(at, stream, Role::Client(BTreeMap::new()), true, at + IDLE);
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) => return log!("cannot accept: {e}"),
+            }
+        }
+    }
+
+    /// Closes the client's connection that has been idle for longest, to make room.
+    fn evict(&mut self, at: Micros) -> bool {
+        let idle =
+            |c: &Conn| matches!(&c.role, Role::Client(open) if open.is_empty()) && c.output.rest().is_empty();
+        let oldest =
+            self.conns.iter().filter(|(_, c)| idle(c)).min_by_key(|(_, c)| c.moved).map(|(key, _)| key);
+        oldest.map(|key| self.close(at, key, None)).is_some()
+    }
+
+    fn adopt(&mut self, at: Micros, stream: TcpStream, role: Role, up: bool, due: Micros) -> Option<Key> {
+        match role {
+            Role::Store(_) => self.links += 1,
+            Role::Client(_) => self.clients += 1,
+            _ => {}
+        }
+        let (input, output) = (Buffer::default(), Buffer::default());
+        let armed = (true, !up);
+        let key =
+            self.conns.insert(Conn { stream, input, output, role, up, since: at, moved: at, armed, due });
+        self.core.deadlines.set(due, Due::Connection(key));
+        let conn = self.conns.get(key)?;
+        let interest = Event { key: key.0 as usize, readable: armed.0, writable: armed.1 };
+        if let Err(e) = self.poller.add_with_mode(&conn.stream, interest, PollMode::Level) {
+            log!("cannot poll a connection: {e}");
+            self.close(at, key, None);
+            return None;
+        }
+        Some(key)
+    }
+
+    /// Begins to connect; the connection comes up later or fails.
+    fn connect(&mut self, at: Micros, address: SocketAddr, role: Role, due: Micros) -> Option<Key> {
+        let open = || -> io::Result<TcpStream> {
+            let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+            socket.set_nonblocking(true)?;
+            socket.set_nodelay(true)?;
+            match socket.connect(&address.into()) {
+                Ok(()) => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock || e.raw_os_error() == Some(115) => {}
+                Err(e) => return Err(e),
+            }
+            Ok(socket.into())
+        };
+        match open() {
+            Ok(stream) => self.adopt(at, stream, role, false, due),
+            Err(e) => {
+                log!("cannot connect to {address}: {e}");
+                None
+            }
+        }
+    }
+
+    fn ready(&mut self, at: Micros, key: Key, event: &Event) {
+        let Some(conn) = self.conns.get_mut(key) else { return };
+        if !conn.up {
+            match conn.stream.take_error() {
+                Ok(None) if event.writable && conn.stream.peer_addr().is_ok() => {
+                    (conn.up, conn.moved) = (true, at);
+                    if matches!(conn.role, Role::Store(_)) {
+                        self.send_waiting(at, key);
+                    }
+                }
+                Ok(None) => {}
+                Ok(Some(e)) | Err(e) => return self.close(at, key, Some(&e.to_string())),
+            }
+        }
+        if event.readable {
+            self.read(at, key);
+        }
+        if event.writable {
+            self.flush(at, key);
+        }
+        self.arm(key);
+    }
+
+    fn read(&mut self, at: Micros, key: Key) {
+        let mut taken = 0;
+        let mut end = None;
+        let Some(conn) = self.conns.get_mut(key) else { return };
+        let mut input = std::mem::take(&mut conn.input);
+        while taken < TURN && end.is_none() {
+            let start = input.bytes.len();
+            // Room for the next piece; large answers take it in large pieces.
+            let room = if start > 8 * 1024 { 64 * 1024 } else { 8 * 1024 };
+            input.bytes.resize(start + room, 0);
+            match conn.stream.read(&mut input.bytes[start..]) {
+                Ok(0) => end = Some("closed by the other side".to_string()),
+                Ok(n) => {
+                    input.bytes.truncate(start + n);
+                    taken += n;
+                    conn.moved = at;
+                    if n < room {
+                        break;
+                    }
+                    continue;
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    input.bytes.truncate(start);
+                    break;
+                }
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => end = Some(e.to_string()),
+            }
+            input.bytes.truncate(start);
+        }
+        let wrong = self.drive(at, key, &mut input).err();
+        input.compact();
+        if let Some(conn) = self.conns.get_mut(key) {
+            conn.input = input;
+        }
+        if let Some(why) = wrong {
+            log!("a connection is closed: {why}");
+            self.close(at, key, Some(&why));
+        } else if let Some(why) = end {
+            self.close(at, key, Some(&why));
+        }
+    }
+
+    /// Takes whole messages off the input, each by the codec of the connection.
+    fn drive(&mut self, at: Micros, key: Key, input: &mut Buffer) -> Result<(), String> {
+        loop {
+            let Some(conn) = self.conns.get_mut(key) else { return Ok(()) };
+            let used = match &mut conn.role {
+                Role::Client(_) => thrift::drive(self, at, key, input.rest())?,
+                Role::Store(_) => resp::drive(self, at, key, input.rest())?,
+                Role::Bulletin(reader) => {
+                    let n = input.rest().len();
+                    let told = reader.take(input.rest())?;
+                    self.told(at, told)?;
+                    n
+                }
+            };
+            if used == 0 {
+                return Ok(());
+            }
+            input.consume(used);
+        }
+    }
+
+    /// Writes what can be written. Returns whether the connection still stands.
+    pub fn flush(&mut self, at: Micros, key: Key) -> bool {
+        let Some(conn) = self.conns.get_mut(key) else { return false };
+        while conn.up && !conn.output.rest().is_empty() {
+            match conn.stream.write(conn.output.rest()) {
+                Ok(n) => {
+                    conn.output.consume(n);
+                    conn.moved = at;
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => {
+                    self.close(at, key, Some(&e.to_string()));
+                    return false;
+                }
+            }
+        }
+        conn.output.compact();
+        let empty = conn.output.rest().is_empty();
+        if empty && matches!(conn.role, Role::Store(_)) {
+            self.send_waiting(at, key);
+        }
+        self.arm(key);
+        true
+    }
+
+    fn arm(&mut self, key: Key) {
+        let Some(conn) = self.conns.get_mut(key) else { return };
+        let pending = conn.output.rest().len();
+        let crowded = matches!(conn.role, Role::Client(_)) && pending > CROWDED;
+        let armed = (!crowded, !conn.up || pending > 0);
+        if armed != conn.armed {
+            conn.armed = armed;
+            let interest = Event { key: key.0 as usize, readable: armed.0, writable: armed.1 };
+            if let Err(e) = self.poller.modify_with_mode(&conn.stream, interest, PollMode::Level) {
+                log!("cannot poll a connection: {e}");
+            }
+        }
+    }
+
+    /// Closes a connection and ends what it carried.
+    pub fn close(&mut self, at: Micros, key: Key, why: Option<&str>) {
+        let Some(conn) = self.conns.remove(key) else { return };
+        self.core.deadlines.clear(conn.due, Due::Connection(key));
+        // A connection that is closed is no longer polled; there is nothing to do about an error here.
+        let _ = self.poller.delete(&conn.stream);
+        match conn.role {
+            Role::Client(open) => {
+                self.clients -= 1;
+                for request in open.into_values() {
+                    self.core.gone(at, request);
+                }
+            }
+            Role::Store(link) => {
+                self.links -= 1;
+                if let Some(pool) = self.pools.get_mut(&link.store) {
+                    pool.links.retain(|k| *k != key);
+                }
+                if !conn.up {
+                    log!("no connection to {:08x}: {}", link.store, why.unwrap_or("closed"));
+                }
+                // Only what had no byte written is sure not to have run.
+                for attempt in link.open.into_iter().map(|(_, a)| a) {
+                    self.core.outcome(at, attempt, Status::Reset, Note::None);
+                }
+                for attempt in link.waiting {
+                    self.core.outcome(at, attempt, Status::ConnectFailed, Note::None);
+                }
+            }
+            Role::Bulletin(_) => {
+                if let Some(feed) = &mut self.feed {
+                    log!("the bulletin is lost: {}", why.unwrap_or("closed"));
+                    feed.conn = None;
+                    self.core.deadlines.clear(feed.due, Due::Bulletin);
+                    feed.due = at + feed.backoff;
+                    feed.backoff = (2 * feed.backoff).min(BACKOFF.1);
+                    self.core.deadlines.set(feed.due, Due::Bulletin);
+                }
+            }
+        }
+    }
+
+    /// Looks whether a connection came up, moves on, or has been idle for too long.
+    fn look(&mut self, at: Micros, key: Key) {
+        let (timeout, idle) = (self.terms.connect_timeout, self.terms.idle);
+        let Some(conn) = self.conns.get_mut(key) else { return };
+        let pending = !conn.output.rest().is_empty();
+        let limit = match &conn.role {
+            _ if !conn.up => conn.since + timeout,
+            Role::Client(_) if pending => conn.moved + STALLED,
+            Role::Client(open) if !open.is_empty() => at + IDLE,
+            Role::Client(_) => conn.moved + IDLE,
+            // Closed well before the store does: a request that crosses a close is lost time.
+            Role::Store(link) if link.open.is_empty() && link.waiting.is_empty() => conn.moved + idle / 2,
+            Role::Store(_) => at + idle / 2,
+            Role::Bulletin(_) => at + IDLE,
+        };
+        if limit <= at {
+            let why = if conn.up { "idle" } else { "no connection in time" };
+            return self.close(at, key, Some(why));
+        }
+        conn.due = limit.min(at + STALLED);
+        self.core.deadlines.set(conn.due, Due::Connection(key));
+    }
+
+    /// A connection, if it is there.
+    pub fn conn(&mut self, key: Key) -> Option<&mut Conn> {
+        self.conns.get_mut(key)
+    }
+
+    // Answers.
+
+    fn carry_out(&mut self, at: Micros) {
+        while let Some(order) = self.core.orders.pop_front() {
+            match order {
+                Order::Send(attempt) => self.dispatch(at, attempt),
+                Order::Kill { carrier, attempt, call } => {
+                    if resp::kill(self, carrier, attempt, &call) {
+                        self.flush(at, carrier);
+                    }
+                }
+                Order::Refused(ticket, pushback) => self.answer(at, ticket, |out, seq| {
+                    thrift::busy(out, seq as i32, pushback.div_ceil(1000));
+                }),
+                Order::Failed(ticket) => self.answer(at, ticket, |out, seq| thrift::failed(out, seq as i32)),
+            }
+        }
+    }
+
+    /// Passes on a store's answer as the final one.
+    pub fn served(&mut self, at: Micros, ticket: Ticket, reply: &Reply<'_>) {
+        self.answer(at, ticket, |out, seq| {
+            if reply.same {
+                thrift::answer(out, "serve", seq as i32, &[("keep", "1")], &[], true);
+            } else {
+                thrift::answer(out, "serve", seq as i32, &[], reply.body, true);
+            }
+        });
+    }
+
+    fn answer(&mut self, at: Micros, ticket: Ticket, write: impl FnOnce(&mut Vec<u8>, u64)) {
+        let Some(conn) = self.conns.get_mut(ticket.client) else { return };
+        if let Role::Client(open) = &mut conn.role {
+            open.remove(&ticket.seq);
+        }
+        write(&mut conn.output.bytes, ticket.seq);
+        if conn.output.rest().len() > FLOODED {
+            return self.close(at, ticket.client, Some("it does not read its answers"));
+        }
+        self.flush(at, ticket.client);
+    }
+
+    /// Whether more can be taken in; beyond that, memory would run out.
+    pub fn has_room(&self) -> bool {
+        self.core.held < self.memory / 8 && self.core.open() < 4000
+    }
+
+    // Stores.
+
+    /// Finds an attempt a connection. An answer blocks those behind it on its connection, so each attempt gets
+    /// one of its own as far as the budget goes.
+    fn dispatch(&mut self, at: Micros, attempt: Key) {
+        let Some((server, call)) = self.core.target(attempt) else { return };
+        let call = call.to_string();
+        let own = self.pools.values().filter(|p| p.store.host.zone == self.own_zone).count().max(1);
+        let most = (self.most_links / own).clamp(2, 128);
+        let Some((address, links)) = self.pools.get(&server).and_then(|p| Some((p.store.dial?, &p.links)))
+        else {
+            self.core.outcome(at, attempt, Status::ConnectFailed, Note::None);
+            return;
+        };
+        let mut best: Option<(usize, bool, Key)> = None;
+        for &key in links {
+            let Some(Conn { role: Role::Store(link), up, .. }) = self.conns.get(key) else { continue };
+            let load = link.open.len() + link.waiting.len();
+            if !link.knows(&call) && best.is_none_or(|(l, u, _)| (load, !up) < (l, !u)) {
+                best = Some((load, *up, key));
+            }
+        }
+        let more = links.len() < most && self.links < self.most_links;
+        let key = match best {
+            Some((0, _, key)) => Some(key),
+            Some((_, _, key)) if !more => Some(key),
+            _ => {
+                let due = at + self.terms.connect_timeout;
+                let key = self.connect(at, address, Role::Store(Link::new(server)), due);
+                if let (Some(key), Some(pool)) = (key, self.pools.get_mut(&server)) {
+                    pool.links.push(key);
+                }
+                key
+            }
+        };
+        let Some(key) = key else {
+            self.core.outcome(at, attempt, Status::ConnectFailed, Note::None);
+            return;
+        };
+        if let Some(a) = self.core.attempt(attempt) {
+            a.carrier = Some(key);
+        }
+        if let Some(Conn { role: Role::Store(link), .. }) = self.conns.get_mut(key) {
+            link.waiting.push_back(attempt);
+        }
+        self.send_waiting(at, key);
+        self.arm(key);
+    }
+
+    /// Writes the attempts that wait for a connection, each once all before it is written.
+    fn send_waiting(&mut self, at: Micros, key: Key) {
+        loop {
+            let Some(conn) = self.conns.get_mut(key).filter(|c| c.up && c.output.rest().is_empty()) else {
+                return;
+            };
+            let Role::Store(link) = &mut conn.role else { return };
+            let Some(attempt) = link.waiting.pop_front() else { return };
+            let Some(pull) = self.core.pull(at, attempt) else { continue };
+            let call = pull.ask.call.clone();
+            resp::pull(&mut conn.output.bytes, &pull, &self.terms.classes);
+            match conn.stream.write(conn.output.rest()) {
+                Ok(n) => {
+                    conn.output.consume(n);
+                    conn.moved = at;
+                    link.open.push((call, attempt));
+                    if let Some(a) = self.core.attempt(attempt) {
+                        a.begun = true;
+                    }
+                }
+                Err(e) => {
+                    // No byte went out: it waits on, or fails as one that never ran.
+                    conn.output = Buffer::default();
+                    link.waiting.push_front(attempt);
+                    if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) {
+                        let interest = Event { key: key.0 as usize, readable: true, writable: true };
+                        conn.armed = (true, true);
+                        // A failure here shows again as soon as the connection is looked at.
+                        let _ = self.poller.modify_with_mode(&conn.stream, interest, PollMode::Level);
+                        return;
+                    }
+                    return self.close(at, key, Some(&e.to_string()));
+                }
+            }
+        }
+    }
+
+    // News.
+
+    /// Takes in news of stores or a purge.
+    fn news(&mut self, at: Micros, news: &bulletin::News) {
+        self.core.news(at, news);
+        let bulletin::News::Roster { whole, stores } = news else { return };
+        let named: BTreeSet<ServerId> = stores.iter().map(|s| s.host.server).collect();
+        if *whole {
+            for (_, pool) in self.pools.iter_mut().filter(|(id, _)| !named.contains(*id)) {
+                pool.store.host.state = State::Removed;
+            }
+        }
+        for store in stores {
+            let pool = self
+                .pools
+                .entry(store.host.server)
+                .or_insert_with(|| Pool { store: store.clone(), links: Vec::new() });
+            // Another process stands behind a new address or start: old connections lead nowhere.
+            let moved = pool.store.dial != store.dial || pool.store.host.started != store.host.started;
+            let dial = store.dial.or(pool.store.dial);
+            pool.store = Store { dial, ..store.clone() };
+            if moved || store.host.state == State::Removed {
+                let idle = |key: &Key| match self.conns.get(*key).map(|c| &c.role) {
+                    Some(Role::Store(link)) => link.open.is_empty() && link.waiting.is_empty(),
+                    _ => false,
+                };
+                let (close, keep): (Vec<Key>, Vec<Key>) = pool.links.iter().partition(|k| idle(k));
+                pool.links = if moved { Vec::new() } else { keep };
+                close.into_iter().for_each(|key| self.close(at, key, None));
+            }
+        }
+    }
+
+    /// Calls the bulletin, or notices that it has gone silent.
+    fn tend_feed(&mut self, at: Micros) {
+        let Some(feed) = &mut self.feed else { return };
+        match feed.conn {
+            Some(key) if at >= feed.heard + SILENT => {
+                feed.due = at;
+                return self.close(at, key, Some("it has gone silent"));
+            }
+            Some(_) => {
+                feed.due = feed.heard + SILENT;
+                return self.core.deadlines.set(feed.due, Due::Bulletin);
+            }
+            None => {}
+        }
+        let (address, last) = (feed.address, feed.last);
+        (feed.heard, feed.due) = (at, at + SILENT);
+        self.core.deadlines.set(feed.due, Due::Bulletin);
+        let due = at + self.terms.connect_timeout.max(1_000_000);
+        let key = self.connect(at, address, Role::Bulletin(Reader::default()), due);
+        if let Some(conn) = key.and_then(|k| self.conns.get_mut(k)) {
+            conn.output.bytes.extend_from_slice(bulletin::call(address, last).as_bytes());
+        }
+        if let Some(feed) = &mut self.feed {
+            feed.conn = key;
+            if key.is_none() {
+                self.core.deadlines.clear(feed.due, Due::Bulletin);
+                feed.due = at + feed.backoff;
+                feed.backoff = (2 * feed.backoff).min(BACKOFF.1);
+                self.core.deadlines.set(feed.due, Due::Bulletin);
+            }
+        }
+    }
+
+    /// Applies the bulletin's events in their order, each once.
+    fn told(&mut self, at: Micros, events: Vec<String>) -> Result<(), String> {
+        if let Some(feed) = &mut self.feed {
+            (feed.heard, feed.backoff) = (at, BACKOFF.0);
+        }
+        for data in events {
+            let item = bulletin::event(&data, &self.terms)?;
+            let Some(feed) = &mut self.feed else { return Ok(()) };
+            if item.no <= feed.last {
+                continue;
+            }
+            feed.last = item.no;
+            self.news(at, &item.news);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/gateway/src/resp.rs
@@ -0,0 +1,212 @@
+//! The wire to stores, parents and the origin: RESP arrays of bulk strings.
+use crate::core::Pull;
+use crate::net::{Conn, Gateway, Role};
+use crate::slots::Key;
+use gateproxy::{Micros, Note, ServerId, Status};
+use std::collections::VecDeque;
+
+/// Longest answer: a whole object and its fields.
+pub const LONGEST: usize = 300_000;
+
+/// What a store answered, as slices of the read buffer.
+#[derive(Debug, PartialEq)]
+pub struct Reply<'a> {
+    /// The request it answers.
+    pub id: &'a str,
+    /// How the attempt ended; none for a word that ends nothing.
+    pub status: Option<Status>,
+    /// Whether the client's copy is the one.
+    pub same: bool,
+    /// How the answer came about.
+    pub note: Note,
+    /// The tag of the bytes.
+    pub entity: Option<&'a str>,
+    /// The bytes.
+    pub body: &'a [u8],
+}
+
+/// One line `Xnnn\r\n`: its number and the place after it.
+fn line(input: &[u8], at: usize, mark: u8) -> Result<Option<(usize, usize)>, String> {
+    let rest = &input[at.min(input.len())..];
+    match rest.first() {
+        None => return Ok(None),
+        Some(&b) if b != mark => return Err(format!("{:?} where {:?} is due", b as char, mark as char)),
+        Some(_) => {}
+    }
+    let Some(end) = rest.iter().take(16).position(|&b| b == b'\n') else {
+        return if rest.len() >= 16 { Err("a length is too long".into()) } else { Ok(None) };
+    };
+    let digits = rest[1..end].strip_suffix(b"\r").ok_or("a line does not end in CR LF")?;
+    let number =
+        std::str::from_utf8(digits).ok().filter(|d| !d.starts_with('+')).and_then(|d| d.parse().ok());
+    Ok(Some((number.ok_or("a length is not a number")?, at + end + 1)))
+}
+
+/// The words of an array, and its length in bytes.
+type Words<'a> = (Vec<&'a [u8]>, usize);
+
+/// Takes a whole array off the front of the input: its words and its length in bytes.
+pub fn words(input: &[u8]) -> Result<Option<Words<'_>>, String> {
+    let Some((count, mut at)) = line(input, 0, b'*')? else { return Ok(None) };
+    if !(1..=16).contains(&count) {
+        return Err(format!("an array of {count}"));
+    }
+    let mut words = Vec::with_capacity(count);
+    for _ in 0..count {
+        let Some((length, start)) = line(input, at, b'$')? else { return Ok(None) };
+        if length > LONGEST {
+            return Err(format!("a string of {length} bytes"));
+        }
+        let end = start + length;
+        if input.len() < end + 2 {
+            return Ok(None);
+        }
+        if &input[end..end + 2] != b"\r\n" {
+            return Err("a string does not end in CR LF".into());
+        }
+        words.push(&input[start..end]);
+        at = end + 2;
+    }
+    Ok(Some((words, at)))
+}
+
+/// The value of a field in a list `name=value,name=value`.
+pub fn field<'a>(fields: &'a str, name: &str) -> Option<&'a str> {
+    fields.split(',').find_map(|f| f.split_once('=').filter(|(n, _)| *n == name)).map(|(_, value)| value)
+}
+
+fn note(word: Option<&str>) -> Note {
+    match word.unwrap_or("") {
+        "HIT" => Note::Hit,
+        "MISS" => Note::Filled,
+        "MISS_ORIGIN" => Note::FilledByOrigin,
+        "COLLAPSED" => Note::Joined,
+        "STALE" => Note::Stale,
+        "UP_BUSY" => Note::SourceRefused,
+        "UP_DOWN" => Note::SourceLost,
+        "UP_MISS" => Note::SourceLacks,
+        "NO_FILL" => Note::NoFillSlot,
+        "ORIGIN_ERR" => Note::OriginFailed,
+        _ => Note::None,
+    }
+}
+
+/// Takes a whole answer off the front of the input: the answer and its length in bytes.
+pub fn reply(input: &[u8]) -> Result<Option<(Reply<'_>, usize)>, String> {
+    let Some((words, length)) = words(input)? else { return Ok(None) };
+    let text = |at: usize| match words.get(at) {
+        None => Ok(""),
+        Some(word) => std::str::from_utf8(word).map_err(|_| "a word is not UTF-8".to_string()),
+    };
+    let (id, word, fields) = (text(0)?, text(1)?, text(2)?);
+    let status = match word {
+        "ok" | "current" => Some(Status::Ok),
+        "nothing" => Some(Status::Miss),
+        "refused" => Some(Status::Full),
+        "error" => Some(Status::Error),
+        "stale" => Some(Status::Moot),
+        _ => None,
+    };
+    let body = words.get(3).copied().unwrap_or(&[]);
+    let note = note(field(fields, "remark"));
+    let entity = field(fields, "entity");
+    Ok(Some((Reply { id, status, same: word == "current", note, entity, body }, length)))
+}
+
+/// Writes an array of bulk strings.
+pub fn write_words(out: &mut Vec<u8>, words: &[&[u8]]) {
+    out.extend_from_slice(format!("*{}\r\n", words.len()).as_bytes());
+    for word in words {
+        out.extend_from_slice(format!("${}\r\n", word.len()).as_bytes());
+        out.extend_from_slice(word);
+        out.extend_from_slice(b"\r\n");
+    }
+}
+
+// The driver.
+
+/// A connection to a store and what it carries.
+pub struct Link {
+    /// The store.
+    pub store: ServerId,
+    /// Attempts of which no byte is written.
+    pub waiting: VecDeque<Key>,
+    /// Attempts written, by the id they went under.
+    pub open: Vec<(String, Key)>,
+    /// Ids given up, of which an answer may still be on its way.
+    dead: VecDeque<String>,
+}
+
+impl Link {
+    /// A connection that carries nothing.
+    pub fn new(store: ServerId) -> Self {
+        Link { store, waiting: VecDeque::new(), open: Vec::new(), dead: VecDeque::new() }
+    }
+
+    /// Whether an id is or was used here: a late answer to its first attempt must not pass for the second's.
+    pub fn knows(&self, call: &str) -> bool {
+        self.dead.iter().any(|d| d == call) || self.open.iter().any(|(c, _)| c == call)
+    }
+}
+
+/// Takes one answer off the input of a connection and returns how much was used.
+pub fn drive(gateway: &mut Gateway, at: Micros, key: Key, input: &[u8]) -> Result<usize, String> {
+    let Some((reply, used)) = reply(input)? else { return Ok(0) };
+    let Some(Conn { role: Role::Store(link), .. }) = gateway.conn(key) else { return Ok(0) };
+    let Some(status) = reply.status else { return Ok(used) };
+    let Some(place) = link.open.iter().position(|(call, _)| call == reply.id) else {
+        link.dead.retain(|d| d != reply.id);
+        return Ok(used);
+    };
+    let (_, attempt) = link.open.swap_remove(place);
+    if let Some(ticket) = gateway.core.outcome(at, attempt, status, reply.note) {
+        gateway.served(at, ticket, &reply);
+    }
+    Ok(used)
+}
+
+/// Writes the request of an attempt.
+pub fn pull(out: &mut Vec<u8>, pull: &Pull<'_>, classes: &[String]) {
+    let ask = pull.ask;
+    let class = classes.get(ask.class).map_or("", String::as_str);
+    let mut fields = format!("profile={class},thing={},nth={},max={}", ask.thing, ask.part, pull.max);
+    let mut add = |name: &str, value: &str| {
+        fields.extend([",", name, "=", value]);
+    };
+    if let Some(dedupe) = &ask.dedupe {
+        add("replay", dedupe);
+    }
+    if let Some(source) = pull.source {
+        add("miss", source);
+    }
+    if pull.rank > 0 {
+        add("prio", &pull.rank.to_string());
+    }
+    if pull.within > 0 {
+        add("within", &pull.within.to_string());
+    }
+    let words = [(pull.join, "share"), (pull.renew, "swr")];
+    let words: Vec<&str> = words.iter().filter(|w| w.0).map(|w| w.1).collect();
+    if !words.is_empty() {
+        add("f", &words.join("+"));
+    }
+    if let Some(mine) = &ask.mine {
+        add("mine", mine);
+    }
+    write_words(out, &[b"PULL", ask.call.as_bytes(), fields.as_bytes(), &ask.body]);
+}
+
+/// Gives an attempt up. Returns whether there is something to write.
+pub fn kill(gateway: &mut Gateway, carrier: Key, attempt: Key, call: &str) -> bool {
+    let Some(conn) = gateway.conn(carrier) else { return false };
+    let Role::Store(link) = &mut conn.role else { return false };
+    link.waiting.retain(|a| *a != attempt);
+    let Some(place) = link.open.iter().position(|(_, a)| *a == attempt) else { return false };
+    link.open.swap_remove(place);
+    link.dead.push_back(call.to_string());
+    if link.dead.len() > 64 {
+        link.dead.pop_front();
+    }
+    write_words(&mut conn.output.bytes, &[b"KILL", call.as_bytes()]);
+    true
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 mod helpers;
 mod interface;
 mod logic;
+pub mod settings;
 
 pub use interface::*;
 pub use logic::{miss_chance, Router};
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -744,7 +744,8 @@
         if outcome.note == Note::OriginFailed {
             return self.give_up(id, PAUSE.1, actions);
         }
-        if outcome.status == Status::Moot || over {
+        // Moot before the end: unsent, since its store was withdrawn or a purge was told while it waited.
+        if over {
             actions.push(Action::Fail(id));
             return self.close(id, actions);
         }
--- a/adapter/src/settings.rs
+++ b/src/settings.rs
@@ -1,9 +1,41 @@
-//! Reads the settings of a `CREATE` line. Unknown keys are ignored; absent ones get the wire's defaults.
-use gateproxy::{Class, Effect, Group, Micros, Settings, Siblings};
-use serde_json::Value;
+//! Reads the settings, for the adapter and the gateway alike. Unknown keys are ignored; absent ones get the
+//! wire's defaults.
+use crate::interface::{Class, Effect, Group, Micros, Settings, Siblings};
+use miniserde::json::{self, Number, Value};
+
+/// A member of an object.
+pub fn get<'a>(value: &'a Value, key: &str) -> Option<&'a Value> {
+    match value {
+        Value::Object(map) => map.get(key),
+        _ => None,
+    }
+}
+
+/// A number.
+pub fn as_f64(value: &Value) -> Option<f64> {
+    match value {
+        Value::Number(Number::U64(n)) => Some(*n as f64),
+        Value::Number(Number::I64(n)) => Some(*n as f64),
+        Value::Number(Number::F64(n)) => Some(*n),
+        _ => None,
+    }
+}
+
+/// A whole number from 0.
+pub fn as_u64(value: &Value) -> Option<u64> {
+    as_f64(value).filter(|n| *n >= 0.0 && n.fract() == 0.0).map(|n| n as u64)
+}
+
+/// A truth value.
+pub fn as_bool(value: &Value) -> Option<bool> {
+    match value {
+        Value::Bool(b) => Some(*b),
+        _ => None,
+    }
+}
 
 fn number(value: &Value, key: &str, default: f64) -> f64 {
-    value.get(key).and_then(Value::as_f64).unwrap_or(default)
+    get(value, key).and_then(as_f64).unwrap_or(default)
 }
 
 fn span(value: &Value, key: &str, default_ms: f64) -> Micros {
@@ -11,19 +43,25 @@
 }
 
 fn flag(value: &Value, key: &str, default: bool) -> bool {
-    value.get(key).and_then(Value::as_bool).unwrap_or(default)
+    get(value, key).and_then(as_bool).unwrap_or(default)
 }
 
 fn word<'a>(value: &'a Value, key: &str) -> &'a str {
-    value.get(key).and_then(Value::as_str).unwrap_or("")
+    match get(value, key) {
+        Some(Value::String(text)) => text,
+        _ => "",
+    }
 }
 
 fn list<'a>(value: &'a Value, key: &str) -> &'a [Value] {
-    value.get(key).and_then(Value::as_array).map_or(&[], Vec::as_slice)
+    match get(value, key) {
+        Some(Value::Array(items)) => items,
+        _ => &[],
+    }
 }
 
 fn place(value: &Value, key: &str) -> Option<usize> {
-    value.get(key).and_then(Value::as_u64).map(|n| n as usize)
+    get(value, key).and_then(as_u64).map(|n| n as usize)
 }
 
 /// Milliseconds as whole microseconds; nothing below 0.
@@ -32,7 +70,7 @@
 }
 
 fn class(value: &Value, at: usize, info: &Value) -> Class {
-    let by_class = |key: &str| list(info, key).get(at).and_then(Value::as_f64).map_or(0, micros);
+    let by_class = |key: &str| list(info, key).get(at).and_then(as_f64).map_or(0, micros);
     Class {
         aim: span(value, "targetMs", 0.0),
         aim_stretch: number(value, "aimStretch", 0.0),
@@ -49,32 +87,37 @@
         window: span(value, "windowMs", 5000.0),
         fresh: by_class("lifetimeByClassMs"),
         grace: by_class("graceForMs"),
-        uncacheable: list(info, "neverKept").get(at).and_then(Value::as_bool).unwrap_or(false),
+        uncacheable: list(info, "neverKept").get(at).and_then(as_bool).unwrap_or(false),
     }
 }
 
 /// Reads the settings from their JSON text.
 pub fn read(text: &str) -> Result<Settings, String> {
-    let all: Value = serde_json::from_str(text).map_err(|e| format!("info is not JSON: {e}"))?;
-    if !all.is_object() {
+    let all: Value = json::from_str(text).map_err(|_| "info is not JSON".to_string())?;
+    read_value(&all)
+}
+
+/// Reads the settings from JSON already taken apart.
+pub fn read_value(all: &Value) -> Result<Settings, String> {
+    if !matches!(all, Value::Object(_)) {
         return Err("info is not an object".into());
     }
     let none = Value::Null;
-    let part = |key: &str| all.get(key).unwrap_or(&none);
+    let part = |key: &str| get(all, key).unwrap_or(&none);
     let (info, limits, rules) = (part("familyInfo"), part("limits"), part("rules"));
-    let classes = list(&all, "services").iter().enumerate().map(|(at, c)| class(c, at, info)).collect();
+    let classes = list(all, "services").iter().enumerate().map(|(at, c)| class(c, at, info)).collect();
     let usual = Settings::default();
     let told = flag(limits, "retryAfter", false);
     let settings = Settings {
-        routers: number(&all, "balancers", 1.0).max(1.0) as u64,
-        zone: place(&all, "locality").unwrap_or(0),
-        zone_routers: list(info, "zoneBalancers").iter().map(|v| v.as_u64().unwrap_or(0)).collect(),
+        routers: number(all, "balancers", 1.0).max(1.0) as u64,
+        zone: place(all, "locality").unwrap_or(0),
+        zone_routers: list(info, "zoneBalancers").iter().map(|v| as_u64(v).unwrap_or(0)).collect(),
         classes,
-        ask: word(&all, "membershipMode") == "ask",
+        ask: word(all, "membershipMode") == "ask",
         parent_kind: place(info, "shieldKind"),
         origin_kind: place(info, "storeKind"),
         flow_kb_per_s: number(info, "oneFlowKbPerS", 0.0),
-        weighted: matches!(word(&all, "weightKind"), "nominal" | "rough"),
+        weighted: matches!(word(all, "weightKind"), "nominal" | "rough"),
         siblings: match word(info, "peersFill") {
             "location" => Siblings::Location,
             "any" => Siblings::Any,
