--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -1,7 +1,7 @@
 //! Speaks the simulator's line protocol on standard input and output for many independent routers.
 mod wire;
 
-use gateproxy::{Action, Router};
+use larchway::{Action, Router};
 use std::any::Any;
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufWriter, Write};
@@ -18,7 +18,7 @@
     match serve(io::stdin().lock(), BufWriter::new(io::stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("gateproxy-adapter: {message}");
+            eprintln!("larchway-adapter: {message}");
             ExitCode::FAILURE
         }
     }
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -1,6 +1,6 @@
 //! Lines of the simulator's protocol, in and out.
-use gateproxy::settings::{self, micros};
-use gateproxy::{
+use larchway::settings::{self, micros};
+use larchway::{
     Action, Event, Get, Host, Members, Micros, Note, Outcome, Request, Scope, Settings, State, Status,
 };
 use std::io::{self, Write};
--- a/adapter/tests/wire.rs
+++ b/adapter/tests/wire.rs
@@ -8,7 +8,7 @@
 "limits":{"cancel":true,"maxAttempts":4,"mayDuplicate":false}}"#;
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_gateproxy-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_larchway-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/gateway/src/bulletin.rs
+++ b/gateway/src/bulletin.rs
@@ -1,7 +1,7 @@
 //! The bulletin: purges and changes to the list of stores, as numbered server-sent events over HTTP.
 use crate::config::{address, list, text, whole, Terms};
-use gateproxy::settings::{as_f64, as_u64, get, micros};
-use gateproxy::{Host, Micros, State};
+use larchway::settings::{as_f64, as_u64, get, micros};
+use larchway::{Host, Micros, State};
 use miniserde::json::{self, Value};
 use std::net::SocketAddr;
 
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -1,7 +1,7 @@
 //! The only place that reads, checks and defaults configuration. Errors name the faulty key.
 use crate::bulletin::{self, Item};
-use gateproxy::settings::{as_f64, as_u64, get, read_value};
-use gateproxy::{Micros, Settings};
+use larchway::settings::{as_f64, as_u64, get, read_value};
+use larchway::{Micros, Settings};
 use miniserde::json::{self, Value};
 use std::net::SocketAddr;
 
@@ -115,10 +115,10 @@
             .ok_or_else(|| "settings.services: name is missing".to_string())
     };
     let span = |key: &str, default: f64| match get(limits, key) {
-        None => Ok(gateproxy::settings::micros(default)),
+        None => Ok(larchway::settings::micros(default)),
         Some(v) => as_f64(v)
             .filter(|ms| *ms > 0.0)
-            .map(gateproxy::settings::micros)
+            .map(larchway::settings::micros)
             .ok_or_else(|| format!("settings.limits.{key} must be a number above 0")),
     };
     let nested = |e: String| format!("settings.{e}");
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -3,7 +3,7 @@
 use crate::bulletin::{News, Store};
 use crate::deadlines::{Deadlines, Due};
 use crate::slots::{Key, Slots};
-use gateproxy::{
+use larchway::{
     Action, Event, Get, Members, Micros, Note, Outcome, Request, Router, Scope, ServerId, Settings, State,
     Status,
 };
--- a/gateway/src/deadlines.rs
+++ b/gateway/src/deadlines.rs
@@ -1,6 +1,6 @@
 //! The one ordered structure in which all deadlines hang.
 use crate::slots::Key;
-use gateproxy::Micros;
+use larchway::Micros;
 use std::collections::BTreeSet;
 
 /// What falls due.
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -6,7 +6,7 @@
 use crate::resp::{self, Link, Reply};
 use crate::slots::{Key, Slots};
 use crate::{log, thrift};
-use gateproxy::{Micros, Note, ServerId, State, Status};
+use larchway::{Micros, Note, ServerId, State, Status};
 use polling::{Event, PollMode, Poller};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use socket2::{Domain, Protocol, Socket, Type};
--- a/gateway/src/resp.rs
+++ b/gateway/src/resp.rs
@@ -2,7 +2,7 @@
 use crate::core::Pull;
 use crate::net::{Conn, Gateway, Role};
 use crate::slots::Key;
-use gateproxy::{Micros, Note, ServerId, Status};
+use larchway::{Micros, Note, ServerId, Status};
 use std::collections::VecDeque;
 
 /// Longest answer: a whole object and its fields.
--- a/gateway/src/thrift.rs
+++ b/gateway/src/thrift.rs
@@ -4,7 +4,7 @@
 use crate::log;
 use crate::net::{Conn, Gateway, Role};
 use crate::slots::Key;
-use gateproxy::Micros;
+use larchway::Micros;
 
 /// Longest frame taken: a write of 48,000 bytes and its fields.
 pub const LONGEST: usize = 128 * 1024;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,10 @@
-//! gateproxy decides, for one router in front of edge caches, which cache gets a request, where a miss is
+//! larchway decides, for one router in front of edge caches, which cache gets a request, where a miss is
 //! filled from and what is kept.
 //!
 //! The caller feeds [`Event`]s to a [`Router`] and carries out the [`Action`]s that it hands back:
 //!
 //! ```
-//! use gateproxy::{Action, Class, Event, Host, Members, Request, Router, Scope, Settings, State};
+//! use larchway::{Action, Class, Event, Host, Members, Request, Router, Scope, Settings, State};
 //!
 //! let settings = Settings { classes: vec![Class { aim: 250_000, ..Class::default() }], ..Settings::default() };
 //! let mut router = Router::new(settings, 7);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1,5 +1,5 @@
 //! Small tests of the module alone. Each is named for the failure that it pins.
-use gateproxy::*;
+use larchway::*;
 
 const MS: Micros = 1000;
 const ORIGIN: ServerId = 90;
