Add the second front: signed URLs and URI Signing tokens on the same core

HTTP/1.1 with signed URLs (expiry, start, key name and HMAC-SHA256 in the query) and RFC 9246 tokens (HS256, query or cookie), issued by 'larchway sign' and by POST /sign. Off unless serve is given a file; the deploy file gives none. Also the scenario language for tests of the network code, against the program itself on port 0. Found by those tests: a pipelined request waited for ever when the answer before it left no order behind (carry_out in net.rs read on only after an order); it now loops until neither orders nor waiting requests are left.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -1,5 +1,6 @@
 //! The only place that reads, checks and defaults configuration. Errors name the faulty key.
 use crate::bulletin::{self, Item};
+use crate::signed::{token::Parties, Keys, Secret};
 use larchway::settings::{as_f64, as_u64, get, read_value};
 use larchway::{Micros, Settings};
 use miniserde::json::{self, Value};
@@ -35,6 +36,8 @@
 pub struct Terms {
     /// Names of the classes.
     pub classes: Vec<String>,
+    /// By class, how long a client waits in all.
+    pub deadlines: Vec<Micros>,
     /// Names of the zones.
     pub zones: Vec<String>,
     /// Names of the machine kinds.
@@ -122,8 +125,14 @@
             .ok_or_else(|| format!("settings.limits.{key} must be a number above 0")),
     };
     let nested = |e: String| format!("settings.{e}");
+    let deadline = |v: &Value| {
+        let ms = get(v, "deadlineMs").map_or(Some(3000.0), as_f64).filter(|ms| *ms > 0.0);
+        ms.map(larchway::settings::micros).ok_or("settings.services: deadlineMs must be a number above 0")
+    };
+    let services = list(settings, "services").map_err(nested)?;
     Ok(Terms {
-        classes: list(settings, "services").map_err(nested)?.iter().map(class).collect::<Result<_, _>>()?,
+        classes: services.iter().map(class).collect::<Result<_, _>>()?,
+        deadlines: services.iter().map(deadline).collect::<Result<_, _>>()?,
         zones: texts(settings, "zones").map_err(nested)?,
         kinds: texts(settings, "models").map_err(nested)?,
         connect_timeout: span("connectTimeoutMs", 400.0)?,
@@ -170,3 +179,100 @@
         terms,
     })
 }
+
+/// What the second front is told by its file under `deploy/`.
+#[derive(Debug)]
+pub struct Front {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// What stands before the path in the links that clients see.
+    pub base: String,
+    /// The classes that links may name.
+    pub classes: Vec<String>,
+    /// The keys that sign and check.
+    pub keys: Keys,
+    /// The credentials of those who may have links issued.
+    pub holders: Vec<Secret>,
+    /// Whom tokens may name.
+    pub parties: Parties,
+    /// For how long a link may hold at most, in seconds.
+    pub longest: u64,
+}
+
+/// Reads the second front's file; secrets may be left to the environment.
+pub fn front_file(path: &str) -> Result<Front, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read {path}: {e}"))?;
+    front(&text, |name| std::env::var(name).ok()).map_err(|e| format!("{path}: {e}"))
+}
+
+/// Reads the second front's configuration.
+pub fn front(text_: &str, env: impl Fn(&str) -> Option<String>) -> Result<Front, String> {
+    let all = parse(text_)?;
+    let base = text(&all, "base")?.ok_or("base is missing")?.trim_end_matches('/').to_string();
+    if !base.starts_with("http://") && !base.starts_with("https://") {
+        return Err(format!("base: {base:?} does not begin with http:// or https://"));
+    }
+    let classes = texts(&all, "classes")?;
+    if classes.is_empty() {
+        return Err("classes is missing or empty".into());
+    }
+    let keys = secrets(&all, "keys", &env, true)?;
+    if keys.is_empty() {
+        return Err("keys is missing or empty".into());
+    }
+    Ok(Front {
+        listen: address(&all, "listen")?.ok_or("listen is missing")?,
+        base,
+        classes,
+        keys: Keys(keys),
+        holders: secrets(&all, "holders", &env, false)?,
+        parties: Parties {
+            issuers: texts(&all, "issuers")?,
+            audience: text(&all, "audience")?.map(str::to_string),
+        },
+        longest: whole(&all, "longest_s", 604_800, 1)?,
+    })
+}
+
+/// Named secrets: each with `secret` (keys in hexadecimal), or `secret_env` naming the variable that holds it.
+fn secrets(
+    all: &Value,
+    key: &str,
+    env: &impl Fn(&str) -> Option<String>,
+    hex: bool,
+) -> Result<Vec<Secret>, String> {
+    let mut found: Vec<Secret> = Vec::new();
+    for entry in list(all, key)? {
+        let wrong = |e: String| format!("{key}: {e}");
+        let name = text(entry, "name").map_err(wrong)?.unwrap_or("");
+        let plain = |b: u8| b.is_ascii_alphanumeric() || b"._-".contains(&b);
+        if name.is_empty() || !name.bytes().all(plain) {
+            return Err(wrong(format!("name {name:?} must be letters, digits, '.', '_' or '-'")));
+        }
+        if found.iter().any(|s| s.name == name) {
+            return Err(wrong(format!("name {name:?} stands twice")));
+        }
+        let told = match (text(entry, "secret").map_err(wrong)?, text(entry, "secret_env").map_err(wrong)?) {
+            (Some(secret), None) => secret.to_string(),
+            (None, Some(variable)) => {
+                env(variable).ok_or_else(|| wrong(format!("{name}: {variable} is not set")))?
+            }
+            _ => return Err(wrong(format!("{name}: either secret or secret_env is needed"))),
+        };
+        let told = told.trim();
+        let secret = if hex { unhex(told) } else { Some(told.as_bytes().to_vec()) };
+        let secret = secret.ok_or_else(|| wrong(format!("{name}: the secret is not hexadecimal")))?;
+        if secret.len() < 16 {
+            return Err(wrong(format!("{name}: the secret is under 16 bytes")));
+        }
+        found.push(Secret::new(name.to_string(), secret));
+    }
+    Ok(found)
+}
+
+fn unhex(text: &str) -> Option<Vec<u8>> {
+    if !text.len().is_multiple_of(2) || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return None;
+    }
+    (0..text.len()).step_by(2).map(|at| u8::from_str_radix(&text[at..at + 2], 16).ok()).collect()
+}
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -63,8 +63,8 @@
     },
     /// Final answer: refused; come back after so long.
     Refused(Ticket, Micros),
-    /// Final answer: failed.
-    Failed(Ticket),
+    /// Final answer: failed; whether since its time was up.
+    Failed(Ticket, bool),
 }
 
 struct Open {
@@ -229,7 +229,7 @@
                 // Guards the promise of one final answer even where the module has none to give.
                 if let Some(open) = self.requests.get_mut(key).filter(|r| !r.answered) {
                     open.answered = true;
-                    self.orders.push_back(Order::Failed(open.ticket));
+                    self.orders.push_back(Order::Failed(open.ticket, true));
                     self.feed(now, Event::Gone(key.0));
                 }
             }
@@ -355,7 +355,10 @@
                 self.orders.push_back(Order::Send(key));
             }
             Action::Refuse { id, retry_after } => self.finish(Key(id), |t| Order::Refused(t, retry_after)),
-            Action::Fail(id) => self.finish(Key(id), Order::Failed),
+            Action::Fail(id) => {
+                let late = self.requests.get(Key(id)).is_some_and(|r| now >= r.deadline);
+                self.finish(Key(id), |t| Order::Failed(t, late));
+            }
             Action::Cancel { id, attempt } => {
                 let open = self.requests.get(Key(id));
                 let Some(key) = open.and_then(|r| r.attempts.get(attempt as usize).copied()) else { return };
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod log;
 pub mod net;
 pub mod resp;
+pub mod signed;
 pub mod slots;
 pub mod thrift;
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -1,6 +1,8 @@
 //! The gateway daemon's command line.
 use argh::FromArgs;
-use larchway_gateway::{config, net::Gateway};
+use larchway_gateway::net::{self, Gateway};
+use larchway_gateway::{config, signed};
+use miniserde::json::{Number, Object, Value};
 use std::process::ExitCode;
 
 /// The gateway in front of the cache boxes.
@@ -15,13 +17,18 @@
 enum Command {
     Serve(Serve),
     Version(Version),
+    Sign(Sign),
     CheckConfig(CheckConfig),
 }
 
 /// Serve, as EDGE_CONFIG, EDGE_NAME and EDGE_LISTEN say, until SIGTERM.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
-struct Serve {}
+struct Serve {
+    /// file of the second front (signed URLs and tokens); without it, that front is off
+    #[argh(option)]
+    signed: Option<String>,
+}
 
 /// Print the version.
 #[derive(FromArgs)]
@@ -31,21 +38,87 @@
 /// Read the configuration as serve would, and say what is wrong with it.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check-config")]
-struct CheckConfig {}
+struct CheckConfig {
+    /// file of the second front
+    #[argh(option)]
+    signed: Option<String>,
+}
+
+/// Issue a signed URL or a token for one object.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "sign")]
+struct Sign {
+    /// file of the second front
+    #[argh(option)]
+    signed: String,
+    /// what the link is for: /CLASS/FAMILY/OBJECT/PART
+    #[argh(option)]
+    path: String,
+    /// seconds for which it holds (default 3600)
+    #[argh(option, default = "3600")]
+    expires_in: u64,
+    /// unix second from which it holds
+    #[argh(option)]
+    not_before: Option<u64>,
+    /// name of the key (default: the first one)
+    #[argh(option)]
+    key: Option<String>,
+    /// method, GET (default, serves HEAD too) or HEAD
+    #[argh(option, default = "String::from(\"GET\")")]
+    method: String,
+    /// a URI Signing token instead of a signed URL
+    #[argh(switch)]
+    token: bool,
+}
+
+fn front(path: &Option<String>) -> Result<Option<config::Front>, String> {
+    path.as_deref().map(config::front_file).transpose()
+}
 
-fn serve() -> Result<(), String> {
-    Gateway::new(config::from_env()?)?.run()
+fn serve(args: &Serve) -> Result<(), String> {
+    Gateway::new(config::from_env()?, front(&args.signed)?)?.run()
+}
+
+fn check(args: &CheckConfig) -> Result<(), String> {
+    let config = config::from_env()?;
+    front(&args.signed)?;
+    println!("{} is well configured", config.name);
+    Ok(())
+}
+
+fn sign(args: &Sign) -> Result<(), String> {
+    let front = config::front_file(&args.signed)?;
+    // Links name no class that the file does not allow, so its list is all that is needed here.
+    let terms = config::Terms { classes: front.classes.clone(), ..config::Terms::default() };
+    let text = |t: &str| Value::String(t.to_string());
+    let number = |n: u64| Value::Number(Number::U64(n));
+    let mut order = Object::new();
+    order.insert("path".into(), text(&args.path));
+    order.insert("expires_in".into(), number(args.expires_in));
+    order.insert("method".into(), text(&args.method));
+    order.insert("kind".into(), text(if args.token { "token" } else { "url" }));
+    if let Some(at) = args.not_before {
+        order.insert("not_before".into(), number(at));
+    }
+    if let Some(key) = &args.key {
+        order.insert("key".into(), text(key));
+    }
+    let issued = signed::issue(&terms, &front, &Value::Object(order), net::now() / 1_000_000);
+    let (url, _) = issued.map_err(|(_, why)| why)?;
+    println!("{url}");
+    Ok(())
 }
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     let done = match args.command {
-        Command::Serve(_) => serve(),
+        Command::Serve(args) => serve(&args),
+        Command::Sign(args) => sign(&args),
         Command::Version(_) => {
             println!("larchway {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Command::CheckConfig(_) => config::from_env().map(|c| println!("{} is well configured", c.name)),
+        Command::CheckConfig(args) => check(&args),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -1,9 +1,10 @@
 //! The loop: connections in numbered slots, their buffers, and one poller.
 use crate::bulletin::{self, Reader, Store};
-use crate::config::{Config, Terms};
+use crate::config::{Config, Front, Terms};
 use crate::core::{Core, Order, Ticket};
 use crate::deadlines::Due;
 use crate::resp::{self, Link, Reply};
+use crate::signed::{self, Session};
 use crate::slots::{Key, Slots};
 use crate::{log, thrift};
 use larchway::{Micros, Note, ServerId, State, Status};
@@ -12,18 +13,21 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 const PLATFORM: usize = usize::MAX - 1;
 const SIGNAL: usize = usize::MAX - 2;
+const SECOND: usize = usize::MAX - 3;
 /// µs for which requests are still taken in after SIGTERM.
 const ACCEPTING: Micros = 700_000;
 /// µs after which a client that reads nothing of its answers, or asks for nothing, is cut off.
 const STALLED: Micros = 10_000_000;
 const IDLE: Micros = 60_000_000;
+/// µs for which a connection lingers after its last answer.
+const LINGER: Micros = 1_000_000;
 /// Bytes waiting for a client above which nothing more is read from it, and above which it is cut off.
 const CROWDED: usize = 1 << 20;
 const FLOODED: usize = 10 << 20;
@@ -76,12 +80,42 @@
 pub enum Role {
     /// A client of the platform's front, with its open requests by sequence number.
     Client(BTreeMap<u64, Key>),
+    /// A client of the second front.
+    Web(Session),
     /// A connection to a store.
     Store(Link),
     /// The bulletin.
     Bulletin(Reader),
 }
 
+impl Role {
+    /// Whether a client is at the other end.
+    fn client(&self) -> bool {
+        matches!(self, Role::Client(_) | Role::Web(_))
+    }
+    /// Whether a client is at the other end that waits for no answer.
+    fn resting(&self) -> bool {
+        match self {
+            Role::Client(open) => open.is_empty(),
+            Role::Web(session) => session.open.is_none(),
+            _ => false,
+        }
+    }
+}
+
+/// A final answer.
+pub enum Final<'a> {
+    /// Served by this answer of a store.
+    Served(&'a Reply<'a>),
+    /// Refused; come back after so long, or at will if 0.
+    Refused(Micros),
+    /// Failed.
+    Failed {
+        /// Since its time was up.
+        late: bool,
+    },
+}
+
 /// A connection.
 pub struct Conn {
     stream: TcpStream,
@@ -92,6 +126,8 @@
     pub role: Role,
     /// Whether it has come up.
     pub up: bool,
+    /// Whether it is to be closed once all is written.
+    pub ending: bool,
     since: Micros,
     /// When bytes last moved on it.
     pub moved: Micros,
@@ -118,7 +154,13 @@
 /// The gateway.
 pub struct Gateway {
     poller: Poller,
-    listener: Option<TcpListener>,
+    listener: TcpListener,
+    second: Option<TcpListener>,
+    /// The second front, if it is on.
+    pub front: Option<Front>,
+    resumed: Vec<Key>,
+    seed: u64,
+    drawn: u64,
     signal: UnixStream,
     conns: Slots<Conn>,
     pools: BTreeMap<ServerId, Pool>,
@@ -150,7 +192,7 @@
 
 impl Gateway {
     /// Listens where the configuration says and takes in what it knows.
-    pub fn new(config: Config) -> Result<Self, String> {
+    pub fn new(config: Config, front: Option<Front>) -> Result<Self, String> {
         let wrong = |what: &str| {
             let what = what.to_string();
             move |e: io::Error| format!("{what}: {e}")
@@ -160,6 +202,16 @@
         poller
             .add_with_mode(&listener, Event::readable(PLATFORM), PollMode::Level)
             .map_err(wrong("cannot poll"))?;
+        let second = front.as_ref().map(|front| listen(front.listen)).transpose()?;
+        if let Some(second) = &second {
+            poller
+                .add_with_mode(second, Event::readable(SECOND), PollMode::Level)
+                .map_err(wrong("cannot poll"))?;
+        }
+        if let Some(class) = front.iter().flat_map(|f| &f.classes).find(|c| !config.terms.classes.contains(c))
+        {
+            return Err(format!("classes: {class:?} is not among settings.services"));
+        }
         let (signal, told) = UnixStream::pair().map_err(wrong("cannot make a pipe"))?;
         signal.set_nonblocking(true).map_err(wrong("cannot make a pipe"))?;
         for number in [SIGTERM, SIGINT] {
@@ -172,7 +224,12 @@
         let own_zone = config.settings.zone;
         let mut gateway = Gateway {
             poller,
-            listener: Some(listener),
+            listener,
+            second,
+            front,
+            resumed: Vec::new(),
+            seed: config.seed,
+            drawn: 0,
             signal,
             conns: Slots::default(),
             pools: BTreeMap::new(),
@@ -199,14 +256,30 @@
         Ok(gateway)
     }
 
-    /// Where the platform's front listens.
-    pub fn address(&self) -> Option<SocketAddr> {
-        self.listener.as_ref()?.local_addr().ok()
+    /// A number that is new with every call, and with every start.
+    pub fn random(&mut self) -> u64 {
+        self.drawn += 1;
+        larchway::mix(self.seed ^ larchway::mix(self.drawn ^ now() << 20))
+    }
+
+    /// Whether SIGTERM has come.
+    pub fn stopping(&self) -> bool {
+        self.stopping.is_some()
+    }
+
+    /// Lets the next request on a connection have its turn.
+    pub fn resume(&mut self, key: Key) {
+        self.resumed.push(key);
     }
 
     /// Serves until SIGTERM, and then until all that was taken is answered.
     pub fn run(&mut self) -> Result<(), String> {
         let mut events = Vec::new();
+        for listener in [Some(&self.listener), self.second.as_ref()].into_iter().flatten() {
+            if let Ok(address) = listener.local_addr() {
+                log!("listening on {address}");
+            }
+        }
         loop {
             let at = now();
             while let Some(due) = self.core.deadlines.pop(at) {
@@ -226,7 +299,7 @@
             for event in &events {
                 let at = now();
                 match event.key {
-                    PLATFORM => self.accept(at),
+                    PLATFORM | SECOND => self.accept(at, event.key),
                     SIGNAL => self.stop(at),
                     key => self.ready(at, Key(key as u64), event),
                 }
@@ -247,7 +320,7 @@
 
     /// Whether it was told to stop, has gone on accepting for long enough, and owes nothing.
     fn finished(&self, at: Micros) -> bool {
-        let owes = |c: &Conn| matches!(c.role, Role::Client(_)) && !c.output.rest().is_empty();
+        let owes = |c: &Conn| c.role.client() && !c.output.rest().is_empty();
         self.stopping.is_some_and(|since| at >= since + ACCEPTING)
             && self.core.unanswered() == 0
             && !self.conns.iter().any(|(_, c)| owes(c))
@@ -264,9 +337,10 @@
 
     // Connections.
 
-    fn accept(&mut self, at: Micros) {
+    fn accept(&mut self, at: Micros, which: usize) {
         for _ in 0..64 {
-            let Some(listener) = &self.listener else { return };
+            let listener = if which == PLATFORM { Some(&self.listener) } else { self.second.as_ref() };
+            let Some(listener) = listener else { return };
             match listener.accept() {
                 Ok((stream, _)) => {
                     if self.clients >= self.most_clients && !self.evict(at) {
@@ -274,7 +348,11 @@
                         continue;
                     }
                     if stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true)).is_ok() {
-                        self.adopt(at, stream, Role::Client(BTreeMap::new()), true, at + IDLE);
+                        let (role, due) = match which {
+                            PLATFORM => (Role::Client(BTreeMap::new()), at + IDLE),
+                            _ => (Role::Web(Session::default()), at + signed::SLOW),
+                        };
+                        self.adopt(at, stream, role, true, due);
                     }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
@@ -285,8 +363,7 @@
 
     /// Closes the client's connection that has been idle for longest, to make room.
     fn evict(&mut self, at: Micros) -> bool {
-        let idle =
-            |c: &Conn| matches!(&c.role, Role::Client(open) if open.is_empty()) && c.output.rest().is_empty();
+        let idle = |c: &Conn| c.role.resting() && c.output.rest().is_empty();
         let oldest =
             self.conns.iter().filter(|(_, c)| idle(c)).min_by_key(|(_, c)| c.moved).map(|(key, _)| key);
         oldest.map(|key| self.close(at, key, None)).is_some()
@@ -295,13 +372,23 @@
     fn adopt(&mut self, at: Micros, stream: TcpStream, role: Role, up: bool, due: Micros) -> Option<Key> {
         match role {
             Role::Store(_) => self.links += 1,
-            Role::Client(_) => self.clients += 1,
-            _ => {}
+            Role::Client(_) | Role::Web(_) => self.clients += 1,
+            Role::Bulletin(_) => {}
         }
         let (input, output) = (Buffer::default(), Buffer::default());
         let armed = (true, !up);
-        let key =
-            self.conns.insert(Conn { stream, input, output, role, up, since: at, moved: at, armed, due });
+        let key = self.conns.insert(Conn {
+            stream,
+            input,
+            output,
+            role,
+            up,
+            ending: false,
+            since: at,
+            moved: at,
+            armed,
+            due,
+        });
         self.core.deadlines.set(due, Due::Connection(key));
         let conn = self.conns.get(key)?;
         let interest = Event { key: key.0 as usize, readable: armed.0, writable: armed.1 };
@@ -405,7 +492,12 @@
     fn drive(&mut self, at: Micros, key: Key, input: &mut Buffer) -> Result<(), String> {
         loop {
             let Some(conn) = self.conns.get_mut(key) else { return Ok(()) };
+            if conn.ending {
+                input.consume(input.rest().len());
+                return Ok(());
+            }
             let used = match &mut conn.role {
+                Role::Web(_) => signed::drive(self, at, key, input.rest())?,
                 Role::Client(_) => thrift::drive(self, at, key, input.rest())?,
                 Role::Store(_) => resp::drive(self, at, key, input.rest())?,
                 Role::Bulletin(reader) => {
@@ -441,6 +533,13 @@
         }
         conn.output.compact();
         let empty = conn.output.rest().is_empty();
+        if empty && conn.ending && conn.due > at + LINGER {
+            // What was written must be read before an unread rest of the input makes the close a reset.
+            let _ = conn.stream.shutdown(Shutdown::Write);
+            self.core.deadlines.clear(conn.due, Due::Connection(key));
+            conn.due = at + LINGER;
+            self.core.deadlines.set(conn.due, Due::Connection(key));
+        }
         if empty && matches!(conn.role, Role::Store(_)) {
             self.send_waiting(at, key);
         }
@@ -451,7 +550,8 @@
     fn arm(&mut self, key: Key) {
         let Some(conn) = self.conns.get_mut(key) else { return };
         let pending = conn.output.rest().len();
-        let crowded = matches!(conn.role, Role::Client(_)) && pending > CROWDED;
+        // A client that reads no answers, or sends on and on before one, is not read from.
+        let crowded = conn.role.client() && pending.max(conn.input.rest().len()) > CROWDED;
         let armed = (!crowded, !conn.up || pending > 0);
         if armed != conn.armed {
             conn.armed = armed;
@@ -475,6 +575,12 @@
                     self.core.gone(at, request);
                 }
             }
+            Role::Web(session) => {
+                self.clients -= 1;
+                if let Some(request) = session.open {
+                    self.core.gone(at, request);
+                }
+            }
             Role::Store(link) => {
                 self.links -= 1;
                 if let Some(pool) = self.pools.get_mut(&link.store) {
@@ -511,13 +617,15 @@
         let pending = !conn.output.rest().is_empty();
         let limit = match &conn.role {
             _ if !conn.up => conn.since + timeout,
-            Role::Client(_) if pending => conn.moved + STALLED,
-            Role::Client(open) if !open.is_empty() => at + IDLE,
-            Role::Client(_) => conn.moved + IDLE,
+            role if role.client() && pending => conn.moved + STALLED,
+            _ if conn.ending => at,
+            // A request that comes byte by byte is cut off however lively it looks.
+            Role::Web(Session { begun: Some(begun), .. }) => begun + signed::SLOW,
+            role if role.resting() => conn.moved + IDLE,
+            role if role.client() => at + IDLE,
             // Closed well before the store does: a request that crosses a close is lost time.
             Role::Store(link) if link.open.is_empty() && link.waiting.is_empty() => conn.moved + idle / 2,
-            Role::Store(_) => at + idle / 2,
-            Role::Bulletin(_) => at + IDLE,
+            _ => at + idle / 2,
         };
         if limit <= at {
             let why = if conn.up { "idle" } else { "no connection in time" };
@@ -534,7 +642,19 @@
 
     // Answers.
 
+    /// Carries out what the core ordered, and reads on where a request waited for the answer to the one before
+    /// it, until nothing is left of either.
     fn carry_out(&mut self, at: Micros) {
+        loop {
+            self.carry_out_orders(at);
+            if self.resumed.is_empty() {
+                return;
+            }
+            self.resume_all(at);
+        }
+    }
+
+    fn carry_out_orders(&mut self, at: Micros) {
         while let Some(order) = self.core.orders.pop_front() {
             match order {
                 Order::Send(attempt) => self.dispatch(at, attempt),
@@ -543,31 +663,37 @@
                         self.flush(at, carrier);
                     }
                 }
-                Order::Refused(ticket, pushback) => self.answer(at, ticket, |out, seq| {
-                    thrift::busy(out, seq as i32, pushback.div_ceil(1000));
-                }),
-                Order::Failed(ticket) => self.answer(at, ticket, |out, seq| thrift::failed(out, seq as i32)),
+                Order::Refused(ticket, pushback) => self.answer(at, ticket, &Final::Refused(pushback)),
+                Order::Failed(ticket, late) => self.answer(at, ticket, &Final::Failed { late }),
             }
         }
     }
 
-    /// Passes on a store's answer as the final one.
-    pub fn served(&mut self, at: Micros, ticket: Ticket, reply: &Reply<'_>) {
-        self.answer(at, ticket, |out, seq| {
-            if reply.same {
-                thrift::answer(out, "serve", seq as i32, &[("keep", "1")], &[], true);
-            } else {
-                thrift::answer(out, "serve", seq as i32, &[], reply.body, true);
+    fn resume_all(&mut self, at: Micros) {
+        for key in std::mem::take(&mut self.resumed) {
+            let Some(conn) = self.conns.get_mut(key) else { continue };
+            let mut input = std::mem::take(&mut conn.input);
+            let wrong = self.drive(at, key, &mut input).err();
+            if let Some(conn) = self.conns.get_mut(key) {
+                conn.input = input;
             }
-        });
+            if let Some(why) = wrong {
+                self.close(at, key, Some(&why));
+            }
+            self.arm(key);
+        }
     }
 
-    fn answer(&mut self, at: Micros, ticket: Ticket, write: impl FnOnce(&mut Vec<u8>, u64)) {
+    /// Gives the final answer, by the front at which the request came in.
+    pub fn answer(&mut self, at: Micros, ticket: Ticket, done: &Final<'_>) {
         let Some(conn) = self.conns.get_mut(ticket.client) else { return };
-        if let Role::Client(open) = &mut conn.role {
-            open.remove(&ticket.seq);
+        match &mut conn.role {
+            Role::Client(open) => {
+                open.remove(&ticket.seq);
+                thrift::finish(&mut conn.output.bytes, ticket.seq as i32, done);
+            }
+            _ => return signed::finish(self, at, ticket, done),
         }
-        write(&mut conn.output.bytes, ticket.seq);
         if conn.output.rest().len() > FLOODED {
             return self.close(at, ticket.client, Some("it does not read its answers"));
         }
--- a/gateway/src/resp.rs
+++ b/gateway/src/resp.rs
@@ -1,6 +1,6 @@
 //! The wire to stores, parents and the origin: RESP arrays of bulk strings.
 use crate::core::Pull;
-use crate::net::{Conn, Gateway, Role};
+use crate::net::{Conn, Final, Gateway, Role};
 use crate::slots::Key;
 use larchway::{Micros, Note, ServerId, Status};
 use std::collections::VecDeque;
@@ -160,7 +160,7 @@
     };
     let (_, attempt) = link.open.swap_remove(place);
     if let Some(ticket) = gateway.core.outcome(at, attempt, status, reply.note) {
-        gateway.served(at, ticket, &reply);
+        gateway.answer(at, ticket, &Final::Served(&reply));
     }
     Ok(used)
 }
--- a/gateway/src/thrift.rs
+++ b/gateway/src/thrift.rs
@@ -2,7 +2,7 @@
 use crate::config::Terms;
 use crate::core::{Ask, Ticket};
 use crate::log;
-use crate::net::{Conn, Gateway, Role};
+use crate::net::{Conn, Final, Gateway, Role};
 use crate::slots::Key;
 use larchway::Micros;
 
@@ -301,6 +301,16 @@
     })
 }
 
+/// Writes the final answer of a request.
+pub fn finish(out: &mut Vec<u8>, seq: i32, done: &Final<'_>) {
+    match done {
+        Final::Served(reply) if reply.same => answer(out, "serve", seq, &[("keep", "1")], &[], true),
+        Final::Served(reply) => answer(out, "serve", seq, &[], reply.body, true),
+        Final::Refused(pushback) => busy(out, seq, pushback.div_ceil(1000)),
+        Final::Failed { .. } => failed(out, seq),
+    }
+}
+
 /// Takes one message off the input of a connection and returns how much was used.
 pub fn drive(gateway: &mut Gateway, at: Micros, key: Key, input: &[u8]) -> Result<usize, String> {
     let Some((content, used)) = frame(input)? else { return Ok(0) };
--- /dev/null
+++ b/gateway/tests/scenario/mod.rs
@@ -0,0 +1,576 @@
+//! The scenario language: a gateway of its own, stand-ins for all that it talks to, and lines that say what each
+//! sends, expects and closes.
+//!
+//! ```text
+//! c1 > serve 1 op=files call=aa ttl=5000 row=$row    a client of the platform's front sends a request
+//! store < PULL aa thing=$row at=?box                 some store gets it; ?box keeps a value for later lines
+//! store > aa ok entity=t1,issued=5 | body            that store answers (* for the last one taken)
+//! c1 < served 1 | body                               the client's next answer
+//! w1 > GET /path ; Cookie: a=b | body                a client of the second front; w1 < 200 ETag="t1" | body
+//! bulletin > {"no":2,...}      bulletin < call last=1      bulletin mute
+//! c1 raw 00ff    c1 close    c1 < closed    wait 50    term    exit 0    never PULL aa
+//! ```
+//! A body `#N` stands for N bytes of every value. Expectations have seconds to be met, so no timing is tight.
+use std::collections::{BTreeMap, HashMap};
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const PATIENCE: Duration = Duration::from_secs(10);
+
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock").as_millis() as u64
+}
+
+/// A message that some stand-in has received.
+struct Heard {
+    who: &'static str,
+    at: String,
+    word: String,
+    id: String,
+    fields: String,
+    body: Vec<u8>,
+    stream: Option<TcpStream>,
+}
+
+pub struct Scenario {
+    child: Child,
+    front: SocketAddr,
+    second: SocketAddr,
+    heard: Receiver<Heard>,
+    backlog: Vec<Heard>,
+    last: String,
+    asked: HashMap<String, TcpStream>,
+    clients: BTreeMap<String, (TcpStream, Vec<u8>)>,
+    bulletin: Arc<Mutex<Option<TcpStream>>>,
+    muted: Arc<AtomicBool>,
+    vars: HashMap<String, String>,
+}
+
+/// How a gateway is set up, beyond the usual.
+pub struct Setup {
+    /// Stores that listen nowhere, of the caches a1, a2.
+    pub dead: &'static [&'static str],
+    pub sockets: u32,
+    pub known: bool,
+    pub ensemble: Option<SocketAddr>,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Setup { dead: &[], sockets: 256, known: true, ensemble: None }
+    }
+}
+
+pub const FRONT: &str = r#"{"listen":"127.0.0.1:0","base":"http://files.test","classes":["history-files"],
+ "keys":[{"name":"new","secret":"000102030405060708090a0b0c0d0e0f"},{"name":"old","secret":"ff0102030405060708090a0b0c0d0e0f"}],
+ "holders":[{"name":"desk","secret":"desk-credential-0123"}],"issuers":["desk"],"longest_s":86400}"#;
+
+pub const SETTINGS: &str = r#"{"balancers":1,"familyInfo":{"canJoin":false,"goneEverywhereMs":6000.0,"graceForMs":[0,0,0],
+ "lifetimeByClassMs":[0,8000,0],"mayPassBy":false,"neverKept":[false,false,true],"noteLevel":"all","oneFlowKbPerS":7800,
+ "peersFill":"any","shieldKind":1,"storeKind":2,"upperColdMs":21000,"zoneBalancers":[0,1]},
+ "limits":{"cancel":true,"connIdleMs":30000,"connectTimeoutMs":400,"maxAttempts":8,"maxRetryAfterMs":1000,"mayDuplicate":true,"retryAfter":true},
+ "locality":1,"membershipMode":"push","models":["standard","parent","origin"],
+ "services":[{"aimStretch":1.6,"deadlineMs":6000,"effect":"pure","name":"history-files","targetMs":600},
+ {"aimStretch":2,"deadlineMs":2500,"effect":"pure","name":"bid-status","targetMs":400},
+ {"deadlineMs":3000,"effect":"token","group":"all","name":"bid-submit","targetMs":800,"windowMs":3000}],
+ "weightKind":"rough","zones":["east","edge"]}"#;
+
+static NUMBER: AtomicUsize = AtomicUsize::new(0);
+
+/// Writes a file of the test's own and returns its path.
+pub fn file(name: &str, text: &str) -> String {
+    let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+    let path = format!("{}/{}-{number}-{name}", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    std::fs::write(&path, text).expect("writes");
+    path
+}
+
+/// The entry of a store in a list.
+pub fn entry(name: &str, dial: SocketAddr, class: &str, health: &str) -> String {
+    let site = if class == "standard" { "edge" } else { "east" };
+    format!(
+        r#"{{"host":"s-{name}","dial":"{dial}","site":"{site}","class":"{class}","health":"{health}","share":4,"born_ms":0}}"#
+    )
+}
+
+fn listen(heard: Sender<Heard>, name: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let heard = heard.clone();
+            std::thread::spawn(move || read_store(stream, &heard, name));
+        }
+    });
+    address
+}
+
+fn read_store(mut stream: TcpStream, heard: &Sender<Heard>, name: &str) {
+    let mut input = Vec::new();
+    let mut piece = [0; 65536];
+    while let Ok(n) = stream.read(&mut piece) {
+        if n == 0 {
+            break;
+        }
+        input.extend_from_slice(&piece[..n]);
+        while let Ok(Some((words, used))) = larchway_gateway::resp::words(&input) {
+            let text =
+                |at: usize| words.get(at).map_or(String::new(), |w| String::from_utf8_lossy(w).into_owned());
+            let message = Heard {
+                who: "store",
+                at: name.to_string(),
+                word: text(0),
+                id: text(1),
+                fields: text(2),
+                body: words.get(3).map_or(Vec::new(), |w| w.to_vec()),
+                stream: stream.try_clone().ok(),
+            };
+            input.drain(..used);
+            if heard.send(message).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+fn bulletin(heard: Sender<Heard>, open: Arc<Mutex<Option<TcpStream>>>, muted: Arc<AtomicBool>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let address = listener.local_addr().expect("an address");
+    let (beat, quiet) = (open.clone(), muted.clone());
+    std::thread::spawn(move || loop {
+        std::thread::sleep(Duration::from_millis(300));
+        if let (false, Some(stream)) = (quiet.load(Ordering::Relaxed), beat.lock().expect("a lock").as_mut())
+        {
+            let _ = stream.write_all(b": still here\n\n");
+        }
+    });
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut head = String::new();
+            let mut byte = [0];
+            while !head.ends_with("\r\n\r\n") && stream.read_exact(&mut byte).is_ok() {
+                head.push(byte[0] as char);
+            }
+            let last = head.lines().find_map(|l| l.strip_prefix("Last-Event-ID: ")).unwrap_or("none");
+            let fields = format!("last={last}");
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
+            *open.lock().expect("a lock") = Some(stream);
+            let (at, id, word) = (String::new(), String::new(), "call".to_string());
+            let call = Heard { who: "bulletin", at, word, id, fields, body: Vec::new(), stream: None };
+            if heard.send(call).is_err() {
+                return;
+            }
+        }
+    });
+    address
+}
+
+pub fn bytes(text: &str) -> Vec<u8> {
+    match text.strip_prefix('#').map(|n| n.parse::<usize>().expect("a number")) {
+        Some(n) => (0..n).map(|i| (i % 256) as u8).collect(),
+        None => text.as_bytes().to_vec(),
+    }
+}
+
+fn hex(text: &str) -> Vec<u8> {
+    (0..text.len()).step_by(2).map(|i| u8::from_str_radix(&text[i..i + 2], 16).expect("hex")).collect()
+}
+
+impl Scenario {
+    pub fn new(setup: Setup) -> Self {
+        let (told, heard) = channel();
+        let none: SocketAddr = "127.0.0.1:1".parse().expect("an address");
+        let mut vars: HashMap<String, String> = HashMap::new();
+        let mut stores = Vec::new();
+        for (name, class) in [("a1", "standard"), ("a2", "standard"), ("b1", "parent"), ("c1", "origin")] {
+            let dial = if setup.dead.contains(&name) { none } else { listen(told.clone(), name) };
+            stores.push(entry(name, dial, class, "up"));
+            vars.insert(name.to_string(), dial.to_string());
+        }
+        let (open, muted) = (Arc::new(Mutex::new(None)), Arc::new(AtomicBool::new(false)));
+        let feed = bulletin(told.clone(), open.clone(), muted.clone());
+        let list = format!(r#"{{"no":1,"roster":{{"seq":1,"whole":true,"hosts":[{}]}}}}"#, stores.join(","));
+        let known = if setup.known { &list[..] } else { "" };
+        let config = format!(
+            r#"{{"seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":64,"sockets":{}}},"bulletin":"{feed}",
+            "known":{{"no":{},"items":[{known}]}},"settings":{SETTINGS}}}"#,
+            setup.sockets,
+            u8::from(setup.known)
+        );
+        vars.insert("list".into(), list);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_larchway"));
+        command.args(["serve", "--signed", &file("signed.json", FRONT)]);
+        if let Some(address) = setup.ensemble {
+            let text = format!(
+                r#"{{"servers":["{address}"],"path":"/larchway","session_ms":2000,"stores":"/stores"}}"#
+            );
+            command.args(["--ensemble", &file("ensemble.json", &text)]);
+        }
+        command.env("EDGE_CONFIG", file("config.json", &config)).env("EDGE_NAME", "n1");
+        command.env("EDGE_LISTEN", "127.0.0.1:0").stderr(Stdio::piped());
+        let mut child = command.spawn().expect("starts");
+        let (found, addresses) = channel();
+        let log = child.stderr.take().expect("a log");
+        std::thread::spawn(move || {
+            for line in std::io::BufRead::lines(std::io::BufReader::new(log)).map_while(Result::ok) {
+                eprintln!("{line}");
+                if let Some((_, address)) = line.split_once("listening on ") {
+                    let _ = found.send(address.parse::<SocketAddr>().expect("an address"));
+                }
+            }
+        });
+        let next = || addresses.recv_timeout(PATIENCE).expect("it listens");
+        let (front, second) = (next(), next());
+        let (backlog, last, asked, clients) = (Vec::new(), String::new(), HashMap::new(), BTreeMap::new());
+        let bulletin = open;
+        Scenario { child, front, second, heard, backlog, last, asked, clients, bulletin, muted, vars }
+    }
+
+    pub fn set(&mut self, name: &str, value: &str) -> &mut Self {
+        self.vars.insert(name.to_string(), value.to_string());
+        self
+    }
+
+    /// Issues a link by the same file as the gateway's, valid from and until so many seconds from now.
+    pub fn link(&mut self, name: &str, path: &str, from: i64, until: i64, token: bool) -> &mut Self {
+        use larchway_gateway::signed::{link, token};
+        let front = larchway_gateway::config::front(FRONT, |_| None).expect("a front");
+        let at = |span: i64| (unix_ms() as i64 / 1000 + span) as u64;
+        let link = if token {
+            let uri = format!("{}{path}", front.base);
+            let made = token::issue(&front.keys, None, &front.parties, &uri, at(until), Some(at(from)));
+            format!("{path}?{}={}", token::NAME, made.expect("issues"))
+        } else {
+            let grant = link::Grant { method: "GET", path, expires: at(until), not_before: Some(at(from)) };
+            link::issue(&front.keys, None, &grant).expect("issues")
+        };
+        self.set(name, &link)
+    }
+
+    /// Plays the lines; a line that is not met fails the test by its text.
+    pub fn run(&mut self, script: &str) -> &mut Self {
+        for line in script.lines().map(str::trim).filter(|l| !l.is_empty() && !l.starts_with("//")) {
+            let mut text = line.replace("$now", &unix_ms().to_string());
+            let mut names: Vec<&String> = self.vars.keys().collect();
+            names.sort_by_key(|n| std::cmp::Reverse(n.len()));
+            for name in names {
+                text = text.replace(&format!("${name}"), &self.vars[name]);
+            }
+            let (head, body) = text.split_once(" | ").unwrap_or((&text, ""));
+            let words: Vec<&str> = head.split_whitespace().collect();
+            self.line(line, &words, head, &bytes(body));
+        }
+        self
+    }
+
+    fn line(&mut self, line: &str, words: &[&str], head: &str, body: &[u8]) {
+        match words {
+            ["wait", ms] => std::thread::sleep(Duration::from_millis(ms.parse().expect("a number"))),
+            ["term"] => {
+                let pid = self.child.id().to_string();
+                assert!(Command::new("sh")
+                    .args(["-c", &format!("kill -TERM {pid}")])
+                    .status()
+                    .expect("kills")
+                    .success());
+            }
+            ["exit", code] => self.exit(code.parse().expect("a code")),
+            ["never", rest @ ..] => {
+                std::thread::sleep(Duration::from_millis(150));
+                self.backlog.extend(self.heard.try_iter());
+                assert!(self.find("store", rest).is_none(), "{line}");
+            }
+            ["bulletin", "mute"] => self.muted.store(true, Ordering::Relaxed),
+            ["bulletin", "close"] => {
+                if let Some(stream) = self.bulletin.lock().expect("a lock").take() {
+                    stream.shutdown(Shutdown::Both).expect("closes");
+                }
+            }
+            ["bulletin", ">", ..] => {
+                let data = head.split_once("> ").expect("data").1;
+                let mut open = self.bulletin.lock().expect("a lock");
+                let stream = open.as_mut().expect("it was called");
+                stream.write_all(format!("id: 0\ndata: {data}\n\n").as_bytes()).expect("writes");
+            }
+            [who @ ("store" | "bulletin"), "<", rest @ ..] => self.expect_heard(line, who, rest, body),
+            ["store", ">", call, word, fields @ ..] => {
+                let call = if *call == "*" { self.last.clone() } else { call.to_string() };
+                let mut out = Vec::new();
+                let fields = fields.first().copied().unwrap_or("-");
+                larchway_gateway::resp::write_words(
+                    &mut out,
+                    &[call.as_bytes(), word.as_bytes(), fields.as_bytes(), body],
+                );
+                self.asked.get_mut(&call).expect("it was asked").write_all(&out).expect("writes");
+            }
+            ["store", "reset", call] => {
+                self.asked[*call].shutdown(Shutdown::Both).expect("closes");
+            }
+            [client, ">", "GET" | "HEAD" | "POST" | "PUT", ..] => self.send_http(client, head, body),
+            [client, ">", rest @ ..] => self.send_call(client, rest, body),
+            [client, "raw", digits] => self.write(client, &hex(digits)),
+            [client, "text", ..] => {
+                let text = head.split_once("text ").expect("text").1.replace("\\r\\n", "\r\n");
+                self.write(client, text.as_bytes());
+            }
+            [client, "close"] => drop(self.clients.remove(*client)),
+            [client, "<", "closed"] => {
+                let (stream, input) = self.client(client);
+                let mut piece = [0; 4096];
+                while let Ok(n) = stream.read(&mut piece) {
+                    if n == 0 {
+                        break;
+                    }
+                    input.extend_from_slice(&piece[..n]);
+                }
+                assert!(input.is_empty(), "{line}: it got {:?}", String::from_utf8_lossy(input));
+                self.clients.remove(*client);
+            }
+            [client, "<", rest @ ..] if client.starts_with('w') => self.expect_http(line, client, rest, body),
+            [client, "<", rest @ ..] => {
+                let (got, bytes) = describe(&self.frame(client));
+                assert_eq!(got, rest.join(" "), "{line}");
+                assert!(
+                    bytes == body,
+                    "{line}: {} bytes: {:?}",
+                    bytes.len(),
+                    String::from_utf8_lossy(&bytes[..bytes.len().min(60)])
+                );
+            }
+            _ => panic!("no such line: {line}"),
+        }
+    }
+
+    fn exit(&mut self, code: i32) {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("waits") {
+                return assert_eq!(status.code(), Some(code));
+            }
+            assert!(Instant::now() < end, "it does not exit");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    fn find(&self, who: &str, words: &[&str]) -> Option<usize> {
+        let fits = |h: &Heard| {
+            h.who == who
+                && words.iter().enumerate().all(|(i, w)| match (i, w.split_once('=')) {
+                    (0, _) => h.word == *w,
+                    (_, None) => *w == "*" || h.id == *w,
+                    (_, Some(("at", v))) => v.starts_with('?') || h.at == v,
+                    (_, Some((name, v))) => {
+                        let told = larchway_gateway::resp::field(&h.fields, name);
+                        if v == "none" {
+                            told.is_none()
+                        } else {
+                            v.starts_with('?') && told.is_some() || told == Some(v)
+                        }
+                    }
+                })
+        };
+        self.backlog.iter().position(fits)
+    }
+
+    fn expect_heard(&mut self, line: &str, who: &str, words: &[&str], body: &[u8]) {
+        let end = Instant::now() + PATIENCE;
+        let place = loop {
+            if let Some(place) = self.find(who, words) {
+                break place;
+            }
+            match self.heard.recv_timeout(end.saturating_duration_since(Instant::now())) {
+                Ok(more) => self.backlog.push(more),
+                Err(_) => {
+                    let heard: Vec<String> =
+                        self.backlog.iter().map(|h| format!("{} {} {}", h.word, h.id, h.fields)).collect();
+                    panic!("{line}: only {heard:?}");
+                }
+            }
+        };
+        let heard = self.backlog.remove(place);
+        assert!(heard.body == body, "{line}: another body");
+        for (name, value) in words.iter().filter_map(|w| w.split_once("=?")) {
+            let told = larchway_gateway::resp::field(&heard.fields, name).unwrap_or(&heard.at);
+            self.vars.insert(value.to_string(), told.to_string());
+        }
+        self.last = heard.id.clone();
+        if let Some(stream) = heard.stream {
+            self.asked.insert(heard.id, stream);
+        }
+    }
+
+    fn client(&mut self, name: &str) -> &mut (TcpStream, Vec<u8>) {
+        let address = if name.starts_with('w') { self.second } else { self.front };
+        self.clients.entry(name.to_string()).or_insert_with(|| {
+            let stream = TcpStream::connect(address).expect("connects");
+            stream.set_read_timeout(Some(PATIENCE)).expect("sets");
+            (stream, Vec::new())
+        })
+    }
+
+    fn write(&mut self, client: &str, bytes: &[u8]) {
+        self.client(client).0.write_all(bytes).expect("writes");
+    }
+
+    fn send_call(&mut self, client: &str, words: &[&str], body: &[u8]) {
+        let (name, seq) = (words[0], words[1].parse::<i32>().expect("a number"));
+        let string = |out: &mut Vec<u8>, text: &[u8]| {
+            out.extend_from_slice(&(text.len() as u32).to_be_bytes());
+            out.extend_from_slice(text);
+        };
+        let mut out = vec![0x80, 1, 0, if name == "forget" { 4 } else { 1 }];
+        string(&mut out, name.as_bytes());
+        out.extend_from_slice(&seq.to_be_bytes());
+        if name == "forget" {
+            out.extend_from_slice(&[8, 0, 1]);
+            out.extend_from_slice(&words[2].parse::<i32>().expect("a number").to_be_bytes());
+        } else if name == "serve" {
+            out.extend_from_slice(&[13, 0, 1, 11, 11]);
+            out.extend_from_slice(&(words.len() as u32 - 2).to_be_bytes());
+            for (name, value) in words[2..].iter().map(|w| w.split_once('=').expect("name=value")) {
+                string(&mut out, name.as_bytes());
+                string(&mut out, value.as_bytes());
+            }
+            out.extend_from_slice(&[11, 0, 2]);
+            string(&mut out, body);
+        }
+        out.push(0);
+        let mut framed = (out.len() as u32).to_be_bytes().to_vec();
+        framed.append(&mut out);
+        self.write(client, &framed);
+    }
+
+    fn frame(&mut self, client: &str) -> Vec<u8> {
+        let (stream, _) = self.client(client);
+        let mut head = [0; 4];
+        stream.read_exact(&mut head).expect("an answer");
+        let mut frame = vec![0; u32::from_be_bytes(head) as usize];
+        stream.read_exact(&mut frame).expect("a whole answer");
+        frame
+    }
+
+    fn send_http(&mut self, client: &str, head: &str, body: &[u8]) {
+        let request = head.split_once("> ").expect("a request").1;
+        let mut parts = request.split(" ; ");
+        let mut text = format!("{} HTTP/1.1\r\nHost: files.test\r\n", parts.next().expect("a request line"));
+        for header in parts {
+            text.push_str(&format!("{header}\r\n"));
+        }
+        if !body.is_empty() {
+            text.push_str(&format!("Content-Length: {}\r\n", body.len()));
+        }
+        text.push_str("\r\n");
+        self.write(client, &[text.as_bytes(), body].concat());
+    }
+
+    fn expect_http(&mut self, line: &str, client: &str, words: &[&str], body: &[u8]) {
+        let (stream, input) = self.client(client);
+        loop {
+            let mut headers = [httparse::EMPTY_HEADER; 32];
+            let mut response = httparse::Response::new(&mut headers);
+            if let Ok(httparse::Status::Complete(start)) = response.parse(input) {
+                let header = |name: &str| {
+                    let found = response.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name));
+                    found.map(|h| String::from_utf8_lossy(h.value).into_owned())
+                };
+                let told = header("content-length").map_or(0, |n| n.parse().expect("a length"));
+                let length = if words.contains(&"nobody") { 0 } else { told };
+                if input.len() >= start + length {
+                    let got = input[start..start + length].to_vec();
+                    assert_eq!(
+                        response.code.map(|c| c.to_string()).as_deref(),
+                        Some(words[0]),
+                        "{line}: {}",
+                        String::from_utf8_lossy(&got)
+                    );
+                    let wanted = words[1..].iter().filter_map(|w| w.split_once('='));
+                    let found: Vec<(String, String)> = wanted
+                        .map(|(name, value)| {
+                            let text = header(name).unwrap_or_else(|| panic!("{line}: no {name}"));
+                            assert!(value.starts_with('?') || text == value, "{line}: {name} is {text}");
+                            (value.to_string(), text)
+                        })
+                        .collect();
+                    assert!(body.is_empty() || got == body, "{line}: {} bytes", got.len());
+                    input.drain(..start + length);
+                    let text = String::from_utf8_lossy(&got).into_owned();
+                    self.vars.insert("body".into(), text);
+                    self.vars.extend(
+                        found.into_iter().filter_map(|(n, t)| Some((n.strip_prefix('?')?.to_string(), t))),
+                    );
+                    return;
+                }
+            }
+            let mut piece = [0; 65536];
+            match stream.read(&mut piece) {
+                Ok(n) if n > 0 => input.extend_from_slice(&piece[..n]),
+                other => panic!("{line}: {other:?} after {:?}", String::from_utf8_lossy(input)),
+            }
+        }
+    }
+
+    pub fn var(&self, name: &str) -> &str {
+        &self.vars[name]
+    }
+}
+
+impl Drop for Scenario {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// An answer of the platform's front in words, and its body.
+fn describe(frame: &[u8]) -> (String, Vec<u8>) {
+    let word =
+        |at: usize| u32::from_be_bytes([frame[at], frame[at + 1], frame[at + 2], frame[at + 3]]) as usize;
+    let text = |at: usize| (&frame[at + 4..at + 4 + word(at)], at + 4 + word(at));
+    let (name, mut at) = text(4);
+    let seq = word(at);
+    at += 4;
+    if frame[3] == 3 {
+        return (format!("exception {seq}"), Vec::new());
+    }
+    let kind = i16::from_be_bytes([frame[at + 1], frame[at + 2]]);
+    at += 3;
+    let (mut body, mut fields, mut good) = (Vec::new(), String::new(), true);
+    while frame[at] != 0 {
+        let wire = frame[at];
+        at += 3;
+        match wire {
+            11 => {
+                let (bytes, end) = text(at);
+                (body, at) = (bytes.to_vec(), end);
+            }
+            13 => {
+                let n = word(at + 2);
+                at += 6;
+                for _ in 0..2 * n {
+                    let (bytes, end) = text(at);
+                    fields.push(' ');
+                    fields.push_str(&String::from_utf8_lossy(bytes));
+                    at = end;
+                }
+            }
+            _ => {
+                good = frame[at] == 1;
+                at += 1;
+            }
+        }
+    }
+    let name = match (kind, name) {
+        (0, b"isWell") if good => "well",
+        (0, b"isWell") => "unwell",
+        (0, _) if good => "served",
+        (1, _) => "busy",
+        (2, _) => "failed",
+        _ => "odd",
+    };
+    (format!("{name} {seq}{fields}"), body)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,5 +19,6 @@
 mod logic;
 pub mod settings;
 
+pub use helpers::mix;
 pub use interface::*;
 pub use logic::{miss_chance, Router};
