Add ephemeral nodes: each instance registers with a ZooKeeper ensemble

Session, pings, ephemeral create, children and data watches, expiry and registration anew; the list of stores may come from the children of a path. Off on the platform: serve is given no ensemble file there. Found by its tests against a stand-in: with a granted time-out of 2 s the connection was given up every 2 s, since the first look was set for the grant's own limit (tend in ensemble.rs) and no ping went out before it; the look is now set anew when the session is granted. Checked: resume after a cut keeps the one node; a node of an earlier life is waited out.

--- a/gateway/src/bulletin.rs
+++ b/gateway/src/bulletin.rs
@@ -74,7 +74,8 @@
     }
 }
 
-fn store(value: &Value, terms: &Terms) -> Result<Store, String> {
+/// Reads an entry of a list of stores.
+pub fn store(value: &Value, terms: &Terms) -> Result<Store, String> {
     let name = text(value, "host")?.ok_or("host is missing")?.to_string();
     let state = match text(value, "health")?.unwrap_or("up") {
         "up" => State::Up,
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -234,6 +234,47 @@
     })
 }
 
+/// What the fleet's file under `deploy/` says of the ensemble.
+#[derive(Debug, Clone)]
+pub struct Ensemble {
+    /// Its servers.
+    pub servers: Vec<SocketAddr>,
+    /// The path under which instances register.
+    pub path: String,
+    /// The session's time-out to ask for.
+    pub session: Micros,
+    /// The path whose children are the stores, if the list is taken from there.
+    pub stores: Option<String>,
+}
+
+/// Reads the fleet's file.
+pub fn ensemble_file(path: &str) -> Result<Ensemble, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read {path}: {e}"))?;
+    ensemble(&text).map_err(|e| format!("{path}: {e}"))
+}
+
+/// Reads the configuration of the ensemble.
+pub fn ensemble(text_: &str) -> Result<Ensemble, String> {
+    let all = parse(text_)?;
+    let address = |t: &String| t.parse().map_err(|_| format!("servers: {t:?} is not an address with a port"));
+    let servers = texts(&all, "servers")?.iter().map(address).collect::<Result<Vec<_>, _>>()?;
+    if servers.is_empty() {
+        return Err("servers is missing or empty".into());
+    }
+    let path = |key| match text(&all, key)? {
+        Some(p) if !p.starts_with('/') || p.ends_with('/') || p.contains("//") => {
+            Err(format!("{key}: {p:?} is not a path like /larchway"))
+        }
+        p => Ok(p.map(str::to_string)),
+    };
+    Ok(Ensemble {
+        servers,
+        path: path("path")?.ok_or("path is missing")?,
+        session: whole(&all, "session_ms", 10_000, 500)?.min(600_000) * 1000,
+        stores: path("stores")?,
+    })
+}
+
 /// Named secrets: each with `secret` (keys in hexadecimal), or `secret_env` naming the variable that holds it.
 fn secrets(
     all: &Value,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod config;
 pub mod core;
 pub mod deadlines;
+pub mod ensemble;
 pub mod log;
 pub mod net;
 pub mod resp;
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -28,6 +28,9 @@
     /// file of the second front (signed URLs and tokens); without it, that front is off
     #[argh(option)]
     signed: Option<String>,
+    /// file of the ensemble (ephemeral nodes); without it, the instance registers nowhere
+    #[argh(option)]
+    ensemble: Option<String>,
 }
 
 /// Print the version.
@@ -42,6 +45,9 @@
     /// file of the second front
     #[argh(option)]
     signed: Option<String>,
+    /// file of the ensemble
+    #[argh(option)]
+    ensemble: Option<String>,
 }
 
 /// Issue a signed URL or a token for one object.
@@ -75,13 +81,18 @@
     path.as_deref().map(config::front_file).transpose()
 }
 
+fn fleet(path: &Option<String>) -> Result<Option<config::Ensemble>, String> {
+    path.as_deref().map(config::ensemble_file).transpose()
+}
+
 fn serve(args: &Serve) -> Result<(), String> {
-    Gateway::new(config::from_env()?, front(&args.signed)?)?.run()
+    Gateway::new(config::from_env()?, front(&args.signed)?, fleet(&args.ensemble)?)?.run()
 }
 
 fn check(args: &CheckConfig) -> Result<(), String> {
     let config = config::from_env()?;
     front(&args.signed)?;
+    fleet(&args.ensemble)?;
     println!("{} is well configured", config.name);
     Ok(())
 }
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -1,13 +1,15 @@
 //! The loop: connections in numbered slots, their buffers, and one poller.
 use crate::bulletin::{self, Reader, Store};
-use crate::config::{Config, Front, Terms};
+use crate::config::{Config, Ensemble, Front, Terms};
 use crate::core::{Core, Order, Ticket};
 use crate::deadlines::Due;
+use crate::ensemble;
 use crate::resp::{self, Link, Reply};
 use crate::signed::{self, Session};
 use crate::slots::{Key, Slots};
 use crate::{log, thrift};
 use larchway::{Micros, Note, ServerId, State, Status};
+use miniserde::json;
 use polling::{Event, PollMode, Poller};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use socket2::{Domain, Protocol, Socket, Type};
@@ -86,6 +88,8 @@
     Store(Link),
     /// The bulletin.
     Bulletin(Reader),
+    /// The ensemble.
+    Ensemble,
 }
 
 impl Role {
@@ -158,6 +162,8 @@
     second: Option<TcpListener>,
     /// The second front, if it is on.
     pub front: Option<Front>,
+    /// The session with the ensemble, if there is one.
+    pub ensemble: Option<ensemble::Session>,
     resumed: Vec<Key>,
     seed: u64,
     drawn: u64,
@@ -192,7 +198,7 @@
 
 impl Gateway {
     /// Listens where the configuration says and takes in what it knows.
-    pub fn new(config: Config, front: Option<Front>) -> Result<Self, String> {
+    pub fn new(config: Config, front: Option<Front>, fleet: Option<Ensemble>) -> Result<Self, String> {
         let wrong = |what: &str| {
             let what = what.to_string();
             move |e: io::Error| format!("{what}: {e}")
@@ -227,6 +233,7 @@
             listener,
             second,
             front,
+            ensemble: None,
             resumed: Vec::new(),
             seed: config.seed,
             drawn: 0,
@@ -245,6 +252,12 @@
             terms: config.terms,
         };
         let now = now();
+        if let Some(fleet) = fleet {
+            let listens = gateway.listener.local_addr().map_err(wrong("cannot listen"))?.to_string();
+            let data = json::to_string(&BTreeMap::from([("listen".to_string(), listens)]));
+            gateway.ensemble = Some(ensemble::Session::new(fleet, &config.name, data));
+            gateway.set_ensemble(now);
+        }
         for item in &config.items {
             gateway.news(now, &item.news);
         }
@@ -314,6 +327,13 @@
         if self.stopping.is_none() {
             log!("told to stop: taking requests for {} ms more", ACCEPTING / 1000);
             self.stopping = Some(at);
+            // The own node goes first, so that the fleet's users turn to the others.
+            if let Some((key, session)) = self.ensemble.as_mut().and_then(|s| Some((s.conn?, s))) {
+                if let Some(conn) = self.conns.get_mut(key) {
+                    session.close(&mut conn.output.bytes);
+                    self.flush(at, key);
+                }
+            }
             self.core.deadlines.set(at + ACCEPTING, Due::Stop);
         }
     }
@@ -330,7 +350,8 @@
         match due {
             Due::Connection(key) => self.look(at, key),
             Due::Bulletin => self.tend_feed(at),
-            Due::Stop | Due::Ensemble => {}
+            Due::Ensemble => ensemble::tend(self, at),
+            Due::Stop => {}
             due => self.core.due(at, due),
         }
     }
@@ -373,7 +394,7 @@
         match role {
             Role::Store(_) => self.links += 1,
             Role::Client(_) | Role::Web(_) => self.clients += 1,
-            Role::Bulletin(_) => {}
+            Role::Bulletin(_) | Role::Ensemble => {}
         }
         let (input, output) = (Buffer::default(), Buffer::default());
         let armed = (true, !up);
@@ -401,7 +422,7 @@
     }
 
     /// Begins to connect; the connection comes up later or fails.
-    fn connect(&mut self, at: Micros, address: SocketAddr, role: Role, due: Micros) -> Option<Key> {
+    pub fn connect(&mut self, at: Micros, address: SocketAddr, role: Role, due: Micros) -> Option<Key> {
         let open = || -> io::Result<TcpStream> {
             let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
             socket.set_nonblocking(true)?;
@@ -500,6 +521,7 @@
                 Role::Web(_) => signed::drive(self, at, key, input.rest())?,
                 Role::Client(_) => thrift::drive(self, at, key, input.rest())?,
                 Role::Store(_) => resp::drive(self, at, key, input.rest())?,
+                Role::Ensemble => ensemble::drive(self, at, key, input.rest())?,
                 Role::Bulletin(reader) => {
                     let n = input.rest().len();
                     let told = reader.take(input.rest())?;
@@ -597,6 +619,7 @@
                     self.core.outcome(at, attempt, Status::ConnectFailed, Note::None);
                 }
             }
+            Role::Ensemble => ensemble::lost(self, at, why.unwrap_or("closed")),
             Role::Bulletin(_) => {
                 if let Some(feed) = &mut self.feed {
                     log!("the bulletin is lost: {}", why.unwrap_or("closed"));
@@ -793,8 +816,16 @@
 
     // News.
 
+    /// Sets when the ensemble is to be looked at.
+    pub fn set_ensemble(&mut self, at: Micros) {
+        let Some(session) = &mut self.ensemble else { return };
+        self.core.deadlines.clear(session.due, Due::Ensemble);
+        session.due = at;
+        self.core.deadlines.set(at, Due::Ensemble);
+    }
+
     /// Takes in news of stores or a purge.
-    fn news(&mut self, at: Micros, news: &bulletin::News) {
+    pub fn news(&mut self, at: Micros, news: &bulletin::News) {
         self.core.news(at, news);
         let bulletin::News::Roster { whole, stores } = news else { return };
         let named: BTreeSet<ServerId> = stores.iter().map(|s| s.host.server).collect();
@@ -869,7 +900,11 @@
                 continue;
             }
             feed.last = item.no;
-            self.news(at, &item.news);
+            // Where the list is taken from the ensemble, the bulletin tells of purges only.
+            let listed = self.ensemble.as_ref().is_some_and(|s| s.config.stores.is_some());
+            if !(listed && matches!(item.news, bulletin::News::Roster { .. })) {
+                self.news(at, &item.news);
+            }
         }
         Ok(())
     }
--- /dev/null
+++ b/gateway/tests/net/main.rs
@@ -0,0 +1,6 @@
+//! Scenarios against the program itself, with stand-ins on loopback for all that it talks to.
+mod command;
+mod ensemble;
+mod platform;
+mod scenario;
+mod signed;
--- /dev/null
+++ b/gateway/tests/net/platform.rs
@@ -0,0 +1,227 @@
+//! The platform's front, stores and the bulletin.
+use crate::scenario::{entry, unix_ms, usual, Scenario, Setup, ROW};
+
+#[test]
+fn bytes_pass_whole_and_unchanged_and_answers_may_change_places() {
+    usual().run(
+        "c1 > serve 1 $ask call=aa
+         c1 > serve 2 op=bid-status call=bb ttl=2000 row=00000000000000ff block=0 family=1 cached=e1
+         store < PULL aa profile=history-files thing=$row nth=3 replay=none mine=none within=none
+         store < PULL bb profile=bid-status thing=00000000000000ff nth=0 mine=e1 f=swr
+         store > bb ok entity=e2,issued=5,remark=HIT,report=util:0.5 | status
+         c1 < served 2 | status
+         store > aa ok entity=t1,remark=MISS | #240000
+         c1 < served 1 | #240000",
+    );
+}
+
+#[test]
+fn a_copy_that_holds_is_told_without_bytes() {
+    usual().run(
+        "c1 > serve 7 $ask call=aa cached=e1
+         store < PULL aa mine=e1
+         store > aa current entity=e1,remark=HIT
+         c1 < served 7 keep 1",
+    );
+}
+
+#[test]
+fn a_write_goes_to_the_origin_and_is_repeated_only_under_its_key() {
+    usual().run(
+        "c1 > serve 1 op=bid-submit call=aa ttl=3000 row=$row block=0 family=1 dedupe=k1 | a bid
+         store < PULL aa miss=s-c1 replay=k1 prio=none at=?box | a bid
+         store reset aa
+         store < PULL aa miss=s-c1 replay=k1 | a bid
+         store > aa ok remark=MISS_ORIGIN | done
+         c1 < served 1 | done",
+    );
+}
+
+#[test]
+fn a_request_that_is_given_up_is_answered_at_once_with_advice() {
+    usual().run(
+        "c1 > serve 1 $ask call=aa
+         store < PULL aa
+         store > aa error remark=ORIGIN_ERR
+         c1 < busy 1 pushback 1000",
+    );
+}
+
+#[test]
+fn a_request_without_an_answer_fails_before_its_client_gives_up() {
+    let mut s = usual();
+    let begun = unix_ms();
+    s.run(
+        "c1 > serve 1 op=history-files call=aa ttl=2000 row=$row block=3 family=17
+         store < PULL aa max=?max
+         c1 < failed 1
+         store < KILL aa",
+    );
+    let took = unix_ms() - begun;
+    assert!(s.var("max").parse::<u64>().expect("a number") < 2000);
+    assert!(took >= 1500, "given up after {took} ms of 2000");
+}
+
+#[test]
+fn what_a_client_forgets_or_leaves_is_withdrawn_from_the_store() {
+    usual().run(
+        "c1 > serve 1 $ask call=aa
+         store < PULL aa
+         c1 > forget 0 1
+         store < KILL aa
+         c1 > serve 2 $ask call=bb
+         store < PULL bb
+         c1 close
+         store < KILL bb
+         c2 > isWell 1
+         c2 < well 1",
+    );
+}
+
+#[test]
+fn a_store_that_is_not_there_is_passed_over_for_another() {
+    let mut s = Scenario::new(Setup { dead: &["a1"], ..Setup::default() });
+    for n in 0..8 {
+        s.set("n", &n.to_string()).run(
+            "c1 > serve 1$n op=history-files ttl=6000 row=000000000000000$n block=0 family=1 call=a$n
+             store < PULL a$n at=a2
+             store > a$n ok remark=HIT | x
+             c1 < served 1$n | x",
+        );
+    }
+}
+
+#[test]
+fn without_any_store_a_request_is_refused_at_once() {
+    let mut s = Scenario::new(Setup { dead: &["a1", "a2"], ..Setup::default() });
+    s.set("ask", &format!("op=history-files ttl=6000 row={ROW} block=3 family=17"));
+    let begun = unix_ms();
+    s.run("c1 > serve 1 $ask call=aa\n c1 < busy 1 pushback 250");
+    assert!(unix_ms() - begun < 3000);
+}
+
+#[test]
+fn a_large_answer_does_not_hold_up_the_next_request_to_its_store() {
+    let mut s = Scenario::new(Setup { dead: &["a1"], ..Setup::default() });
+    // The first answer has begun on its connection and does not end; the second goes by another.
+    s.run(
+        "c1 > serve 1 op=bid-status ttl=2000 row=0000000000000001 block=0 family=1 call=aa
+         store < PULL aa
+         c1 > serve 2 op=bid-status ttl=2000 row=0000000000000002 block=0 family=1 call=bb
+         store < PULL bb
+         store > bb ok remark=HIT | small
+         c1 < served 2 | small",
+    );
+}
+
+#[test]
+fn news_is_applied_in_order_and_asked_for_again_from_the_last_one() {
+    let mut s = usual();
+    let drain = entry("a1", s.var("a1").parse().expect("an address"), "standard", "draining");
+    s.set("drain", &drain).run(
+        "bulletin < call last=1
+         bulletin > {\"no\":2,\"roster\":{\"seq\":2,\"whole\":false,\"hosts\":[$drain]}}
+         bulletin > {\"no\":2,\"roster\":{\"seq\":2,\"whole\":true,\"hosts\":[]}}
+         bulletin close
+         bulletin < call last=2
+         wait 50",
+    );
+    for n in 0..8 {
+        s.set("n", &n.to_string()).run(
+            "c1 > serve 1$n op=history-files ttl=6000 row=000000000000000$n block=0 family=1 call=a$n
+             store < PULL a$n at=a2
+             store > a$n ok remark=HIT | x
+             c1 < served 1$n | x",
+        );
+    }
+}
+
+#[test]
+fn a_bulletin_that_falls_silent_is_called_again() {
+    usual().run("bulletin < call last=1\n bulletin mute\n bulletin < call last=1");
+}
+
+#[test]
+fn a_gateway_is_well_only_once_it_knows_the_list() {
+    let mut s = Scenario::new(Setup { known: false, ..Setup::default() });
+    s.run(
+        "c1 > isWell 1
+         c1 < unwell 1
+         bulletin < call last=0
+         bulletin > $list
+         wait 100
+         c1 > isWell 2
+         c1 < well 2",
+    );
+}
+
+#[test]
+fn after_a_purge_no_older_copy_is_asked_for() {
+    let mut s = usual();
+    s.run(
+        "bulletin < call last=1
+         c1 > serve 1 $ask call=aa
+         store < PULL aa within=none
+         store > aa ok remark=HIT | old
+         c1 < served 1 | old
+         bulletin > {\"no\":2,\"recall\":{\"lot\":17,\"issued\":$now}}
+         wait 100
+         c1 > serve 2 $ask call=bb
+         store < PULL bb within=?age
+         store > bb ok remark=MISS | new
+         c1 < served 2 | new",
+    );
+    assert!(s.var("age").parse::<u64>().expect("a number") < 5000);
+}
+
+#[test]
+fn a_malformed_connection_is_closed_and_the_others_are_not() {
+    usual().run(
+        "c9 > serve 1 $ask call=aa
+         store < PULL aa
+         c1 raw 7fffffff
+         c1 < closed
+         c2 raw ffffffff
+         c2 < closed
+         c3 raw 0000000400010203
+         c3 < closed
+         c4 raw 0000000f8001000100000004736572
+         c4 close
+         c5 > serve 1 op=nothing call=bb ttl=100 row=$row
+         c5 < exception 1
+         c5 > serve 2 op=bid-status call=b,b ttl=100 row=$row
+         c5 < exception 2
+         c5 > elsewhere 3
+         c5 < exception 3
+         store > aa ok remark=HIT | fine
+         c9 < served 1 | fine",
+    );
+}
+
+#[test]
+fn more_clients_than_the_budget_cost_only_the_idle_ones() {
+    let mut s = Scenario::new(Setup { sockets: 64, ..Setup::default() });
+    s.run("c0 > serve 1 op=history-files ttl=6000 row=0000000000000001 block=0 family=1 call=aa\n store < PULL aa");
+    for n in 1..60 {
+        s.set("n", &n.to_string()).run("c$n > isWell 1\n c$n < well 1");
+    }
+    s.run("c1 < closed\n store > aa ok remark=HIT | x\n c0 < served 1 | x");
+}
+
+#[test]
+fn a_planned_stop_serves_what_still_comes_and_then_exits_with_0() {
+    usual().run(
+        "c1 > serve 1 $ask call=aa
+         store < PULL aa
+         term
+         wait 300
+         c2 > serve 1 $ask call=bb
+         store < PULL bb
+         store > bb ok remark=HIT | new
+         c2 < served 1 | new
+         wait 600
+         store > aa ok remark=HIT | taken
+         c1 < served 1 | taken
+         exit 0",
+    );
+}
--- a/gateway/tests/scenario/mod.rs
+++ b/gateway/tests/net/scenario/mod.rs
@@ -11,6 +11,8 @@
 //! c1 raw 00ff    c1 close    c1 < closed    wait 50    term    exit 0    never PULL aa
 //! ```
 //! A body `#N` stands for N bytes of every value. Expectations have seconds to be met, so no timing is tight.
+pub mod ensemble;
+
 use std::collections::{BTreeMap, HashMap};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -51,6 +53,17 @@
     vars: HashMap<String, String>,
 }
 
+pub const ROW: &str = "7f3a9c21e0b4d655";
+pub const FILES: &str = "/history-files/17/7f3a9c21e0b4d655/3";
+
+/// A gateway with all its stand-ins, and the usual variables.
+pub fn usual() -> Scenario {
+    let mut scenario = Scenario::new(Setup::default());
+    scenario.set("row", ROW).set("files", FILES);
+    scenario.set("ask", &format!("op=history-files ttl=6000 row={ROW} block=3 family=17"));
+    scenario
+}
+
 /// How a gateway is set up, beyond the usual.
 pub struct Setup {
     /// Stores that listen nowhere, of the caches a1, a2.
