Stop the link's learned size from collapsing until all fills are refused

Probe at each refusal: the learned size of that location's link falls from 414 to its floor of 4 in a second and stays there, with stretch, budget and health of all caches in order. At fault: learn() in src/logic.rs takes time over expected time of every long fill as the link's pace, though objects not seen before have only their class's mean time; the refusals then empty the link and load/pace follows downwards. Now only fills of known sending time teach the link's size, and nothing learned goes under a quarter of the size told in the settings (a new setting, link_kb_per_s).

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -86,6 +86,8 @@
     pub origin_kind: Option<usize>,
     /// KB a second of one transfer to a client at most; 0 if not told.
     pub flow_kb_per_s: f64,
+    /// KB a second that the own location's link for fills carries; 0 if not told.
+    pub link_kb_per_s: f64,
     /// Whether a listed weight stands for a size.
     pub weighted: bool,
     /// Which caches may supply a fill.
@@ -131,6 +133,7 @@
             parent_kind: None,
             origin_kind: None,
             flow_kb_per_s: 0.0,
+            link_kb_per_s: 0.0,
             weighted: false,
             siblings: Siblings::None,
             joins: false,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,6 +33,8 @@
 const PACED: f64 = 0.3;
 /// Time taken over sending time that tells of a jam, and the work (µs) from which no far source alone does.
 const JAMMED: (f64, f64) = (1.4, 100_000.0);
+/// Share of the link's told size below which nothing learned goes: slow fills are not all the link's doing.
+const LINK_LEAST: f64 = 0.25;
 /// Share of the aim that a predicted answer may take, with its size told and untold: load grows meanwhile.
 const IN_TIME: (f64, f64) = (0.75, 0.65);
 /// Above this stretch (time taken over sending time) a default cache is passed over for one half as busy.
@@ -535,6 +537,13 @@
             + self.filling.mean(self.now, LOAD_SPAN) * (self.routers_of(self.settings.zone) - 1.0)
     }
 
+    /// Danger: slow parents, and objects larger than their class, look like a jam of the link; the estimate
+    /// falls, refusals empty the link, and the estimate falls after them. Harm: fills pass that come late.
+    fn link_floor(&self) -> f64 {
+        let told = self.settings.link_kb_per_s / self.settings.flow_kb_per_s.max(1.0);
+        (LINK_LEAST * told).max(FIRST_FLOWS)
+    }
+
     /// How much longer than its sending time a transfer takes there now.
     fn stretch(&self, s: &Server) -> f64 {
         let flows = (self.flows(s) * self.warmth(s)).max(0.1);
@@ -781,11 +790,13 @@
             let unnoted =
                 matches!(outcome.status, Status::Ok | Status::Timeout) && outcome.note == Note::None;
             if (filled || blame == Blame::Link || unnoted)
+                && known
                 && work > JAMMED.1
                 && (self.link.is_some() || pace > JAMMED.0)
             {
                 let load = self.link_load();
-                self.link = Some(learn_flows(self.link.unwrap_or(load / pace), pace, load).max(FIRST_FLOWS));
+                let least = self.link_floor();
+                self.link = Some(learn_flows(self.link.unwrap_or(load / pace), pace, load).max(least));
             }
         }
         let asked = self.servers.get(&edge);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -117,6 +117,10 @@
         parent_kind: place(info, "shieldKind"),
         origin_kind: place(info, "storeKind"),
         flow_kb_per_s: number(info, "oneFlowKbPerS", 0.0),
+        link_kb_per_s: list(info, "pipeKbPerS")
+            .get(place(all, "locality").unwrap_or(0))
+            .and_then(as_f64)
+            .unwrap_or(0.0),
         weighted: matches!(word(all, "weightKind"), "nominal" | "rough"),
         siblings: match word(info, "peersFill") {
             "location" => Siblings::Location,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -693,6 +693,32 @@
     assert_eq!(finals(&rig.answer(1, Status::Moot, Note::None)), 1);
 }
 
+#[test]
+fn slow_fills_of_untold_size_do_not_talk_the_link_down_until_fills_are_refused() {
+    let told = Settings { link_kb_per_s: 400_000.0, weighted: true, ..settings() };
+    let wide = fleet().into_iter().map(|h| Host { weight: 400.0, ..h }).collect();
+    let mut rig = Rig::new(told, wide);
+    let ask = |rig: &mut Rig, object| {
+        rig.next += 1;
+        let request = Request { id: rig.next, object, ttl: 6000 * MS, group: 7, ..Request::default() };
+        // A look without a fill is what is left of a refused fill.
+        get(&rig.tell(Event::Request(request))).filter(|g| g.source != g.server).map(|_| rig.next)
+    };
+    let end = |rig: &mut Rig, id, note, latency| {
+        let outcome = Outcome { id, attempt: 0, status: Status::Ok, latency, closed: true, note };
+        rig.tell(Event::Outcome(outcome));
+    };
+    // The class is known to take 200 ms; the objects that follow are all new, and larger than that.
+    let first = ask(&mut rig, 1).expect("sent");
+    end(&mut rig, first, Note::Hit, 200 * MS);
+    for round in 0..5 {
+        let ids: Vec<RequestId> = (0..40).filter_map(|n| ask(&mut rig, 1000 + round * 40 + n)).collect();
+        assert_eq!(ids.len(), 40, "round {round}: fills are refused");
+        rig.wait(600);
+        ids.into_iter().for_each(|id| end(&mut rig, id, Note::Filled, 600 * MS));
+    }
+}
+
 #[test]
 fn the_module_stays_short_enough_to_audit() {
     let text = include_str!("../src/logic.rs");
