--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -399,3 +399,126 @@
         self.sweep(key);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use larchway::{Class, Effect, Host};
+
+    const MS: Micros = 1000;
+    const START: Micros = 1_000_000 * MS;
+
+    fn store(server: ServerId, kind: usize, state: State) -> Store {
+        let host = Host { server, kind, state, weight: 4.0, ..Host::default() };
+        Store { host, name: format!("s-{server}"), dial: None }
+    }
+
+    fn core() -> Core {
+        let class = |aim, effect, fresh| Class { aim, aim_stretch: 2.0, effect, fresh, ..Class::default() };
+        let classes = vec![class(600 * MS, Effect::Pure, 0), class(400 * MS, Effect::Pure, 8000 * MS)];
+        let settings = Settings {
+            classes,
+            parent_kind: Some(1),
+            origin_kind: Some(2),
+            cancel: true,
+            duplicates: true,
+            max_attempts: 8,
+            ..Settings::default()
+        };
+        let mut core = Core::new(settings, 1);
+        let stores = vec![
+            store(1, 0, State::Up),
+            store(2, 0, State::Up),
+            store(50, 1, State::Up),
+            store(90, 2, State::Up),
+        ];
+        core.news(START, &News::Roster { whole: true, stores });
+        core
+    }
+
+    fn ticket(seq: u64) -> Ticket {
+        Ticket { client: Key(9), seq }
+    }
+
+    fn ask(class: usize, object: u64) -> Ask {
+        Ask { class, object, group: 17, ttl: 6000 * MS, call: format!("{object:x}"), ..Ask::default() }
+    }
+
+    fn sent(core: &mut Core) -> Vec<Key> {
+        let orders = std::mem::take(&mut core.orders);
+        orders.into_iter().filter_map(|o| if let Order::Send(key) = o { Some(key) } else { None }).collect()
+    }
+
+    #[test]
+    fn an_attempt_that_waits_goes_elsewhere_after_word_of_a_drain() {
+        let mut core = core();
+        core.request(START, ticket(1), ask(0, 7));
+        let waiting = sent(&mut core)[0];
+        core.attempt(waiting).expect("there").carrier = Some(Key(5));
+        let (server, _) = core.target(waiting).expect("a target");
+        core.news(START + 1, &News::Roster { whole: false, stores: vec![store(server, 0, State::Draining)] });
+        assert!(matches!(core.orders.front(), Some(Order::Kill { attempt, .. }) if *attempt == waiting));
+        let again = sent(&mut core);
+        assert_eq!(again.len(), 1);
+        assert_ne!(core.target(again[0]).expect("a target").0, server);
+        assert!(core.pull(START + 2, waiting).is_none(), "it is not sent any more");
+    }
+
+    #[test]
+    fn an_attempt_that_waits_is_decided_again_after_word_of_a_purge_but_one_sent_is_not() {
+        let mut core = core();
+        for object in [7, 8] {
+            core.request(START, ticket(object), ask(0, object));
+        }
+        let keys = sent(&mut core);
+        core.attempt(keys[1]).expect("there").begun = true;
+        let purge = News::Recall { object: None, group: 17, issued: START - 50 * MS };
+        core.news(START, &purge);
+        assert!(core.attempt(keys[0]).is_none() && core.attempt(keys[1]).is_some());
+        let again = sent(&mut core);
+        assert_eq!(core.pull(START, again[0]).expect("it waits").within, 40, "less the margin");
+        // While it waits the bound moves on with the clock: the purge is longer ago by then.
+        assert_eq!(core.pull(START + 100 * MS, again[0]).expect("it waits").within, 140);
+    }
+
+    #[test]
+    fn the_bound_on_age_never_passes_the_fresh_time() {
+        let mut core = core();
+        core.news(START, &News::Recall { object: Some(7), group: 0, issued: START - 7990 * MS });
+        core.request(START, ticket(1), ask(1, 7));
+        let key = sent(&mut core)[0];
+        assert_eq!(core.pull(START, key).expect("it waits").within, 7980);
+        assert_eq!(core.pull(START + 500 * MS, key).expect("it waits").within, 8000);
+    }
+
+    #[test]
+    fn each_request_gets_one_final_answer_whatever_comes_late() {
+        let mut core = core();
+        let request = core.request(START, ticket(1), ask(0, 7));
+        let first = sent(&mut core)[0];
+        core.attempt(first).expect("there").begun = true;
+        assert_eq!(core.outcome(START + 5, first, Status::Ok, Note::Hit), Some(ticket(1)));
+        assert_eq!(core.outcome(START + 6, first, Status::Ok, Note::Hit), None);
+        core.gone(START + 7, request);
+        core.due(START + 6000 * MS, Due::Request(request));
+        let finals =
+            core.orders.iter().filter(|o| matches!(o, Order::Refused(..) | Order::Failed(..))).count();
+        assert_eq!((finals, core.open(), core.held), (0, 0, 0));
+    }
+
+    #[test]
+    fn at_the_deadline_a_request_fails_and_its_attempt_is_given_up() {
+        let mut core = core();
+        let request = core.request(START, ticket(1), ask(0, 7));
+        let key = sent(&mut core)[0];
+        let attempt = core.attempt(key).expect("there");
+        (attempt.begun, attempt.carrier) = (true, Some(Key(5)));
+        let at = core.deadlines.next().map_or(0, |next| next.max(START + 6000 * MS - MARGIN));
+        core.due(at, Due::Request(request));
+        assert!(at < START + 6000 * MS, "before the client gives up");
+        let orders: Vec<Order> = core.orders.drain(..).collect();
+        assert!(orders.iter().any(|o| matches!(o, Order::Kill { attempt, .. } if *attempt == key)));
+        assert_eq!(orders.iter().filter(|o| **o == Order::Failed(ticket(1), true)).count(), 1);
+        assert_eq!((core.open(), core.unanswered()), (0, 0));
+    }
+}
--- a/gateway/src/resp.rs
+++ b/gateway/src/resp.rs
@@ -210,3 +210,45 @@
     write_words(&mut conn.output.bytes, &[b"KILL", call.as_bytes()]);
     true
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn taken(text: &[u8]) -> Result<Option<usize>, String> {
+        reply(text).map(|found| found.map(|(_, used)| used))
+    }
+
+    #[test]
+    fn an_answer_is_read_only_when_it_is_whole() {
+        let mut text = Vec::new();
+        write_words(
+            &mut text,
+            &[b"aa", b"ok", b"remark=MISS_ORIGIN,entity=t1,report=util:0.5;x1:2", b"\r\n$\0\xff"],
+        );
+        for cut in 0..text.len() {
+            assert_eq!(taken(&text[..cut]), Ok(None), "{cut}");
+        }
+        text.extend_from_slice(b"*1");
+        let (found, used) = reply(&text).expect("reads").expect("whole");
+        assert_eq!((found.id, found.status, found.note), ("aa", Some(Status::Ok), Note::FilledByOrigin));
+        assert_eq!((found.entity, found.body, used), (Some("t1"), &b"\r\n$\0\xff"[..], text.len() - 2));
+    }
+
+    #[test]
+    fn what_is_no_answer_is_an_error_before_it_fills_the_memory() {
+        for text in [
+            "+OK\r\n",
+            "*0\r\n",
+            "*99\r\n",
+            "*1\r\n$999999999\r\n",
+            "*1\r\n$-1\r\n",
+            "*1\r\n$1\r\nabc",
+            "*1x",
+        ] {
+            assert!(text == "*1x" || taken(text.as_bytes()).is_err(), "{text:?}");
+        }
+        assert!(taken(&[b"*", &[b'1'; 40][..]].concat()).is_err());
+        assert!(taken(b"*2\r\n$1\r\na\r\n$1\r\n\xff\r\n").is_err(), "a word that is not text");
+    }
+}
