Close a store's silent connection instead of keeping it; bound answers that are not read

Read through for machines that are cut off: kill() in resp.rs kept a connection on which nothing had come, so the next trial of that store went out on it and was silent too; after 1.5 s of silence it is now closed, and a trial meets a connect time-out. Also: answers waiting for slow readers are bounded in all (a quarter of the memory), pipelined requests of the second front wait until earlier answers are read, an unreadable event of the bulletin no longer holds up those behind it, and removed stores no longer count in the share of connections.

--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -482,6 +482,9 @@
                     input.bytes.truncate(start + n);
                     taken += n;
                     conn.moved = at;
+                    if let Role::Store(link) = &mut conn.role {
+                        link.silent = at;
+                    }
                     if n < room {
                         break;
                     }
@@ -562,8 +565,11 @@
             conn.due = at + LINGER;
             self.core.deadlines.set(conn.due, Due::Connection(key));
         }
-        if empty && matches!(conn.role, Role::Store(_)) {
-            self.send_waiting(at, key);
+        match conn.role {
+            Role::Store(_) if empty => self.send_waiting(at, key),
+            // A request that waited for earlier answers to be read has its turn.
+            Role::Web(_) if empty && !conn.input.rest().is_empty() => self.resumed.push(key),
+            _ => {}
         }
         self.arm(key);
         true
@@ -682,9 +688,7 @@
             match order {
                 Order::Send(attempt) => self.dispatch(at, attempt),
                 Order::Kill { carrier, attempt, call } => {
-                    if resp::kill(self, carrier, attempt, &call) {
-                        self.flush(at, carrier);
-                    }
+                    resp::kill(self, at, carrier, attempt, &call);
                 }
                 Order::Refused(ticket, pushback) => self.answer(at, ticket, &Final::Refused(pushback)),
                 Order::Failed(ticket, late) => self.answer(at, ticket, &Final::Failed { late }),
@@ -717,7 +721,11 @@
             }
             _ => return signed::finish(self, at, ticket, done),
         }
-        if conn.output.rest().len() > FLOODED {
+        let pending = conn.output.rest().len();
+        // One that reads slowly may have some megabytes waiting, but all of them together only so much.
+        let all = || self.conns.iter().map(|(_, c)| c.output.rest().len()).sum::<usize>();
+        if pending > FLOODED || pending > CROWDED && all() > self.memory / 4 {
+            log!("a client is cut off: it does not read its answers");
             return self.close(at, ticket.client, Some("it does not read its answers"));
         }
         self.flush(at, ticket.client);
@@ -735,7 +743,8 @@
     fn dispatch(&mut self, at: Micros, attempt: Key) {
         let Some((server, call)) = self.core.target(attempt) else { return };
         let call = call.to_string();
-        let own = self.pools.values().filter(|p| p.store.host.zone == self.own_zone).count().max(1);
+        let here = |p: &&Pool| p.store.host.zone == self.own_zone && p.store.host.state != State::Removed;
+        let own = self.pools.values().filter(here).count().max(1);
         let most = (self.most_links / own).clamp(2, 128);
         let Some((address, links)) = self.pools.get(&server).and_then(|p| Some((p.store.dial?, &p.links)))
         else {
@@ -792,6 +801,9 @@
                 Ok(n) => {
                     conn.output.consume(n);
                     conn.moved = at;
+                    if link.open.is_empty() {
+                        link.silent = at;
+                    }
                     link.open.push((call, attempt));
                     if let Some(a) = self.core.attempt(attempt) {
                         a.begun = true;
@@ -894,7 +906,14 @@
             (feed.heard, feed.backoff) = (at, BACKOFF.0);
         }
         for data in events {
-            let item = bulletin::event(&data, &self.terms)?;
+            // One that cannot be read stays so however often it is asked for: the others must not wait for it.
+            let item = match bulletin::event(&data, &self.terms) {
+                Ok(item) => item,
+                Err(why) => {
+                    log!("an event of the bulletin is passed over: {why}");
+                    continue;
+                }
+            };
             let Some(feed) = &mut self.feed else { return Ok(()) };
             if item.no <= feed.last {
                 continue;
--- a/gateway/src/signed/mod.rs
+++ b/gateway/src/signed/mod.rs
@@ -222,6 +222,9 @@
 /// µs in which a request must be whole, from its first byte.
 pub const SLOW: Micros = 10_000_000;
 
+/// Bytes of answers that may wait before the next request on a connection has its turn.
+const UNREAD: usize = 256 * 1024;
+
 /// A client's connection. Requests on it are answered one after another.
 #[derive(Debug, Default)]
 pub struct Session {
@@ -248,7 +251,8 @@
 /// Takes one request off the input of a connection and returns how much was used.
 pub fn drive(gateway: &mut Gateway, at: Micros, key: Key, input: &[u8]) -> Result<usize, String> {
     let Some(Conn { role: Role::Web(session), output, .. }) = gateway.conn(key) else { return Ok(0) };
-    if session.open.is_some() || input.is_empty() {
+    // A client that sends on and on and reads nothing must not have its answers pile up.
+    if session.open.is_some() || input.is_empty() || output.rest().len() > UNREAD {
         return Ok(0);
     }
     let (request, used) = match http::request(input) {
--- a/gateway/tests/net/signed.rs
+++ b/gateway/tests/net/signed.rs
@@ -207,3 +207,18 @@
          w1 < 403 | the link has expired",
     );
 }
+
+#[test]
+fn answers_that_are_not_read_hold_up_only_their_own_connection() {
+    let mut s = usual();
+    s.link("url", FILES, -5, 600, false);
+    for _ in 0..30 {
+        s.run("w1 > GET $url");
+    }
+    // Some go through until the sockets are full, then the rest waits its turn; all are answered once read.
+    s.run("store < PULL *\n store > * ok entity=a | #240000\n w2 > GET /alive\n w2 < 200");
+    s.run("w1 < 200 | #240000");
+    for _ in 0..29 {
+        s.run("store < PULL *\n store > * ok entity=a | #240000\n w1 < 200 | #240000");
+    }
+}
