Test the silent-store answer of the second front; tidy scenarios and a dangling reference

A link whose stores stay silent gets 504 once, at the class's deadline, and its connection serves on. The module's head no longer names a design file that is not here.

--- a/gateway/src/resp.rs
+++ b/gateway/src/resp.rs
@@ -246,16 +246,10 @@
 
     #[test]
     fn what_is_no_answer_is_an_error_before_it_fills_the_memory() {
-        for text in [
-            "+OK\r\n",
-            "*0\r\n",
-            "*99\r\n",
-            "*1\r\n$999999999\r\n",
-            "*1\r\n$-1\r\n",
-            "*1\r\n$1\r\nabc",
-            "*1x",
-        ] {
-            assert!(text == "*1x" || taken(text.as_bytes()).is_err(), "{text:?}");
+        for text in
+            ["+OK\r\n", "*0\r\n", "*99\r\n", "*1\r\n$999999999\r\n", "*1\r\n$-1\r\n", "*1\r\n$1\r\nabc"]
+        {
+            assert!(taken(text.as_bytes()).is_err(), "{text:?}");
         }
         assert!(taken(&[b"*", &[b'1'; 40][..]].concat()).is_err());
         assert!(taken(b"*2\r\n$1\r\na\r\n$1\r\n\xff\r\n").is_err(), "a word that is not text");
--- a/gateway/tests/net/platform.rs
+++ b/gateway/tests/net/platform.rs
@@ -79,9 +79,8 @@
     );
 }
 
-#[test]
-fn a_store_that_is_not_there_is_passed_over_for_another() {
-    let mut s = Scenario::new(Setup { dead: &["a1"], ..Setup::default() });
+/// Objects that the hash spreads over both caches, all served by one of them.
+fn all_go_to_a2(s: &mut Scenario) {
     for n in 0..8 {
         s.set("n", &n.to_string()).run(
             "c1 > serve 1$n op=history-files ttl=6000 row=000000000000000$n block=0 family=1 call=a$n
@@ -92,6 +91,12 @@
     }
 }
 
+#[test]
+fn a_store_that_is_not_there_is_passed_over_for_another() {
+    let mut s = Scenario::new(Setup { dead: &["a1"], ..Setup::default() });
+    all_go_to_a2(&mut s);
+}
+
 #[test]
 fn without_any_store_a_request_is_refused_at_once() {
     let mut s = Scenario::new(Setup { dead: &["a1", "a2"], ..Setup::default() });
@@ -127,14 +132,7 @@
          bulletin < call last=2
          wait 50",
     );
-    for n in 0..8 {
-        s.set("n", &n.to_string()).run(
-            "c1 > serve 1$n op=history-files ttl=6000 row=000000000000000$n block=0 family=1 call=a$n
-             store < PULL a$n at=a2
-             store > a$n ok remark=HIT | x
-             c1 < served 1$n | x",
-        );
-    }
+    all_go_to_a2(&mut s);
 }
 
 #[test]
--- a/gateway/tests/net/signed.rs
+++ b/gateway/tests/net/signed.rs
@@ -79,6 +79,18 @@
     );
 }
 
+#[test]
+fn a_link_whose_stores_stay_silent_gets_its_one_answer_at_the_class_deadline() {
+    let mut s = usual();
+    s.link("url", FILES, -5, 600, false).run(
+        "w1 > GET $url
+         store < PULL *
+         w1 < 504 | no answer in time
+         w1 > GET /alive
+         w1 < 200",
+    );
+}
+
 #[test]
 fn pipelined_requests_are_answered_in_their_order() {
     let mut s = usual();
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -2,7 +2,7 @@
 //! again and when to decline. The settings, events and actions are in `src/interface.rs`.
 //!
 //! The ordinary path is the paper's: FP, FN and q per cache give the chance of a miss (Eq. 1 to 3); the edge
-//! cache plus at most one sibling minimize Eq. (11). See `docs/design.md`.
+//! cache plus at most one sibling minimize Eq. (11).
 use crate::helpers::{mean, mix, unit, Aged, Level, Window};
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
