--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -482,9 +482,6 @@
                     input.bytes.truncate(start + n);
                     taken += n;
                     conn.moved = at;
-                    if let Role::Store(link) = &mut conn.role {
-                        link.silent = at;
-                    }
                     if n < room {
                         break;
                     }
@@ -805,9 +802,6 @@
                 Ok(n) => {
                     conn.output.consume(n);
                     conn.moved = at;
-                    if link.open.is_empty() {
-                        link.silent = at;
-                    }
                     link.open.push((call, attempt));
                     if let Some(a) = self.core.attempt(attempt) {
                         a.begun = true;
--- a/gateway/src/resp.rs
+++ b/gateway/src/resp.rs
@@ -135,18 +135,12 @@
     pub open: Vec<(String, Key)>,
     /// Ids given up, of which an answer may still be on its way.
     dead: VecDeque<String>,
-    /// Since when it carries something and nothing has come.
-    pub silent: Micros,
 }
 
-/// µs of silence after which a connection is closed rather than kept: a machine that is cut off leaves its
-/// connections open, and what is sent there next would be silent too.
-const SILENT: Micros = 1_500_000;
-
 impl Link {
     /// A connection that carries nothing.
     pub fn new(store: ServerId) -> Self {
-        Link { store, waiting: VecDeque::new(), open: Vec::new(), dead: VecDeque::new(), silent: 0 }
+        Link { store, waiting: VecDeque::new(), open: Vec::new(), dead: VecDeque::new() }
     }
 
     /// Whether an id is or was used here: a late answer to its first attempt must not pass for the second's.
@@ -202,16 +196,13 @@
     write_words(out, &[b"PULL", ask.call.as_bytes(), fields.as_bytes(), &ask.body]);
 }
 
-/// Gives an attempt up: withdraws it, or closes its connection if that has gone silent and carries nothing else.
+/// Gives an attempt up: withdraws it from its connection.
 pub fn kill(gateway: &mut Gateway, at: Micros, carrier: Key, attempt: Key, call: &str) {
     let Some(conn) = gateway.conn(carrier) else { return };
     let Role::Store(link) = &mut conn.role else { return };
     link.waiting.retain(|a| *a != attempt);
     let Some(place) = link.open.iter().position(|(_, a)| *a == attempt) else { return };
     link.open.swap_remove(place);
-    if link.open.is_empty() && link.waiting.is_empty() && at >= link.silent + SILENT {
-        return gateway.close(at, carrier, Some("silent"));
-    }
     link.dead.push_back(call.to_string());
     if link.dead.len() > 64 {
         link.dead.pop_front();
