Read the configuration again on SIGHUP instead of ending on it

Checked: 129 is 128 + SIGHUP; Gateway::new registered SIGTERM and SIGINT only, so the default action ended the program. Ruled out: a panic (the log ends without one) and memory (3 of 48 MB). Change: all files are read and checked whole, then swapped: limits, settings, listening addresses, the bulletin (called at its new address at once, from the last number known), the second front, the ensemble. What cannot be used is logged by its faulty key and changes nothing. Names of classes, zones and kinds may only grow, since open requests and stores hold their places. Tests: three scenarios (bulletin moved under an open request; a bad file by its key; keys and classes of links); each fails without the change, as SIGHUP ends the program.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -48,8 +48,59 @@
     pub idle: Micros,
 }
 
+/// The files besides the one that the environment names.
+#[derive(Debug, Clone, Default)]
+pub struct Files {
+    /// That of the second front; without it, that front is off.
+    pub signed: Option<String>,
+    /// That of the ensemble; without it, the instance registers nowhere.
+    pub ensemble: Option<String>,
+}
+
+/// All configuration, read in one go.
+#[derive(Debug)]
+pub struct Loaded {
+    /// What the gateway is told.
+    pub config: Config,
+    /// The second front, if it is on.
+    pub front: Option<Front>,
+    /// The ensemble, if the instance registers.
+    pub fleet: Option<Ensemble>,
+}
+
+impl Files {
+    /// Reads and checks all of it, each part alone and with the others.
+    pub fn read(&self) -> Result<Loaded, String> {
+        let config = from_env()?;
+        let front = self.signed.as_deref().map(front_file).transpose()?;
+        let fleet = self.ensemble.as_deref().map(ensemble_file).transpose()?;
+        let unknown = |class: &&String| !config.terms.classes.contains(class);
+        if let Some(class) = front.iter().flat_map(|f| &f.classes).find(unknown) {
+            return Err(format!("classes: {class:?} is not among settings.services"));
+        }
+        Ok(Loaded { config, front, fleet })
+    }
+}
+
+impl Terms {
+    /// Whether these names can take the place of others while requests are open. Requests and stores are kept
+    /// by the places of their class, zone and kind, so names may be added behind the others but not changed.
+    pub fn extends(&self, old: &Terms) -> Result<(), String> {
+        for (key, new, old) in [
+            ("services", &self.classes, &old.classes),
+            ("zones", &self.zones, &old.zones),
+            ("models", &self.kinds, &old.kinds),
+        ] {
+            if !new.starts_with(old) {
+                return Err(format!("settings.{key} may only grow while the gateway runs"));
+            }
+        }
+        Ok(())
+    }
+}
+
 /// Reads the configuration named by the environment.
-pub fn from_env() -> Result<Config, String> {
+fn from_env() -> Result<Config, String> {
     let path = std::env::var("EDGE_CONFIG").map_err(|_| "EDGE_CONFIG is not set".to_string())?;
     let text = std::fs::read_to_string(&path).map_err(|e| format!("EDGE_CONFIG: cannot read {path}: {e}"))?;
     read(&text, std::env::var("EDGE_NAME").ok(), std::env::var("EDGE_LISTEN").ok())
@@ -235,7 +286,7 @@
 }
 
 /// What the fleet's file under `deploy/` says of the ensemble.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Ensemble {
     /// Its servers.
     pub servers: Vec<SocketAddr>,
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -143,6 +143,12 @@
         }
     }
 
+    /// Puts settings in the place of those in force; requests, attempts and what was learned stay.
+    pub fn configure(&mut self, settings: Settings) {
+        self.fresh = settings.classes.iter().map(|c| c.fresh).collect();
+        self.router.configure(settings);
+    }
+
     /// How many requests have not ended, answered ones with attempts out among them.
     pub fn open(&self) -> usize {
         self.requests.len()
--- a/gateway/src/ensemble.rs
+++ b/gateway/src/ensemble.rs
@@ -363,6 +363,28 @@
 
 // The driver.
 
+/// Begins a session, or leaves the one held for another if it is set up in a new way: its node goes with it.
+pub fn set_up(gateway: &mut Gateway, at: Micros, config: Ensemble, name: &str, data: String) {
+    let mut due = 0;
+    if let Some(old) = &mut gateway.ensemble {
+        if old.config == config && old.data == data {
+            return;
+        }
+        if let Some(key) = old.conn {
+            let mut out = Vec::new();
+            old.close(&mut out);
+            if let Some(conn) = gateway.conn(key) {
+                conn.output.bytes.extend_from_slice(&out);
+            }
+            gateway.flush(at, key);
+            gateway.close(at, key, Some("it is set up anew"));
+        }
+        due = gateway.ensemble.as_ref().map_or(0, |old| old.due);
+    }
+    gateway.ensemble = Some(Session { due, ..Session::new(config, name, data) });
+    gateway.set_ensemble(at);
+}
+
 /// Takes one frame off the input of the connection and returns how much was used.
 pub fn drive(gateway: &mut Gateway, at: Micros, key: Key, input: &[u8]) -> Result<usize, String> {
     let Some((content, used)) = frame(input)? else { return Ok(0) };
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -77,23 +77,14 @@
     token: bool,
 }
 
-fn front(path: &Option<String>) -> Result<Option<config::Front>, String> {
-    path.as_deref().map(config::front_file).transpose()
-}
-
-fn fleet(path: &Option<String>) -> Result<Option<config::Ensemble>, String> {
-    path.as_deref().map(config::ensemble_file).transpose()
-}
-
 fn serve(args: &Serve) -> Result<(), String> {
-    Gateway::new(config::from_env()?, front(&args.signed)?, fleet(&args.ensemble)?)?.run()
+    let files = config::Files { signed: args.signed.clone(), ensemble: args.ensemble.clone() };
+    Gateway::new(files)?.run()
 }
 
 fn check(args: &CheckConfig) -> Result<(), String> {
-    let config = config::from_env()?;
-    front(&args.signed)?;
-    fleet(&args.ensemble)?;
-    println!("{} is well configured", config.name);
+    let files = config::Files { signed: args.signed.clone(), ensemble: args.ensemble.clone() };
+    println!("{} is well configured", files.read()?.config.name);
     Ok(())
 }
 
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -1,6 +1,6 @@
 //! The loop: connections in numbered slots, their buffers, and one poller.
 use crate::bulletin::{self, Reader, Store};
-use crate::config::{Config, Ensemble, Front, Terms};
+use crate::config::{Config, Ensemble, Files, Front, Loaded, Terms};
 use crate::core::{Core, Order, Ticket};
 use crate::deadlines::Due;
 use crate::ensemble;
@@ -11,7 +11,7 @@
 use larchway::{Micros, Note, ServerId, State, Status};
 use miniserde::json;
 use polling::{Event, PollMode, Poller};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind, Read, Write};
@@ -23,6 +23,7 @@
 const PLATFORM: usize = usize::MAX - 1;
 const SIGNAL: usize = usize::MAX - 2;
 const SECOND: usize = usize::MAX - 3;
+const RELOAD: usize = usize::MAX - 4;
 /// µs for which requests are still taken in after SIGTERM.
 const ACCEPTING: Micros = 700_000;
 /// µs after which a client that reads nothing of its answers, or asks for nothing, is cut off.
@@ -146,8 +147,11 @@
 }
 
 /// The bulletin's state between connections.
+#[derive(Default)]
 struct Feed {
-    address: SocketAddr,
+    /// Where it is, if there is one.
+    address: Option<SocketAddr>,
+    /// Number of the last event taken in.
     last: u64,
     conn: Option<Key>,
     heard: Micros,
@@ -159,6 +163,8 @@
 pub struct Gateway {
     poller: Poller,
     listener: TcpListener,
+    /// Where it listens, as configured.
+    listens: SocketAddr,
     second: Option<TcpListener>,
     /// The second front, if it is on.
     pub front: Option<Front>,
@@ -167,10 +173,12 @@
     resumed: Vec<Key>,
     seed: u64,
     drawn: u64,
-    signal: UnixStream,
+    files: Files,
+    stop_told: UnixStream,
+    reload_told: UnixStream,
     conns: Slots<Conn>,
     pools: BTreeMap<ServerId, Pool>,
-    feed: Option<Feed>,
+    feed: Feed,
     own_zone: usize,
     /// Names and limits of the wires.
     pub terms: Terms,
@@ -196,77 +204,132 @@
     open().map_err(|e| format!("cannot listen on {address}: {e}"))
 }
 
+/// A pipe that these signals write to, polled under a key.
+fn told_by(poller: &Poller, signals: &[i32], key: usize) -> Result<UnixStream, String> {
+    let open = || -> io::Result<UnixStream> {
+        let (told, teller) = UnixStream::pair()?;
+        told.set_nonblocking(true)?;
+        for &signal in signals {
+            signal_hook::low_level::pipe::register(signal, teller.try_clone()?)?;
+        }
+        poller.add_with_mode(&told, Event::readable(key), PollMode::Level)?;
+        Ok(told)
+    };
+    open().map_err(|e| format!("cannot take signals: {e}"))
+}
+
+/// Empties such a pipe.
+fn drain(mut told: &UnixStream) {
+    let mut bytes = [0; 64];
+    while matches!(told.read(&mut bytes), Ok(n) if n > 0) {}
+}
+
+/// Listens at an address and polls it under a key.
+fn polled(poller: &Poller, address: SocketAddr, key: usize) -> Result<TcpListener, String> {
+    let listener = listen(address)?;
+    let added = poller.add_with_mode(&listener, Event::readable(key), PollMode::Level);
+    added.map_err(|e| format!("cannot poll: {e}"))?;
+    Ok(listener)
+}
+
 impl Gateway {
     /// Listens where the configuration says and takes in what it knows.
-    pub fn new(config: Config, front: Option<Front>, fleet: Option<Ensemble>) -> Result<Self, String> {
-        let wrong = |what: &str| {
-            let what = what.to_string();
-            move |e: io::Error| format!("{what}: {e}")
-        };
-        let poller = Poller::new().map_err(wrong("cannot poll"))?;
-        let listener = listen(config.listen)?;
-        poller
-            .add_with_mode(&listener, Event::readable(PLATFORM), PollMode::Level)
-            .map_err(wrong("cannot poll"))?;
-        let second = front.as_ref().map(|front| listen(front.listen)).transpose()?;
-        if let Some(second) = &second {
-            poller
-                .add_with_mode(second, Event::readable(SECOND), PollMode::Level)
-                .map_err(wrong("cannot poll"))?;
-        }
-        if let Some(class) = front.iter().flat_map(|f| &f.classes).find(|c| !config.terms.classes.contains(c))
-        {
-            return Err(format!("classes: {class:?} is not among settings.services"));
-        }
-        let (signal, told) = UnixStream::pair().map_err(wrong("cannot make a pipe"))?;
-        signal.set_nonblocking(true).map_err(wrong("cannot make a pipe"))?;
-        for number in [SIGTERM, SIGINT] {
-            let end = told.try_clone().map_err(wrong("cannot make a pipe"))?;
-            signal_hook::low_level::pipe::register(number, end).map_err(wrong("cannot take signals"))?;
-        }
-        poller
-            .add_with_mode(&signal, Event::readable(SIGNAL), PollMode::Level)
-            .map_err(wrong("cannot poll"))?;
-        let own_zone = config.settings.zone;
+    pub fn new(files: Files) -> Result<Self, String> {
+        let Loaded { config, front, fleet } = files.read()?;
+        let poller = Poller::new().map_err(|e| format!("cannot poll: {e}"))?;
+        let stop_told = told_by(&poller, &[SIGTERM, SIGINT], SIGNAL)?;
+        let reload_told = told_by(&poller, &[SIGHUP], RELOAD)?;
+        let listener = polled(&poller, config.listen, PLATFORM)?;
+        let second = front.as_ref().map(|front| polled(&poller, front.listen, SECOND)).transpose()?;
         let mut gateway = Gateway {
             poller,
             listener,
+            listens: config.listen,
             second,
             front,
             ensemble: None,
             resumed: Vec::new(),
             seed: config.seed,
             drawn: 0,
-            signal,
+            files,
+            stop_told,
+            reload_told,
             conns: Slots::default(),
             pools: BTreeMap::new(),
-            feed: None,
-            own_zone,
-            core: Core::new(config.settings, config.seed),
-            memory: config.memory,
-            most_clients: config.sockets * 2 / 5,
-            most_links: (config.sockets / 2).min(config.memory / 3 / resp::LONGEST),
+            feed: Feed::default(),
+            own_zone: 0,
+            core: Core::new(config.settings.clone(), config.seed),
+            memory: 0,
+            most_clients: 0,
+            most_links: 0,
             clients: 0,
             links: 0,
             stopping: None,
-            terms: config.terms,
+            terms: Terms::default(),
         };
         let now = now();
+        gateway.take_in(now, config, fleet);
+        Ok(gateway)
+    }
+
+    /// Takes in a configuration, the first or a later one: limits, names, the fleet, and what is known of the
+    /// stores. Open requests, connections and all that was learned stay.
+    fn take_in(&mut self, at: Micros, config: Config, fleet: Option<Ensemble>) {
+        self.memory = config.memory;
+        self.most_clients = config.sockets * 2 / 5;
+        self.most_links = (config.sockets / 2).min(config.memory / 3 / resp::LONGEST);
+        self.own_zone = config.settings.zone;
+        self.core.configure(config.settings);
+        self.terms = config.terms;
         if let Some(fleet) = fleet {
-            let listens = gateway.listener.local_addr().map_err(wrong("cannot listen"))?.to_string();
+            let listens = self.listener.local_addr().map_or(config.listen, |here| here).to_string();
             let data = json::to_string(&BTreeMap::from([("listen".to_string(), listens)]));
-            gateway.ensemble = Some(ensemble::Session::new(fleet, &config.name, data));
-            gateway.set_ensemble(now);
+            ensemble::set_up(self, at, fleet, &config.name, data);
         }
-        for item in &config.items {
-            gateway.news(now, &item.news);
+        for item in config.items.iter().filter(|item| item.no > self.feed.last).cloned().collect::<Vec<_>>() {
+            self.feed.last = item.no;
+            self.news(at, &item.news);
         }
-        if let Some(address) = config.bulletin {
-            let last = config.items.iter().map(|i| i.no).max().unwrap_or(0).max(config.known);
-            gateway.feed = Some(Feed { address, last, conn: None, heard: now, backoff: BACKOFF.0, due: now });
-            gateway.core.deadlines.set(now, Due::Bulletin);
+        self.feed.last = self.feed.last.max(config.known);
+        if self.feed.address != config.bulletin {
+            self.feed.address = config.bulletin;
+            self.call_anew(at);
         }
-        Ok(gateway)
+    }
+
+    /// Reads the configuration again, whole, and puts it in the place of the old one. One that cannot be used
+    /// is logged by its faulty key and changes nothing.
+    fn reload(&mut self, at: Micros) {
+        drain(&self.reload_told);
+        match self.files.read().and_then(|loaded| self.replace(at, loaded)) {
+            Ok(()) => log!("the configuration is read again"),
+            Err(why) => log!("the configuration stays as it was: {why}"),
+        }
+    }
+
+    /// Puts a configuration in the place of the one in force; what can fail comes first.
+    fn replace(&mut self, at: Micros, loaded: Loaded) -> Result<(), String> {
+        let Loaded { config, front, fleet } = loaded;
+        config.terms.extends(&self.terms)?;
+        let moved = config.listen != self.listens;
+        let listener = if moved { Some(polled(&self.poller, config.listen, PLATFORM)?) } else { None };
+        let here = self.front.as_ref().map(|f| f.listen);
+        let second = match &front {
+            Some(front) if here != Some(front.listen) => Some(polled(&self.poller, front.listen, SECOND)?),
+            _ => None,
+        };
+        // A listener that is dropped is no longer polled; there is nothing to do about an error here.
+        if let Some(listener) = listener {
+            let _ = self.poller.delete(&self.listener);
+            (self.listener, self.listens) = (listener, config.listen);
+        }
+        if second.is_some() {
+            let old = std::mem::replace(&mut self.second, second);
+            old.into_iter().for_each(|old| drop(self.poller.delete(&old)));
+        }
+        self.front = front;
+        self.take_in(at, config, fleet);
+        Ok(())
     }
 
     /// A number that is new with every call, and with every start.
@@ -314,6 +377,7 @@
                 match event.key {
                     PLATFORM | SECOND => self.accept(at, event.key),
                     SIGNAL => self.stop(at),
+                    RELOAD => self.reload(at),
                     key => self.ready(at, Key(key as u64), event),
                 }
                 self.carry_out(at);
@@ -322,8 +386,7 @@
     }
 
     fn stop(&mut self, at: Micros) {
-        let mut bytes = [0; 64];
-        while matches!(self.signal.read(&mut bytes), Ok(n) if n > 0) {}
+        drain(&self.stop_told);
         if self.stopping.is_none() {
             log!("told to stop: taking requests for {} ms more", ACCEPTING / 1000);
             self.stopping = Some(at);
@@ -627,16 +690,13 @@
                 }
             }
             Role::Ensemble => ensemble::lost(self, at, why.unwrap_or("closed")),
-            Role::Bulletin(_) => {
-                if let Some(feed) = &mut self.feed {
-                    log!("the bulletin is lost: {}", why.unwrap_or("closed"));
-                    feed.conn = None;
-                    self.core.deadlines.clear(feed.due, Due::Bulletin);
-                    feed.due = at + feed.backoff;
-                    feed.backoff = (2 * feed.backoff).min(BACKOFF.1);
-                    self.core.deadlines.set(feed.due, Due::Bulletin);
-                }
+            // One that was left for another address is no loss.
+            Role::Bulletin(_) if self.feed.conn == Some(key) => {
+                log!("the bulletin is lost: {}", why.unwrap_or("closed"));
+                self.feed.conn = None;
+                self.call_later(at);
             }
+            Role::Bulletin(_) => {}
         }
     }
 
@@ -861,44 +921,52 @@
         }
     }
 
+    /// Sets when the bulletin is to be looked at.
+    fn set_feed(&mut self, at: Micros) {
+        self.core.deadlines.clear(self.feed.due, Due::Bulletin);
+        self.feed.due = at;
+        self.core.deadlines.set(at, Due::Bulletin);
+    }
+
+    /// Calls the bulletin after a pause, longer each time until it has told something.
+    fn call_later(&mut self, at: Micros) {
+        self.set_feed(at + self.feed.backoff);
+        self.feed.backoff = (2 * self.feed.backoff).min(BACKOFF.1);
+    }
+
+    /// Leaves the bulletin's connection for a call at its present address, at once.
+    fn call_anew(&mut self, at: Micros) {
+        if let Some(old) = self.feed.conn.take() {
+            self.close(at, old, None);
+        }
+        self.feed.backoff = BACKOFF.0;
+        self.set_feed(at);
+    }
+
     /// Calls the bulletin, or notices that it has gone silent.
     fn tend_feed(&mut self, at: Micros) {
-        let Some(feed) = &mut self.feed else { return };
-        match feed.conn {
-            Some(key) if at >= feed.heard + SILENT => {
-                feed.due = at;
+        if let Some(key) = self.feed.conn {
+            if at >= self.feed.heard + SILENT {
                 return self.close(at, key, Some("it has gone silent"));
             }
-            Some(_) => {
-                feed.due = feed.heard + SILENT;
-                return self.core.deadlines.set(feed.due, Due::Bulletin);
-            }
-            None => {}
+            return self.set_feed(self.feed.heard + SILENT);
         }
-        let (address, last) = (feed.address, feed.last);
-        (feed.heard, feed.due) = (at, at + SILENT);
-        self.core.deadlines.set(feed.due, Due::Bulletin);
+        let Some(address) = self.feed.address else { return };
+        self.feed.heard = at;
         let due = at + self.terms.connect_timeout.max(1_000_000);
-        let key = self.connect(at, address, Role::Bulletin(Reader::default()), due);
-        if let Some(conn) = key.and_then(|k| self.conns.get_mut(k)) {
-            conn.output.bytes.extend_from_slice(bulletin::call(address, last).as_bytes());
-        }
-        if let Some(feed) = &mut self.feed {
-            feed.conn = key;
-            if key.is_none() {
-                self.core.deadlines.clear(feed.due, Due::Bulletin);
-                feed.due = at + feed.backoff;
-                feed.backoff = (2 * feed.backoff).min(BACKOFF.1);
-                self.core.deadlines.set(feed.due, Due::Bulletin);
-            }
+        let Some(key) = self.connect(at, address, Role::Bulletin(Reader::default()), due) else {
+            return self.call_later(at);
+        };
+        self.feed.conn = Some(key);
+        self.set_feed(at + SILENT);
+        if let Some(conn) = self.conns.get_mut(key) {
+            conn.output.bytes.extend_from_slice(bulletin::call(address, self.feed.last).as_bytes());
         }
     }
 
     /// Applies the bulletin's events in their order, each once.
     fn told(&mut self, at: Micros, events: Vec<String>) -> Result<(), String> {
-        if let Some(feed) = &mut self.feed {
-            (feed.heard, feed.backoff) = (at, BACKOFF.0);
-        }
+        (self.feed.heard, self.feed.backoff) = (at, BACKOFF.0);
         for data in events {
             // One that cannot be read stays so however often it is asked for: the others must not wait for it.
             let item = match bulletin::event(&data, &self.terms) {
@@ -908,11 +976,10 @@
                     continue;
                 }
             };
-            let Some(feed) = &mut self.feed else { return Ok(()) };
-            if item.no <= feed.last {
+            if item.no <= self.feed.last {
                 continue;
             }
-            feed.last = item.no;
+            self.feed.last = item.no;
             // Where the list is taken from the ensemble, the bulletin tells of purges only.
             let listed = self.ensemble.as_ref().is_some_and(|s| s.config.stores.is_some());
             if !(listed && matches!(item.news, bulletin::News::Roster { .. })) {
--- a/gateway/tests/net/platform.rs
+++ b/gateway/tests/net/platform.rs
@@ -258,3 +258,49 @@
          bulletin < call last=2",
     );
 }
+
+#[test]
+fn a_reload_moves_to_the_new_bulletin_at_once_and_keeps_requests_and_connections() {
+    let mut s = usual();
+    let drain = entry("a1", s.var("a1").parse().expect("an address"), "standard", "draining");
+    s.set("drain", &drain).run(
+        "bulletin < call last=1
+         bulletin > {\"no\":2,\"recall\":{\"lot\":9,\"issued\":$now}}
+         c1 > serve 1 $ask call=aa
+         store < PULL aa
+         bulletin move
+         edit config $old => $feed
+         hup
+         bulletin < call at=$feed last=2
+         bulletin > {\"no\":2,\"roster\":{\"seq\":2,\"whole\":true,\"hosts\":[]}}
+         bulletin > {\"no\":3,\"roster\":{\"seq\":3,\"whole\":false,\"hosts\":[$drain]}}
+         store > aa ok remark=HIT | taken before
+         c1 < served 1 | taken before
+         wait 50",
+    );
+    all_go_to_a2(&mut s);
+}
+
+#[test]
+fn a_reload_that_cannot_be_used_is_logged_by_its_key_and_changes_nothing() {
+    let mut s = usual();
+    s.run(
+        "bulletin < call last=1
+         edit config \"sockets\":256 => \"sockets\":\"many\"
+         hup
+         log < limits.sockets
+         edit config \"sockets\":\"many\" => \"sockets\":128
+         edit config \"bid-status\" => \"bid-state\"
+         hup
+         log < settings.services
+         c1 > serve 1 op=bid-status call=aa ttl=2000 row=$row block=0 family=1
+         store < PULL aa
+         store > aa ok remark=HIT | as before
+         c1 < served 1 | as before
+         edit config \"bid-state\" => \"bid-status\"
+         hup
+         log < is read again
+         c1 > isWell 2
+         c1 < well 2",
+    );
+}
--- a/gateway/tests/net/scenario/mod.rs
+++ b/gateway/tests/net/scenario/mod.rs
@@ -8,7 +8,8 @@
 //! c1 < served 1 | body                               the client's next answer
 //! w1 > GET /path ; Cookie: a=b | body                a client of the second front; w1 < 200 ETag="t1" | body
 //! bulletin > {"no":2,...}      bulletin < call last=1      bulletin mute
-//! c1 raw 00ff    c1 close    c1 < closed    wait 50    term    exit 0    never PULL aa
+//! edit config A => B           A in that file (or `signed`) becomes B;    bulletin move    to another address, $feed
+//! c1 raw 00ff    c1 close    c1 < closed    wait 50    term    hup    log < words    exit 0    never PULL aa
 //! ```
 //! A body `#N` stands for N bytes of every value. Expectations have seconds to be met, so no timing is tight.
 pub mod ensemble;
@@ -48,6 +49,9 @@
     last: String,
     asked: HashMap<String, TcpStream>,
     clients: BTreeMap<String, (TcpStream, Vec<u8>)>,
+    logged: Receiver<String>,
+    files: BTreeMap<String, (String, String)>,
+    told: Sender<Heard>,
     bulletin: Arc<Mutex<Option<TcpStream>>>,
     muted: Arc<AtomicBool>,
     vars: HashMap<String, String>,
@@ -185,7 +189,7 @@
             let fields = format!("last={last}");
             let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
             *open.lock().expect("a lock") = Some(stream);
-            let (at, id, word) = (String::new(), String::new(), "call".to_string());
+            let (at, id, word) = (address.to_string(), String::new(), "call".to_string());
             let call = Heard { who: "bulletin", at, word, id, fields, body: Vec::new(), stream: None };
             if heard.send(call).is_err() {
                 return;
@@ -228,18 +232,22 @@
             u8::from(setup.known)
         );
         vars.insert("list".into(), list);
+        vars.insert("feed".into(), feed.to_string());
+        let signed = (file("signed.json", FRONT), FRONT.to_string());
+        let config = (file("config.json", &config), config);
         let mut command = Command::new(env!("CARGO_BIN_EXE_larchway"));
-        command.args(["serve", "--signed", &file("signed.json", FRONT)]);
+        command.args(["serve", "--signed", &signed.0]);
         if let Some(address) = setup.ensemble {
             let text = format!(
                 r#"{{"servers":["{address}"],"path":"/larchway","session_ms":2000,"stores":"/stores"}}"#
             );
             command.args(["--ensemble", &file("ensemble.json", &text)]);
         }
-        command.env("EDGE_CONFIG", file("config.json", &config)).env("EDGE_NAME", "n1");
+        command.env("EDGE_CONFIG", &config.0).env("EDGE_NAME", "n1");
         command.env("EDGE_LISTEN", "127.0.0.1:0").stderr(Stdio::piped());
         let mut child = command.spawn().expect("starts");
-        let (found, addresses) = channel();
+        let files = BTreeMap::from([("config".into(), config), ("signed".into(), signed)]);
+        let ((found, addresses), (line_logged, logged)) = (channel(), channel());
         let log = child.stderr.take().expect("a log");
         std::thread::spawn(move || {
             for line in std::io::BufRead::lines(std::io::BufReader::new(log)).map_while(Result::ok) {
@@ -247,13 +255,29 @@
                 if let Some((_, address)) = line.split_once("listening on ") {
                     let _ = found.send(address.parse::<SocketAddr>().expect("an address"));
                 }
+                let _ = line_logged.send(line);
             }
         });
         let next = || addresses.recv_timeout(PATIENCE).expect("it listens");
         let (front, second) = (next(), next());
         let (backlog, last, asked, clients) = (Vec::new(), String::new(), HashMap::new(), BTreeMap::new());
         let bulletin = open;
-        Scenario { child, front, second, heard, backlog, last, asked, clients, bulletin, muted, vars }
+        Scenario {
+            child,
+            front,
+            second,
+            heard,
+            backlog,
+            last,
+            asked,
+            clients,
+            logged,
+            files,
+            told,
+            bulletin,
+            muted,
+            vars,
+        }
     }
 
     pub fn set(&mut self, name: &str, value: &str) -> &mut Self {
@@ -296,13 +320,26 @@
     fn line(&mut self, line: &str, words: &[&str], head: &str, body: &[u8]) {
         match words {
             ["wait", ms] => std::thread::sleep(Duration::from_millis(ms.parse().expect("a number"))),
-            ["term"] => {
-                let pid = self.child.id().to_string();
-                assert!(Command::new("sh")
-                    .args(["-c", &format!("kill -TERM {pid}")])
-                    .status()
-                    .expect("kills")
-                    .success());
+            [signal @ ("term" | "hup")] => {
+                let line = format!("kill -{} {}", signal.to_uppercase(), self.child.id());
+                assert!(Command::new("sh").args(["-c", &line]).status().expect("kills").success());
+            }
+            ["edit", name, ..] => {
+                let (from, to) = head[6 + name.len()..].split_once(" => ").expect("A => B");
+                let (path, text) = self.files.get_mut(*name).expect("a file");
+                assert!(text.contains(from), "{line}: there is no such text");
+                *text = text.replace(from, to);
+                std::fs::write(path, text).expect("writes");
+            }
+            ["log", "<", ..] => {
+                let words = head.split_once("< ").expect("words").1;
+                let mut lines = std::iter::from_fn(|| self.logged.recv_timeout(PATIENCE).ok());
+                assert!(lines.any(|l| l.contains(words)), "{line}: it was not logged");
+            }
+            ["bulletin", "move"] => {
+                let feed = bulletin(self.told.clone(), self.bulletin.clone(), self.muted.clone());
+                let old = self.vars.insert("feed".into(), feed.to_string());
+                self.vars.insert("old".into(), old.expect("an address"));
             }
             ["exit", code] => self.exit(code.parse().expect("a code")),
             ["never", rest @ ..] => {
--- a/gateway/tests/net/signed.rs
+++ b/gateway/tests/net/signed.rs
@@ -234,3 +234,28 @@
         s.run("store < PULL *\n store > * ok entity=a | #240000\n w1 < 200 | #240000");
     }
 }
+
+#[test]
+fn a_reload_changes_the_keys_and_classes_of_links_for_requests_to_come() {
+    let mut s = usual();
+    s.link("url", FILES, -5, 600, false).run(
+        "w1 > GET $url
+         store < PULL *
+         edit signed 000102030405060708090a0b0c0d0e0f => 100102030405060708090a0b0c0d0e0f
+         hup
+         log < is read again
+         w2 > GET $url
+         w2 < 403 | the signature does not hold
+         store > * ok | taken before
+         w1 < 200 | taken before
+         edit signed 100102030405060708090a0b0c0d0e0f => 000102030405060708090a0b0c0d0e0f
+         edit signed \"history-files\" => \"no-such-class\"
+         hup
+         log < classes
+         edit signed \"no-such-class\" => \"bid-status\"
+         hup
+         log < is read again
+         w1 > GET $url
+         w1 < 403 | this class is not passed on by links",
+    );
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -296,6 +296,13 @@
         Router { settings, seed, work, ..Router::default() }
     }
 
+    /// Puts settings in the place of those in force; classes may have been added behind the others.
+    pub fn configure(&mut self, settings: Settings) {
+        self.work.resize(settings.classes.len(), Aged::default());
+        self.settings = settings;
+        self.count_caches();
+    }
+
     /// Takes in one event and appends what is to be done.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         self.now = now;
@@ -345,6 +352,10 @@
                 server.host = host;
             }
         }
+        self.count_caches();
+    }
+
+    fn count_caches(&mut self) {
         let own = self.servers.values().filter(|s| s.host.zone == self.settings.zone && self.is_cache(s));
         self.caches = own.filter(|s| s.host.state == State::Up).count().max(1) as f64;
     }
