Ask parents with peek for what they hold while fills are withheld

Of the requests given up while the origin was slow most had one look at the edge cache and no fill (logic.rs, `choose`: withheld fills became a look at the edge only), though parents bring 35 to 46 % of fills from what they hold. Records at the edge passed by the withholding (`choice.link`), and their copies of bid-status were past their 8 s: each was one more call on the origin, 190 of 500 outcomes in 5 s. Fills that came seconds late counted as brought (`learn`), so withholding began only with the first time-outs. Change: while fills are withheld a parent is asked with `peek`, once, also behind a record; never the origin, which holds everything. A fill that came after its aim counts as not brought.

--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -222,7 +222,7 @@
     if let Some(age) = get.max_age {
         write!(out, " howOldMs={}", ms(age))?;
     }
-    let bits = u8::from(get.join) + 8 * u8::from(get.renew);
+    let bits = u8::from(get.join) + 2 * u8::from(get.peek) + 8 * u8::from(get.renew);
     writeln!(out, " rank={} bits={bits}", get.rank)
 }
 
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -102,6 +102,8 @@
     pub rank: u8,
     /// Whether to join a fill that runs.
     pub join: bool,
+    /// Whether the source gives only what it holds.
+    pub peek: bool,
     /// Whether to renew an ageing copy behind the answer.
     pub renew: bool,
 }
@@ -278,6 +280,7 @@
             within: if get.max_age.is_some() { within.max(1) } else { 0 },
             rank: get.rank,
             join: get.join,
+            peek: get.peek,
             renew: get.renew,
         })
     }
--- a/gateway/src/resp.rs
+++ b/gateway/src/resp.rs
@@ -185,7 +185,7 @@
     if pull.within > 0 {
         add("within", &pull.within.to_string());
     }
-    let words = [(pull.join, "share"), (pull.renew, "swr")];
+    let words = [(pull.join, "share"), (pull.peek, "peek"), (pull.renew, "swr")];
     let words: Vec<&str> = words.iter().filter(|w| w.0).map(|w| w.1).collect();
     if !words.is_empty() {
         add("f", &words.join("+"));
@@ -235,6 +235,30 @@
         assert_eq!((found.entity, found.body, used), (Some("t1"), &b"\r\n$\0\xff"[..], text.len() - 2));
     }
 
+    #[test]
+    fn a_source_that_is_only_to_look_is_told_so() {
+        let ask = crate::core::Ask { call: "aa".into(), thing: "7f".into(), ..Default::default() };
+        let mut told = Pull {
+            ask: &ask,
+            source: Some("s-1"),
+            max: 9,
+            within: 0,
+            rank: 1,
+            join: false,
+            peek: true,
+            renew: true,
+        };
+        let fields = |told: &Pull<'_>| {
+            let mut out = Vec::new();
+            pull(&mut out, told, &["files".into()]);
+            let (words, _) = words(&out).expect("reads").expect("whole");
+            field(std::str::from_utf8(words[2]).expect("text"), "f").map(str::to_string)
+        };
+        assert_eq!(fields(&told).as_deref(), Some("peek+swr"));
+        (told.peek, told.renew) = (false, false);
+        assert_eq!(fields(&told), None);
+    }
+
     #[test]
     fn what_is_no_answer_is_an_error_before_it_fills_the_memory() {
         for text in
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -341,6 +341,8 @@
     pub max_age: Option<Micros>,
     /// Wait for a fill that runs.
     pub join: bool,
+    /// The source gives only what it holds and fetches nothing.
+    pub peek: bool,
     /// Fetch an ageing copy anew while it is served.
     pub renew: bool,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -49,8 +49,8 @@
 const FAILED: (f64, f64) = (0.25, 0.7);
 /// The same for a source: it also refuses what it lacks while the origin halts, but may hold the rest.
 const REFUSING: f64 = 0.8;
-/// Fills asked for over those brought that are too many; the most that is withheld; weight of the newest.
-const OVERASKED: [f64; 3] = [1.2, 0.9, 0.15];
+/// Fills asked for over those brought in time that are too many; the most withheld; weight of the newest
+const OVERASKED: [f64; 3] = [1.2, 0.97, 0.3];
 /// µs: first and longest pause between trials of a failing server.
 const PAUSE: (Micros, Micros) = (250_000, 4_000_000);
 /// A silent attempt is given up after so many times its expected time, plus some µs for jitter.
@@ -176,6 +176,8 @@
     edge: ServerId,
     source: ServerId,
     sibling: bool,
+    /// Whether the source is only to give what it holds.
+    peek: bool,
     /// Whether it is likely to take the location's link.
     link: bool,
     positive: [bool; 2],
@@ -243,7 +245,7 @@
     /// By class, the aged sending time.
     work: Vec<Aged>,
     penalty: Aged,
-    /// Share of fills that parents and origin failed to bring, all taken together.
+    /// Share of fills that parents and origin failed to bring in time, all taken together.
     unfilled: f64,
     /// Attempts out to the location's caches, and over its link.
     out: Level,
@@ -475,6 +477,7 @@
             stop_at: (!self.settings.cancel).then(|| now + 2 * patience),
             rank: if class.uncacheable { 0 } else { (1 + seen.ilog2()).min(3) as u8 },
             max_age,
+            peek: choice.peek,
             join: self.settings.joins && tries == 0 && !class.uncacheable,
             renew: class.fresh > 0,
         };
@@ -713,9 +716,13 @@
             return None;
         }
         let stretch = self.servers.get(&choice.edge).map_or(1.0, |s| self.stretch(s));
-        let withheld = choice.link && !choice.sibling && self.withheld(open);
-        if !withheld && self.in_time(open, class, stretch, rho) {
-            return Some(choice);
+        // Danger: while fills are withheld, what parents hold would be lost with the origin, and copies here
+        // may be too old. Parents are asked for what they hold, once, and fetch nothing for it.
+        let peek = !choice.sibling && choice.source != choice.edge && self.withheld(open);
+        let parent = self.servers.get(&choice.source).map(|s| s.host.kind) == self.settings.parent_kind;
+        let barred = peek && (!parent || open.attempts.iter().any(|a| a.to.peek));
+        if !barred && self.in_time(open, class, stretch, rho) {
+            return Some(Choice { peek, ..choice });
         }
         // Where only the fill is too slow or withheld, a look still finds what the cache holds.
         let look = Choice { source: choice.edge, sibling: false, link: false, ..choice };
@@ -777,7 +784,7 @@
         let now = self.now;
         let Some(open) = self.open.get_mut(&outcome.id) else { return };
         let attempt = &mut open.attempts[outcome.attempt as usize];
-        let Choice { edge, source, sibling, positive, link, .. } = attempt.to;
+        let Choice { edge, source, sibling, peek, positive, link, .. } = attempt.to;
         let (class, key) = (open.req.class, (open.req.object, open.req.part));
         let (work, sized, known) = (open.work.max(1.0), open.sized, open.sized || open.known);
         let cacheable = !self.settings.classes[class].uncacheable;
@@ -790,8 +797,11 @@
         attempt.source_failed |= blame == Blame::Source || outcome.status == Status::Miss;
         let failed =
             attempt.source_failed || outcome.note == Note::OriginFailed || outcome.status == Status::Timeout;
-        if link && !sibling && outside && (filled || failed) {
-            self.unfilled += OVERASKED[2] * (f64::from(u8::from(!filled)) - self.unfilled);
+        if link && !sibling && !peek && outside && (filled || failed) {
+            // Danger: an origin that slows brings all that it is asked for, too late, until it stops.
+            let set = &self.settings.classes[class];
+            let brought = filled && outcome.latency as f64 <= set.aim as f64 + set.aim_stretch * work;
+            self.unfilled += OVERASKED[2] * (f64::from(u8::from(!brought)) - self.unfilled);
         }
         let excess = (outcome.latency as f64 - work).max(0.0);
         let pace = outcome.latency as f64 / (work + FIRST_COST);
