Check answers and requests before they pass; leave connections gone silent

Ruled out: ECHO on a doubtful connection, since stores may not be probed. Buffers that are empty give back all their room. The bulletin's silence counts after 2.5 s. Tests: scenarios for spoilt, cut-off, missing and surplus answers, silent and half-said clients, unusable fields, reused numbers and ids; unit tests of both.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -38,6 +38,8 @@
     pub classes: Vec<String>,
     /// By class, how long a client waits in all.
     pub deadlines: Vec<Micros>,
+    /// By class, whether its requests carry an idempotency key.
+    pub keyed: Vec<bool>,
     /// Names of the zones.
     pub zones: Vec<String>,
     /// Names of the machine kinds.
@@ -183,6 +185,7 @@
     let services = list(settings, "services").map_err(nested)?;
     Ok(Terms {
         classes: services.iter().map(class).collect::<Result<_, _>>()?,
+        keyed: services.iter().map(|v| text(v, "effect") == Ok(Some("token"))).collect(),
         deadlines: services.iter().map(deadline).collect::<Result<_, _>>()?,
         zones: texts(settings, "zones").map_err(nested)?,
         kinds: texts(settings, "models").map_err(nested)?,
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -7,7 +7,7 @@
     Action, Event, Get, Members, Micros, Note, Outcome, Request, Router, Scope, ServerId, Settings, State,
     Status,
 };
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// µs before the client's own deadline at which the final answer goes out: the request was on its way for a
 /// while when it came in, and the answer needs its time too.
@@ -86,6 +86,8 @@
     pub begun: bool,
     /// The connection that carries it.
     pub carrier: Option<Key>,
+    /// Whether it has left a broken connection for another.
+    moved: bool,
 }
 
 /// What is to be written for an attempt.
@@ -113,6 +115,7 @@
     router: Router,
     fresh: Vec<Micros>,
     requests: Slots<Open>,
+    calls: BTreeSet<String>,
     attempts: Slots<Attempt>,
     stores: BTreeMap<ServerId, (String, State)>,
     events: VecDeque<Event>,
@@ -134,6 +137,7 @@
             fresh: settings.classes.iter().map(|c| c.fresh).collect(),
             router: Router::new(settings, seed),
             requests: Slots::default(),
+            calls: BTreeSet::new(),
             attempts: Slots::default(),
             stores: BTreeMap::new(),
             events: VecDeque::new(),
@@ -161,8 +165,12 @@
         self.requests.iter().filter(|(_, r)| !r.answered).count()
     }
 
-    /// Takes a request in; its final answer comes as an order or by [`Core::outcome`].
-    pub fn request(&mut self, now: Micros, ticket: Ticket, ask: Ask) -> Key {
+    /// Takes a request in; its final answer comes as an order or by [`Core::outcome`]. One under the id of a
+    /// request that has not ended is not taken: stores could not tell the two apart.
+    pub fn request(&mut self, now: Micros, ticket: Ticket, ask: Ask) -> Option<Key> {
+        if !self.calls.insert(ask.call.clone()) {
+            return None;
+        }
         let ttl = ask.ttl - MARGIN.min(ask.ttl / 2);
         let (class, object, part, group) = (ask.class, ask.object, ask.part, ask.group);
         self.held += ask.body.len();
@@ -171,7 +179,7 @@
         self.deadlines.set(now + ttl, Due::Request(key));
         let request = Request { id: key.0, class, object, part, group, ttl, size_kb: 0.0 };
         self.feed(now, Event::Request(request));
-        key
+        Some(key)
     }
 
     /// The client has left: nothing is owed any more.
@@ -256,6 +264,17 @@
         Some((attempt.get.server, &self.requests.get(attempt.request)?.ask.call))
     }
 
+    /// Whether the store of an attempt was told of a copy that the client holds.
+    pub fn offered_copy(&self, key: Key) -> bool {
+        let request = self.attempts.get(key).and_then(|a| self.requests.get(a.request));
+        request.is_some_and(|r| r.ask.mine.is_some())
+    }
+
+    /// Whether an attempt that found its connection broken before a byte was written may try another one.
+    pub fn again(&mut self, key: Key) -> bool {
+        self.attempts.get_mut(key).is_some_and(|a| !std::mem::replace(&mut a.moved, true))
+    }
+
     /// What is to be written for an attempt now.
     pub fn pull(&self, now: Micros, key: Key) -> Option<Pull<'_>> {
         let attempt = self.attempts.get(key)?;
@@ -323,6 +342,7 @@
         if self.requests.get(key).is_some_and(|r| r.answered && r.out == 0) {
             if let Some(open) = self.requests.remove(key) {
                 self.held -= open.ask.body.len();
+                self.calls.remove(&open.ask.call);
                 self.deadlines.clear(open.deadline, Due::Request(key));
             }
         }
@@ -355,6 +375,7 @@
                     at: now,
                     begun: false,
                     carrier: None,
+                    moved: false,
                 });
                 open.attempts.push(key);
                 open.out += 1;
@@ -500,10 +521,27 @@
         assert_eq!(core.pull(START + 500 * MS, key).expect("it waits").within, 8000);
     }
 
+    #[test]
+    fn an_attempt_takes_another_connection_only_once() {
+        let mut core = core();
+        core.request(START, ticket(1), ask(0, 7));
+        let waiting = sent(&mut core)[0];
+        assert!(core.again(waiting) && !core.again(waiting));
+    }
+
+    #[test]
+    fn an_id_that_is_open_is_not_taken_again_until_its_request_has_ended() {
+        let mut core = core();
+        let request = core.request(START, ticket(1), ask(0, 7)).expect("taken");
+        assert!(core.request(START, ticket(2), ask(0, 7)).is_none());
+        core.gone(START, request);
+        assert!(core.request(START, ticket(3), ask(0, 7)).is_some());
+    }
+
     #[test]
     fn each_request_gets_one_final_answer_whatever_comes_late() {
         let mut core = core();
-        let request = core.request(START, ticket(1), ask(0, 7));
+        let request = core.request(START, ticket(1), ask(0, 7)).expect("taken");
         let first = sent(&mut core)[0];
         core.attempt(first).expect("there").begun = true;
         assert_eq!(core.outcome(START + 5, first, Status::Ok, Note::Hit), Some(ticket(1)));
@@ -518,7 +556,7 @@
     #[test]
     fn at_the_deadline_a_request_fails_and_its_attempt_is_given_up() {
         let mut core = core();
-        let request = core.request(START, ticket(1), ask(0, 7));
+        let request = core.request(START, ticket(1), ask(0, 7)).expect("taken");
         let key = sent(&mut core)[0];
         let attempt = core.attempt(key).expect("there");
         (attempt.begun, attempt.carrier) = (true, Some(Key(5)));
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -4,10 +4,11 @@
 use crate::core::{Core, Order, Ticket};
 use crate::deadlines::Due;
 use crate::ensemble;
+use crate::log;
 use crate::resp::{self, Link, Reply};
 use crate::signed::{self, Session};
 use crate::slots::{Key, Slots};
-use crate::{log, thrift};
+use crate::thrift::{self, Calls};
 use larchway::{Micros, Note, ServerId, State, Status};
 use miniserde::json;
 use polling::{Event, PollMode, Poller};
@@ -29,6 +30,8 @@
 /// µs after which a client that reads nothing of its answers, or asks for nothing, is cut off.
 const STALLED: Micros = 10_000_000;
 const IDLE: Micros = 60_000_000;
+/// µs in which a client's message must be whole, the first one from when it connected.
+const WHOLE: Micros = 2_000_000;
 /// µs for which a connection lingers after its last answer.
 const LINGER: Micros = 1_000_000;
 /// Bytes waiting for a client above which nothing more is read from it, and above which it is cut off.
@@ -37,7 +40,7 @@
 /// Bytes read from one connection before others get their turn.
 const TURN: usize = 512 * 1024;
 /// µs of silence after which the bulletin counts as lost: it says something every second.
-const SILENT: Micros = 3_500_000;
+const SILENT: Micros = 2_500_000;
 /// µs: first and longest pause between calls on the bulletin.
 const BACKOFF: (Micros, Micros) = (100_000, 2_000_000);
 
@@ -62,13 +65,12 @@
     pub fn rest(&self) -> &[u8] {
         &self.bytes[self.done..]
     }
-    /// Deals with so many bytes; a buffer that is empty gives back room taken for a large message.
+    /// Deals with so many bytes; a buffer that is empty gives its room back, so that a quiet connection costs
+    /// next to nothing.
     pub fn consume(&mut self, n: usize) {
         self.done += n;
         if self.done >= self.bytes.len() {
-            self.bytes.clear();
-            self.done = 0;
-            self.bytes.shrink_to(16 * 1024);
+            *self = Buffer::default();
         }
     }
     fn compact(&mut self) {
@@ -81,8 +83,8 @@
 
 /// What a connection is for.
 pub enum Role {
-    /// A client of the platform's front, with its open requests by sequence number.
-    Client(BTreeMap<u64, Key>),
+    /// A client of the platform's front.
+    Client(Calls),
     /// A client of the second front.
     Web(Session),
     /// A connection to a store.
@@ -101,7 +103,7 @@
     /// Whether a client is at the other end that waits for no answer.
     fn resting(&self) -> bool {
         match self {
-            Role::Client(open) => open.is_empty(),
+            Role::Client(calls) => calls.open.is_empty(),
             Role::Web(session) => session.open.is_none(),
             _ => false,
         }
@@ -136,6 +138,11 @@
     since: Micros,
     /// When bytes last moved on it.
     pub moved: Micros,
+    /// When bytes last came in, or began to be awaited.
+    pub heard: Micros,
+    /// Whether a whole message has come in on it, and when the first byte came of one that is not whole.
+    asked: bool,
+    partial: Option<Micros>,
     armed: (bool, bool),
     due: Micros,
 }
@@ -153,6 +160,8 @@
     address: Option<SocketAddr>,
     /// Number of the last event taken in.
     last: u64,
+    /// The number after which an event was missing or could not be read, when it was asked for again.
+    doubted: Option<u64>,
     conn: Option<Key>,
     heard: Micros,
     backoff: Micros,
@@ -433,7 +442,7 @@
                     }
                     if stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true)).is_ok() {
                         let (role, due) = match which {
-                            PLATFORM => (Role::Client(BTreeMap::new()), at + IDLE),
+                            PLATFORM => (Role::Client(Calls::default()), at + WHOLE),
                             _ => (Role::Web(Session::default()), at + signed::SLOW),
                         };
                         self.adopt(at, stream, role, true, due);
@@ -445,11 +454,13 @@
         }
     }
 
-    /// Closes the client's connection that has been idle for longest, to make room.
+    /// Closes a client's connection to make room: the one that has been idle for longest, and before all others
+    /// one that never asked for anything.
     fn evict(&mut self, at: Micros) -> bool {
         let idle = |c: &Conn| c.role.resting() && c.output.rest().is_empty();
+        let rank = |c: &Conn| (c.asked, c.moved);
         let oldest =
-            self.conns.iter().filter(|(_, c)| idle(c)).min_by_key(|(_, c)| c.moved).map(|(key, _)| key);
+            self.conns.iter().filter(|(_, c)| idle(c)).min_by_key(|(_, c)| rank(c)).map(|(key, _)| key);
         oldest.map(|key| self.close(at, key, None)).is_some()
     }
 
@@ -470,6 +481,9 @@
             ending: false,
             since: at,
             moved: at,
+            heard: at,
+            asked: false,
+            partial: None,
             armed,
             due,
         });
@@ -517,7 +531,11 @@
                     }
                 }
                 Ok(None) => {}
-                Ok(Some(e)) | Err(e) => return self.close(at, key, Some(&e.to_string())),
+                Ok(Some(e)) | Err(e) => {
+                    // One that is refused proves that nothing runs there; one that is reset had come up.
+                    conn.up = e.kind() == ErrorKind::ConnectionReset;
+                    return self.close(at, key, Some(&e.to_string()));
+                }
             }
         }
         if event.readable {
@@ -544,7 +562,7 @@
                 Ok(n) => {
                     input.bytes.truncate(start + n);
                     taken += n;
-                    conn.moved = at;
+                    (conn.moved, conn.heard) = (at, at);
                     if n < room {
                         break;
                     }
@@ -562,7 +580,19 @@
         let wrong = self.drive(at, key, &mut input).err();
         input.compact();
         if let Some(conn) = self.conns.get_mut(key) {
+            let begun = !input.rest().is_empty();
+            conn.partial = begun.then(|| conn.partial.unwrap_or(at));
             conn.input = input;
+            let watched = match conn.role {
+                Role::Client(_) => at + WHOLE,
+                Role::Store(_) => at + resp::CUT_SHORT,
+                _ => Micros::MAX,
+            };
+            if begun && conn.due > watched {
+                self.core.deadlines.clear(conn.due, Due::Connection(key));
+                conn.due = watched;
+                self.core.deadlines.set(conn.due, Due::Connection(key));
+            }
         }
         if let Some(why) = wrong {
             log!("a connection is closed: {why}");
@@ -596,6 +626,9 @@
                 return Ok(());
             }
             input.consume(used);
+            if let Some(conn) = self.conns.get_mut(key) {
+                (conn.asked, conn.partial) = (true, None);
+            }
         }
     }
 
@@ -661,9 +694,9 @@
         // A connection that is closed is no longer polled; there is nothing to do about an error here.
         let _ = self.poller.delete(&conn.stream);
         match conn.role {
-            Role::Client(open) => {
+            Role::Client(calls) => {
                 self.clients -= 1;
-                for request in open.into_values() {
+                for request in calls.open.into_values() {
                     self.core.gone(at, request);
                 }
             }
@@ -685,8 +718,14 @@
                 for attempt in link.open.into_iter().map(|(_, a)| a) {
                     self.core.outcome(at, attempt, Status::Reset, Note::None);
                 }
+                // A connection that was up and broke before a byte was written says nothing of the store's health:
+                // what waited for it has not been sent and takes another.
                 for attempt in link.waiting {
-                    self.core.outcome(at, attempt, Status::ConnectFailed, Note::None);
+                    if conn.up && self.core.again(attempt) {
+                        self.core.orders.push_back(Order::Send(attempt));
+                    } else {
+                        self.core.outcome(at, attempt, Status::ConnectFailed, Note::None);
+                    }
                 }
             }
             Role::Ensemble => ensemble::lost(self, at, why.unwrap_or("closed")),
@@ -709,6 +748,11 @@
             _ if !conn.up => conn.since + timeout,
             role if role.client() && pending => conn.moved + STALLED,
             _ if conn.ending => at,
+            Role::Client(_) if conn.partial.is_some() => conn.partial.unwrap_or(at) + WHOLE,
+            Role::Client(_) if !conn.asked => conn.since + WHOLE,
+            Role::Web(_) if !conn.asked => conn.since + signed::SLOW,
+            // What stops within an answer keeps all that is behind it from coming.
+            Role::Store(_) if conn.partial.is_some() => conn.heard + resp::CUT_SHORT,
             // A request that comes byte by byte is cut off however lively it looks.
             Role::Web(Session { begun: Some(begun), .. }) => begun + signed::SLOW,
             role if role.resting() => conn.moved + IDLE,
@@ -718,7 +762,11 @@
             _ => at + idle / 2,
         };
         if limit <= at {
-            let why = if conn.up { "idle" } else { "no connection in time" };
+            let why = match conn.partial {
+                _ if !conn.up => "no connection in time",
+                Some(_) => "a message does not go on",
+                None => "idle",
+            };
             return self.close(at, key, Some(why));
         }
         conn.due = limit.min(at + STALLED);
@@ -776,8 +824,8 @@
     pub fn answer(&mut self, at: Micros, ticket: Ticket, done: &Final<'_>) {
         let Some(conn) = self.conns.get_mut(ticket.client) else { return };
         match &mut conn.role {
-            Role::Client(open) => {
-                open.remove(&ticket.seq);
+            Role::Client(calls) => {
+                calls.open.remove(&ticket.seq);
                 thrift::finish(&mut conn.output.bytes, ticket.seq as i32, done);
             }
             _ => return signed::finish(self, at, ticket, done),
@@ -816,7 +864,7 @@
         for &key in links {
             let Some(Conn { role: Role::Store(link), up, .. }) = self.conns.get(key) else { continue };
             let load = link.open.len() + link.waiting.len();
-            if !link.knows(&call) && best.is_none_or(|(l, u, _)| (load, !up) < (l, !u)) {
+            if !link.doubtful && !link.knows(&call) && best.is_none_or(|(l, u, _)| (load, !up) < (l, !u)) {
                 best = Some((load, *up, key));
             }
         }
@@ -862,6 +910,9 @@
                 Ok(n) => {
                     conn.output.consume(n);
                     conn.moved = at;
+                    if link.open.is_empty() {
+                        conn.heard = at;
+                    }
                     link.open.push((call, attempt));
                     if let Some(a) = self.core.attempt(attempt) {
                         a.begun = true;
@@ -968,8 +1019,14 @@
     fn told(&mut self, at: Micros, events: Vec<String>) -> Result<(), String> {
         (self.feed.heard, self.feed.backoff) = (at, BACKOFF.0);
         for data in events {
-            // One that cannot be read stays so however often it is asked for: the others must not wait for it.
-            let item = match bulletin::event(&data, &self.terms) {
+            let item = bulletin::event(&data, &self.terms);
+            let next = item.as_ref().is_ok_and(|item| item.no <= self.feed.last + 1);
+            // What is missing or spoilt is asked for again, once. If it comes no better, it stays so however often
+            // it is asked for, and the others must not wait for it.
+            if !next && self.feed.doubted.replace(self.feed.last) != Some(self.feed.last) {
+                return Err(item.err().unwrap_or_else(|| "an event is missing".to_string()));
+            }
+            let item = match item {
                 Ok(item) => item,
                 Err(why) => {
                     log!("an event of the bulletin is passed over: {why}");
--- a/gateway/src/resp.rs
+++ b/gateway/src/resp.rs
@@ -7,6 +7,16 @@
 
 /// Longest answer: a whole object and its fields.
 pub const LONGEST: usize = 300_000;
+/// Longest object.
+const OBJECT: usize = 240_000;
+/// Longest id, word and list of fields of an answer.
+const WORDS: [usize; 3] = [64, 16, 2048];
+/// Ids remembered of a connection, of which a further answer may come.
+const REMEMBERED: usize = 64;
+/// µs without a byte, while an attempt is out, from which a connection is in doubt.
+const SILENT: Micros = 500_000;
+/// µs without a byte after which an answer that has begun does not go on.
+pub const CUT_SHORT: Micros = 1_000_000;
 
 /// What a store answered, as slices of the read buffer.
 #[derive(Debug, PartialEq)]
@@ -91,11 +101,24 @@
     }
 }
 
-/// Takes a whole answer off the front of the input: the answer and its length in bytes.
+/// Whether a list of fields has its form, and each field the gateway reads a value that it can have.
+fn fields_hold(fields: &str) -> bool {
+    let plain = |t: &str| t.bytes().all(|b| b.is_ascii_graphic());
+    let holds = |f: &str| match f.split_once('=') {
+        Some(("issued" | "delay", value)) => value.parse::<f64>().is_ok_and(|n| n >= 0.0),
+        Some((name, value)) => !name.is_empty() && plain(name) && plain(value),
+        None => false,
+    };
+    matches!(fields, "" | "-") || fields.split(',').all(holds)
+}
+
+/// Takes a whole answer off the front of the input: the answer and its length in bytes. What no store can have
+/// meant is an error: then nothing that follows on the connection can be trusted either.
 pub fn reply(input: &[u8]) -> Result<Option<(Reply<'_>, usize)>, String> {
     let Some((words, length)) = words(input)? else { return Ok(None) };
     let text = |at: usize| match words.get(at) {
         None => Ok(""),
+        Some(word) if word.len() > WORDS[at] => Err("a word is too long".to_string()),
         Some(word) => std::str::from_utf8(word).map_err(|_| "a word is not UTF-8".to_string()),
     };
     let (id, word, fields) = (text(0)?, text(1)?, text(2)?);
@@ -105,9 +128,19 @@
         "refused" => Some(Status::Full),
         "error" => Some(Status::Error),
         "stale" => Some(Status::Moot),
-        _ => None,
+        "yes" => None,
+        other => return Err(format!("the word {other:?}")),
     };
     let body = words.get(3).copied().unwrap_or(&[]);
+    if word == "ok" && words.len() != 4 || words.len() > 4 {
+        return Err(format!("{word} in {} words", words.len()));
+    }
+    if !fields_hold(fields) {
+        return Err("its fields cannot be read".into());
+    }
+    if body.len() > OBJECT || word == "current" && !body.is_empty() {
+        return Err(format!("{word} with {} bytes", body.len()));
+    }
     let note = note(field(fields, "remark"));
     let entity = field(fields, "entity");
     Ok(Some((Reply { id, status, same: word == "current", note, entity, body }, length)))
@@ -133,19 +166,32 @@
     pub waiting: VecDeque<Key>,
     /// Attempts written, by the id they went under.
     pub open: Vec<(String, Key)>,
-    /// Ids given up, of which an answer may still be on its way.
-    dead: VecDeque<String>,
+    /// Ids answered or given up, of which a further answer may be on its way.
+    past: VecDeque<String>,
+    /// Whether an attempt was given up here of which nothing came: the next may be met by the same silence.
+    pub doubtful: bool,
 }
 
 impl Link {
     /// A connection that carries nothing.
     pub fn new(store: ServerId) -> Self {
-        Link { store, waiting: VecDeque::new(), open: Vec::new(), dead: VecDeque::new() }
+        Link { store, waiting: VecDeque::new(), open: Vec::new(), past: VecDeque::new(), doubtful: false }
     }
 
-    /// Whether an id is or was used here: a late answer to its first attempt must not pass for the second's.
+    /// Whether an id is or was used here: a late or second answer to its first attempt must not pass for the
+    /// next one's.
     pub fn knows(&self, call: &str) -> bool {
-        self.dead.iter().any(|d| d == call) || self.open.iter().any(|(c, _)| c == call)
+        self.past.iter().any(|d| d == call) || self.open.iter().any(|(c, _)| c == call)
+    }
+
+    /// Takes an attempt off the connection and remembers its id.
+    fn end(&mut self, place: usize) -> Key {
+        let (call, attempt) = self.open.swap_remove(place);
+        self.past.push_back(call);
+        if self.past.len() > REMEMBERED {
+            self.past.pop_front();
+        }
+        attempt
     }
 }
 
@@ -153,12 +199,16 @@
 pub fn drive(gateway: &mut Gateway, at: Micros, key: Key, input: &[u8]) -> Result<usize, String> {
     let Some((reply, used)) = reply(input)? else { return Ok(0) };
     let Some(Conn { role: Role::Store(link), .. }) = gateway.conn(key) else { return Ok(0) };
+    link.doubtful = false;
     let Some(status) = reply.status else { return Ok(used) };
-    let Some(place) = link.open.iter().position(|(call, _)| call == reply.id) else {
-        link.dead.retain(|d| d != reply.id);
-        return Ok(used);
-    };
-    let (_, attempt) = link.open.swap_remove(place);
+    // A second copy, or an answer to what was never asked here, says nothing of the others.
+    let Some(place) = link.open.iter().position(|(call, _)| call == reply.id) else { return Ok(used) };
+    let (call, attempt) = link.open[place].clone();
+    if reply.same && !gateway.core.offered_copy(attempt) {
+        return Err(format!("{call} is told that its copy holds, and has none"));
+    }
+    let Some(Conn { role: Role::Store(link), .. }) = gateway.conn(key) else { return Ok(0) };
+    link.end(place);
     if let Some(ticket) = gateway.core.outcome(at, attempt, status, reply.note) {
         gateway.answer(at, ticket, &Final::Served(&reply));
     }
@@ -199,16 +249,18 @@
 /// Gives an attempt up: withdraws it from its connection.
 pub fn kill(gateway: &mut Gateway, at: Micros, carrier: Key, attempt: Key, call: &str) {
     let Some(conn) = gateway.conn(carrier) else { return };
+    let silent = at >= conn.heard + SILENT;
     let Role::Store(link) = &mut conn.role else { return };
     link.waiting.retain(|a| *a != attempt);
     let Some(place) = link.open.iter().position(|(_, a)| *a == attempt) else { return };
-    link.open.swap_remove(place);
-    link.dead.push_back(call.to_string());
-    if link.dead.len() > 64 {
-        link.dead.pop_front();
-    }
+    link.end(place);
+    // Danger: a connection whose answers never come looks the idlest of all and is taken again and again.
+    link.doubtful |= silent;
+    let spent = link.doubtful && link.open.is_empty() && link.waiting.is_empty();
     write_words(&mut conn.output.bytes, &[b"KILL", call.as_bytes()]);
-    gateway.flush(at, carrier);
+    if gateway.flush(at, carrier) && spent {
+        gateway.close(at, carrier, Some("nothing came on it"));
+    }
 }
 
 #[cfg(test)]
--- a/gateway/src/signed/mod.rs
+++ b/gateway/src/signed/mod.rs
@@ -219,8 +219,8 @@
 
 // The driver.
 
-/// µs in which a request must be whole, from its first byte.
-pub const SLOW: Micros = 10_000_000;
+/// µs in which a request must be whole, from its first byte, and the first byte must come.
+pub const SLOW: Micros = 2_500_000;
 
 /// Bytes of answers that may wait before the next request on a connection has its turn.
 const UNREAD: usize = 256 * 1024;
@@ -331,6 +331,7 @@
         ..Ask::default()
     };
     let opened = gateway.core.request(at, Ticket { client: key, seq: count }, ask);
+    let opened = opened.ok_or((503, "too much is under way"))?;
     if let Some(Conn { role: Role::Web(session), .. }) = gateway.conn(key) {
         session.open = Some(opened);
     }
--- a/gateway/src/thrift.rs
+++ b/gateway/src/thrift.rs
@@ -5,9 +5,16 @@
 use crate::net::{Conn, Final, Gateway, Role};
 use crate::slots::Key;
 use larchway::Micros;
+use std::collections::BTreeMap;
 
 /// Longest frame taken: a write of 48,000 bytes and its fields.
 pub const LONGEST: usize = 128 * 1024;
+/// Longest body of a write.
+const LONGEST_BODY: usize = 48_000;
+/// Highest part of an object.
+const LAST_PART: u64 = 1_000_000;
+/// Longest wait in milliseconds, where the settings tell none.
+const LONGEST_WAIT: u64 = 600_000;
 /// Requests that may be open on one connection.
 pub const OPEN: usize = 32;
 const CALL: u8 = 1;
@@ -182,9 +189,17 @@
             }
             Call::Forget(given_up)
         }
-        "isWell" => Call::IsWell,
-        other => Call::Unknown(other),
+        "isWell" => {
+            while let Some((kind, _)) = c.field()? {
+                c.skip(kind, 16)?;
+            }
+            Call::IsWell
+        }
+        other => return Ok(Message { seq, call: Call::Unknown(other) }),
     };
+    if !c.input.is_empty() {
+        return Err("a frame is longer than its message".into());
+    }
     Ok(Message { seq, call })
 }
 
@@ -265,35 +280,70 @@
 
 // The driver.
 
-/// Reads a request's fields.
+/// A client's connection.
+#[derive(Debug, Default)]
+pub struct Calls {
+    /// Its open requests by sequence number.
+    pub open: BTreeMap<u64, Key>,
+    /// The highest number so far.
+    last: i32,
+}
+
+/// A number in its one form, within bounds.
+fn figure(name: &str, text: &str, most: u64) -> Result<u64, String> {
+    let digits = !text.is_empty() && text.len() <= 15 && text.bytes().all(|b| b.is_ascii_digit());
+    let number = text.parse().ok().filter(|n| digits && *n <= most);
+    number.ok_or_else(|| format!("{name} cannot be {text:?}"))
+}
+
+/// A number of 16 hexadecimal digits.
+fn digits(name: &str, text: &str) -> Result<u64, String> {
+    let fit = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+    let number = u64::from_str_radix(text, 16).ok().filter(|_| fit);
+    number.ok_or_else(|| format!("{name} cannot be {text:?}"))
+}
+
+/// Reads a request's fields. Guards the stores against what they could not read or use: they close on it, with
+/// all else that is open on the connection.
 fn ask(terms: &Terms, fields: &[(&str, &str)], body: &[u8]) -> Result<Ask, String> {
     let field = |name: &str| fields.iter().find(|(n, _)| *n == name).map(|(_, value)| *value);
     let required = |name: &str| field(name).ok_or_else(|| format!("{name} is missing"));
-    let number = |name: &str| -> Result<u64, String> {
-        let text = field(name).unwrap_or("0");
-        text.parse().map_err(|_| format!("{name} cannot be {text:?}"))
-    };
     // What goes on to a store as part of a list of fields must not add fields to it.
     let plain = |name: &str, text: &str| {
         let fit = text.len() <= 64 && text.bytes().all(|b| b.is_ascii_graphic() && !b",=".contains(&b));
-        if fit {
+        if fit && !text.is_empty() {
             Ok(text.to_string())
         } else {
             Err(format!("{name} cannot be {text:?}"))
         }
     };
+    let mut names: Vec<&str> = fields.iter().map(|(name, _)| *name).collect();
+    names.sort_unstable();
+    if let Some(twice) = names.windows(2).find(|w| w[0] == w[1]) {
+        return Err(format!("{} stands twice", twice[0]));
+    }
     let op = required("op")?;
-    let thing = required("row")?;
-    let ttl: u64 = required("ttl")?.parse().map_err(|_| "ttl is not a number".to_string())?;
+    let class = terms.classes.iter().position(|c| c == op).ok_or_else(|| format!("op {op:?} is unknown"))?;
+    let (call, thing) = (required("call")?, required("row")?);
+    digits("call", call)?;
+    let longest = terms.deadlines.get(class).map_or(LONGEST_WAIT, |d| 2 * d / 1000);
+    let ttl = figure("ttl", required("ttl")?, longest)?;
+    if ttl == 0 || body.len() > LONGEST_BODY {
+        return Err(format!("ttl {ttl} with a body of {} bytes", body.len()));
+    }
+    let dedupe = field("dedupe").map(|d| plain("dedupe", d)).transpose()?;
+    if dedupe.is_none() && terms.keyed.get(class) == Some(&true) {
+        return Err("dedupe is missing".into());
+    }
     Ok(Ask {
-        class: terms.classes.iter().position(|c| c == op).ok_or_else(|| format!("op {op:?} is unknown"))?,
-        call: plain("call", required("call")?)?,
-        object: u64::from_str_radix(thing, 16).map_err(|_| format!("row cannot be {thing:?}"))?,
-        thing: plain("row", thing)?,
-        part: number("block")?,
-        group: number("family")?,
-        ttl: ttl.min(600_000) * 1000,
-        dedupe: field("dedupe").map(|d| plain("dedupe", d)).transpose()?,
+        class,
+        call: call.to_string(),
+        object: digits("row", thing)?,
+        thing: thing.to_string(),
+        part: figure("block", field("block").unwrap_or("0"), LAST_PART)?,
+        group: figure("family", field("family").unwrap_or("0"), 255)?,
+        ttl: ttl * 1000,
+        dedupe,
         mine: field("cached")
             .map(|t| plain("cached", t.trim_start_matches("W/").trim_matches('"')))
             .transpose()?,
@@ -321,14 +371,29 @@
         _ => None,
     };
     let Some(conn) = gateway.conn(key) else { return Ok(0) };
-    let Role::Client(open) = &mut conn.role else { return Ok(0) };
+    let Role::Client(calls) = &mut conn.role else { return Ok(0) };
+    if !matches!(message.call, Call::Forget(_)) {
+        // A second answer under a number would pass for the first request's.
+        if seq <= calls.last {
+            return Err(format!("number {seq} after {}", calls.last));
+        }
+        calls.last = seq;
+    }
     let out = &mut conn.output.bytes;
     match (message.call, asked) {
-        (_, Some(Ok(ask))) if room && open.len() < OPEN && !open.contains_key(&(seq as u64)) => {
-            let request = gateway.core.request(at, Ticket { client: key, seq: seq as u64 }, ask);
+        (_, Some(Ok(ask))) if room && calls.open.len() < OPEN => {
+            let (ticket, call) = (Ticket { client: key, seq: seq as u64 }, ask.call.clone());
+            let Some(request) = gateway.core.request(at, ticket, ask) else {
+                log!("a request is malformed: {call} is open already");
+                if let Some(conn) = gateway.conn(key) {
+                    exception(&mut conn.output.bytes, "serve", seq, PROTOCOL_ERROR, "call is open already");
+                }
+                gateway.flush(at, key);
+                return Ok(used);
+            };
             // Its final answer may be among the orders already; then the entry goes with it.
-            if let Some(Conn { role: Role::Client(open), .. }) = gateway.conn(key) {
-                open.insert(seq as u64, request);
+            if let Some(Conn { role: Role::Client(calls), .. }) = gateway.conn(key) {
+                calls.open.insert(seq as u64, request);
             }
             return Ok(used);
         }
@@ -339,7 +404,7 @@
         }
         (Call::IsWell, _) => answer(out, "isWell", seq, &[], &[], well),
         (Call::Forget(given_up), _) => {
-            if let Some(request) = open.remove(&(given_up as u64)) {
+            if let Some(request) = calls.open.remove(&(given_up as u64)) {
                 gateway.core.gone(at, request);
             }
         }
--- a/gateway/tests/net/platform.rs
+++ b/gateway/tests/net/platform.rs
@@ -251,6 +251,8 @@
     let drain = entry("a1", s.var("a1").parse().expect("an address"), "standard", "draining");
     s.set("drain", &drain).run(
         "bulletin < call last=1
+         bulletin > not json
+         bulletin < call last=1
          bulletin > not json
          bulletin > {\"no\":2,\"roster\":{\"seq\":2,\"whole\":false,\"hosts\":[$drain]}}
          wait 100
@@ -304,3 +306,107 @@
          c1 < well 2",
     );
 }
+
+#[test]
+fn a_spoilt_answer_closes_its_connection_and_the_request_is_made_again() {
+    let spoilt = [
+        "+OK\\r\\n",
+        "*4\\r\\n$16\\r\\n6100000000000000\\r\\n$2\\r\\nok\\r\\n$1\\r\\n-\\r\\n$3000000000\\r\\nmore and more",
+        "*4\\r\\n$16\\r\\n6100000000000000\\r\\n$2\\r\\nok\\r\\n$1\\r\\n-\\r\\n$3\\r\\nlonger\\r\\n",
+        "*3\\r\\n$16\\r\\n6100000000000000\\r\\n$2\\r\\nok\\r\\n$1\\r\\n-\\r\\n",
+        "*4\\r\\n$16\\r\\n6100000000000000\\r\\n$7\\r\\ncurrent\\r\\n$1\\r\\n-\\r\\n$0\\r\\n\\r\\n",
+        "*4\\r\\n$16\\r\\n6100000000000000\\r\\n$2\\r\\nok\\r\\n$9\\r\\nissued=x,\\r\\n$1\\r\\nx\\r\\n",
+    ];
+    for text in spoilt {
+        usual().set("spoilt", text).run(
+            "c1 > serve 1 $ask call=a
+             store < PULL a
+             store raw a $spoilt
+             store < closed a
+             store < PULL a
+             store > a ok remark=HIT | good
+             c1 < served 1 | good",
+        );
+    }
+}
+
+#[test]
+fn an_answer_that_stops_short_or_never_comes_takes_no_further_request() {
+    usual().run(
+        "c1 > serve 1 $ask call=a
+         store < PULL a
+         store raw a *4\\r\\n$16\\r\\n61000000
+         store < closed a
+         store < PULL a
+         store > a ok remark=HIT | good
+         c1 < served 1 | good
+         c1 > serve 2 $ask call=b
+         store < PULL b
+         wait 600
+         c1 > forget 0 2
+         store < closed b
+         c1 > serve 3 $ask call=c
+         store < PULL c
+         store > c ok remark=HIT | good
+         c1 < served 3 | good",
+    );
+}
+
+#[test]
+fn what_comes_beside_a_good_answer_is_skipped() {
+    usual().run(
+        "c1 > serve 1 $ask call=a
+         store < PULL a
+         store raw a *4\\r\\n$16\\r\\n9900000000000000\\r\\n$2\\r\\nok\\r\\n$1\\r\\n-\\r\\n$1\\r\\nx\\r\\n
+         store > a nothing
+         store > a nothing
+         store < PULL a
+         store > a ok remark=MISS | good
+         c1 < served 1 | good
+         c1 > isWell 2
+         c1 < well 2",
+    );
+}
+
+#[test]
+fn a_client_that_says_nothing_whole_is_closed_soon_and_one_that_asked_may_stay() {
+    let mut s = usual();
+    let begun = unix_ms();
+    s.run("c1 > isWell 1\n c1 < well 1\n c2 connect\n c3 raw 000000\n c2 < closed\n c3 < closed");
+    assert!(unix_ms() - begun < 2900, "a refusal, an error or a close is owed within 3 s");
+    s.run("c1 > isWell 2\n c1 < well 2\n c1 raw 000000ff80\n c1 < closed");
+}
+
+#[test]
+fn what_no_store_can_use_goes_to_none() {
+    let mut s = usual();
+    let good = "op=history-files call=a ttl=6000 row=7f3a9c21e0b4d655 block=3 family=17";
+    let bad = [
+        ("ttl=6000", "ttl=0"),
+        ("ttl=6000", "ttl=99999999"),
+        ("ttl=6000", "ttl=1e3"),
+        ("family=17", "family=256"),
+        ("block=3", "block=+3"),
+        ("block=3", "block=99999999999"),
+        ("row=7f3a9c21e0b4d655", "row=7f3a"),
+        ("row=7f3a9c21e0b4d655", "row=+f3a9c21e0b4d655"),
+        ("call=a", "call=a,b"),
+        ("call=a", "call=a row=7f3a9c21e0b4d655"),
+        ("op=history-files", "op=bid-submit"),
+    ];
+    for (n, (from, to)) in bad.iter().enumerate() {
+        s.set("n", &(n + 1).to_string()).set("bad", &good.replace(from, to));
+        s.run("c1 > serve $n $bad\n c1 < exception $n");
+    }
+    s.set("good", good).run(
+        "never PULL *
+         c2 > serve 1 $good | #48001
+         c2 < exception 1
+         c2 > serve 2 $good
+         store < PULL a
+         c3 > serve 1 $good
+         c3 < exception 1
+         c2 > serve 2 $good
+         c2 < closed",
+    );
+}
--- a/gateway/tests/net/scenario/mod.rs
+++ b/gateway/tests/net/scenario/mod.rs
@@ -5,6 +5,7 @@
 //! c1 > serve 1 op=files call=aa ttl=5000 row=$row    a client of the platform's front sends a request
 //! store < PULL aa thing=$row at=?box                 some store gets it; ?box keeps a value for later lines
 //! store > aa ok entity=t1,issued=5 | body            that store answers (* for the last one taken)
+//! store raw aa *4\r\n           bytes as they stand, on the connection of that request
 //! c1 < served 1 | body                               the client's next answer
 //! w1 > GET /path ; Cookie: a=b | body                a client of the second front; w1 < 200 ETag="t1" | body
 //! bulletin > {"no":2,...}      bulletin < call last=1      bulletin mute
@@ -206,6 +207,15 @@
     }
 }
 
+/// A short name stands for an id of 16 hexadecimal digits.
+fn id(name: &str) -> String {
+    if name.len() == 16 || !name.bytes().all(|b| b.is_ascii_alphanumeric()) {
+        return name.to_string();
+    }
+    let digits: String = name.bytes().map(|b| format!("{b:02x}")).collect();
+    format!("{digits:0<16.16}")
+}
+
 fn hex(text: &str) -> Vec<u8> {
     (0..text.len()).step_by(2).map(|i| u8::from_str_radix(&text[i..i + 2], 16).expect("hex")).collect()
 }
@@ -361,7 +371,7 @@
             }
             [who @ ("store" | "bulletin"), "<", rest @ ..] => self.expect_heard(line, who, rest, body),
             ["store", ">", call, word, fields @ ..] => {
-                let call = if *call == "*" { self.last.clone() } else { call.to_string() };
+                let call = if *call == "*" { self.last.clone() } else { id(call) };
                 let mut out = Vec::new();
                 let fields = fields.first().copied().unwrap_or("-");
                 larchway_gateway::resp::write_words(
@@ -370,8 +380,16 @@
                 );
                 self.asked.get_mut(&call).expect("it was asked").write_all(&out).expect("writes");
             }
+            ["store", "raw", call, ..] => {
+                let text = head.splitn(4, ' ').nth(3).expect("text").replace("\\r\\n", "\r\n");
+                self.asked
+                    .get_mut(&id(call))
+                    .expect("it was asked")
+                    .write_all(text.as_bytes())
+                    .expect("writes");
+            }
             ["store", "reset", call] => {
-                self.asked[*call].shutdown(Shutdown::Both).expect("closes");
+                self.asked[&id(call)].shutdown(Shutdown::Both).expect("closes");
             }
             [client, ">", "GET" | "HEAD" | "POST" | "PUT", ..] => self.send_http(client, head, body),
             [client, ">", rest @ ..] => self.send_call(client, rest, body),
@@ -380,6 +398,7 @@
                 let text = head.split_once("text ").expect("text").1.replace("\\r\\n", "\r\n");
                 self.write(client, text.as_bytes());
             }
+            [client, "connect"] => drop(self.client(client)),
             [client, "close"] => drop(self.clients.remove(*client)),
             [client, "<", "closed"] => {
                 let (stream, input) = self.client(client);
@@ -424,7 +443,7 @@
             h.who == who
                 && words.iter().enumerate().all(|(i, w)| match (i, w.split_once('=')) {
                     (0, _) => h.word == *w,
-                    (_, None) => *w == "*" || h.id == *w,
+                    (_, None) => *w == "*" || h.id == id(w),
                     (_, Some(("at", v))) => v.starts_with('?') || h.at == v,
                     (_, Some((name, v))) => {
                         let told = larchway_gateway::resp::field(&h.fields, name);
@@ -496,6 +515,7 @@
             out.extend_from_slice(&(words.len() as u32 - 2).to_be_bytes());
             for (name, value) in words[2..].iter().map(|w| w.split_once('=').expect("name=value")) {
                 string(&mut out, name.as_bytes());
+                let value = if name == "call" { id(value) } else { value.to_string() };
                 string(&mut out, value.as_bytes());
             }
             out.extend_from_slice(&[11, 0, 2]);
--- a/gateway/tests/net/signed.rs
+++ b/gateway/tests/net/signed.rs
@@ -168,7 +168,7 @@
         let tampered = s.var("valid").replace("Expires=", "Expires=9");
         s.set("tampered", &tampered);
         if purged > 0 {
-            s.run("bulletin > {\"no\":1$n,\"recall\":{\"lot\":$lot,\"issued\":$now}}\n wait 100");
+            s.run("bulletin > {\"no\":$n,\"recall\":{\"lot\":$lot,\"issued\":$now}}\n wait 100");
         }
         // All at once: a valid link, a token, a link that expires during its fill, an unsigned request of the
         // platform, and three that may not pass.
@@ -179,7 +179,7 @@
              w2 > GET $token
              store < PULL * thing=000000000000000$n nth=0
              store > * ok entity=t$n,remark=HIT | token $n
-             c1 > serve $n op=history-files call=u$n ttl=6000 row=000000000000000$n block=0 family=$group
+             c$n > serve $n op=history-files call=u$n ttl=6000 row=000000000000000$n block=0 family=$group
              store < PULL u$n thing=000000000000000$n
              w3 > GET $expired
              w4 > GET $tampered
@@ -188,7 +188,7 @@
              w5 < 403 | a signature or token is needed
              w4 < 403 | the signature does not hold
              w3 < 403 | the link has expired
-             c1 < served $n | unsigned $n
+             c$n < served $n | unsigned $n
              w2 < 200 ETag=\"t$n\" | token $n
              w1 < 200 ETag=\"v$n\" | valid $n",
         );
@@ -199,10 +199,10 @@
                  store < PULL * within=?signed
                  store > * ok remark=MISS | x
                  w1 < 200 | x
-                 c1 > serve 9$n op=history-files call=p$n ttl=6000 row=000000000000000$n block=0 family=$group
+                 c$n > serve 9$n op=history-files call=p$n ttl=6000 row=000000000000000$n block=0 family=$group
                  store < PULL p$n within=?plain
                  store > p$n ok remark=MISS | y
-                 c1 < served 9$n | y",
+                 c$n < served 9$n | y",
             );
             let age = |name| s.var(name).parse::<u64>().expect("a number");
             assert!(age("signed") <= age("plain") && age("plain") < 10_000);
