Learn the link's size from fills that came, not from answers that were lost

Checked: a trace of what is believed of the link against what is on it. One time-out of 2.9 s (an answer that never came) put the link at 7.8 transfers where the settings tell 31, with 21 out; it took 12 s of good fills (pace 0.8 to 1.2) to come back, a further lost answer every few seconds held it down. The lines: logic.rs, `learn`, `unnoted` took a time-out for a jammed link, and the first estimate was load over pace. Ruled out: clients of little patience (ttl 2.9 s), suspended stores, a real jam (paces about 1). Change: time-outs teach nothing of the link; the estimate begins with the told size and keeps half of it (a quarter before). Test: lost answers among good fills; fills are refused without the change.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -34,7 +34,7 @@
 /// Time taken over sending time that tells of a jam, and the work (µs) from which no far source alone does.
 const JAMMED: (f64, f64) = (1.4, 100_000.0);
 /// Share of the link's told size below which nothing learned goes: slow fills are not all the link's doing.
-const LINK_LEAST: f64 = 0.25;
+const LINK_LEAST: f64 = 0.5;
 /// Share of the aim that a predicted answer may take, with its size told and untold: load grows meanwhile.
 const IN_TIME: (f64, f64) = (0.75, 0.65);
 /// Share of the expected sending time that an answer may take at the least, its object seen before or not.
@@ -822,8 +822,7 @@
         self.out.step(-1.0, now, LOAD_SPAN);
         if link {
             self.filling.step(-1.0, now, LOAD_SPAN);
-            let unnoted =
-                matches!(outcome.status, Status::Ok | Status::Timeout) && outcome.note == Note::None;
+            let unnoted = outcome.status == Status::Ok && outcome.note == Note::None;
             if (filled || blame == Blame::Link || unnoted)
                 && known
                 && work > JAMMED.1
@@ -831,7 +830,8 @@
             {
                 let load = self.link_load();
                 let least = self.link_floor();
-                self.link = Some(learn_flows(self.link.unwrap_or(load / pace), pace, load).max(least));
+                let first = least / LINK_LEAST;
+                self.link = Some(learn_flows(self.link.unwrap_or(first), pace, load).max(least));
             }
         }
         let asked = self.servers.get(&edge);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -735,6 +735,32 @@
     assert_eq!(finals(&rig.answer(1, Status::Moot, Note::None)), 1);
 }
 
+#[test]
+fn lost_answers_do_not_talk_the_link_down() {
+    // 40 transfers fit on the link; 30 are out, and single ones of them never end.
+    let told = Settings { link_kb_per_s: 40_000.0, weighted: true, siblings: Siblings::None, ..settings() };
+    let wide = fleet().into_iter().map(|h| Host { weight: 400.0, ..h }).collect();
+    let mut rig = Rig::new(told, wide);
+    let mut out = std::collections::VecDeque::new();
+    for object in 0..200 {
+        rig.wait(15);
+        rig.next += 1;
+        let (id, ttl, size_kb) = (rig.next, 2800 * MS, 300.0);
+        let request = Request { id, object, ttl, size_kb, group: 7, ..Request::default() };
+        let sent = get(&rig.tell(Event::Request(request))).expect("sent");
+        assert!(sent.source != sent.server, "object {object} is not filled: the link has room");
+        out.push_back(id);
+        if out.len() > 30 {
+            let id = out.pop_front().expect("one is out");
+            let lost = id % 16 == 0;
+            let (status, note) =
+                if lost { (Status::Timeout, Note::None) } else { (Status::Ok, Note::Filled) };
+            let latency = if lost { 2800 * MS } else { 310 * MS };
+            rig.tell(Event::Outcome(Outcome { id, attempt: 0, status, latency, closed: true, note }));
+        }
+    }
+}
+
 #[test]
 fn slow_fills_of_untold_size_do_not_talk_the_link_down_until_fills_are_refused() {
     let told = Settings { link_kb_per_s: 400_000.0, weighted: true, ..settings() };
