--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -327,6 +327,7 @@
             Some(front) if here != Some(front.listen) => Some(polled(&self.poller, front.listen, SECOND)?),
             _ => None,
         };
+        let rebound = listener.is_some() || second.is_some();
         // A listener that is dropped is no longer polled; there is nothing to do about an error here.
         if let Some(listener) = listener {
             let _ = self.poller.delete(&self.listener);
@@ -337,6 +338,9 @@
             old.into_iter().for_each(|old| drop(self.poller.delete(&old)));
         }
         self.front = front;
+        if rebound {
+            self.log_listening();
+        }
         self.take_in(at, config, fleet);
         Ok(())
     }
@@ -360,11 +364,7 @@
     /// Serves until SIGTERM, and then until all that was taken is answered.
     pub fn run(&mut self) -> Result<(), String> {
         let mut events = Vec::new();
-        for listener in [Some(&self.listener), self.second.as_ref()].into_iter().flatten() {
-            if let Ok(address) = listener.local_addr() {
-                log!("listening on {address}");
-            }
-        }
+        self.log_listening();
         loop {
             let at = now();
             while let Some(due) = self.core.deadlines.pop(at) {
@@ -394,6 +394,14 @@
         }
     }
 
+    fn log_listening(&self) {
+        for listener in [Some(&self.listener), self.second.as_ref()].into_iter().flatten() {
+            if let Ok(address) = listener.local_addr() {
+                log!("listening on {address}");
+            }
+        }
+    }
+
     fn stop(&mut self, at: Micros) {
         drain(&self.stop_told);
         if self.stopping.is_none() {
--- a/gateway/tests/net/ensemble.rs
+++ b/gateway/tests/net/ensemble.rs
@@ -49,6 +49,15 @@
     standin.until("registers", |z| z.nodes.get(OWN).is_some_and(|n| n.1 == 1));
 }
 
+#[test]
+fn a_reload_moves_the_instance_to_its_new_path() {
+    let standin = StandIn::new();
+    let mut s = started(&standin, true);
+    standin.until("registers", |z| z.nodes.contains_key(OWN));
+    s.run("edit ensemble \"path\":\"/larchway\" => \"path\":\"/fleet\"\n hup");
+    standin.until("moves", |z| z.nodes.contains_key("/fleet/n1") && !z.nodes.contains_key(OWN));
+}
+
 #[test]
 fn the_list_of_stores_follows_the_children() {
     let standin = StandIn::new();
--- a/gateway/tests/net/scenario/mod.rs
+++ b/gateway/tests/net/scenario/mod.rs
@@ -9,7 +9,7 @@
 //! c1 < served 1 | body                               the client's next answer
 //! w1 > GET /path ; Cookie: a=b | body                a client of the second front; w1 < 200 ETag="t1" | body
 //! bulletin > {"no":2,...}      bulletin < call last=1      bulletin mute
-//! edit config A => B           A in that file (or `signed`) becomes B;    bulletin move    to another address, $feed
+//! edit config A => B           A in that file (or `signed`, `ensemble`) becomes B;    bulletin move    to another address, $feed
 //! c1 raw 00ff    c1 close    c1 < closed    wait 50    term    hup    log < words    exit 0    never PULL aa
 //! ```
 //! A body `#N` stands for N bytes of every value. Expectations have seconds to be met, so no timing is tight.
@@ -247,16 +247,18 @@
         let config = (file("config.json", &config), config);
         let mut command = Command::new(env!("CARGO_BIN_EXE_larchway"));
         command.args(["serve", "--signed", &signed.0]);
+        command.env("EDGE_CONFIG", &config.0).env("EDGE_NAME", "n1");
+        let mut files = BTreeMap::from([("config".to_string(), config), ("signed".to_string(), signed)]);
         if let Some(address) = setup.ensemble {
             let text = format!(
                 r#"{{"servers":["{address}"],"path":"/larchway","session_ms":2000,"stores":"/stores"}}"#
             );
-            command.args(["--ensemble", &file("ensemble.json", &text)]);
+            let path = file("ensemble.json", &text);
+            command.args(["--ensemble", &path]);
+            files.insert("ensemble".into(), (path, text));
         }
-        command.env("EDGE_CONFIG", &config.0).env("EDGE_NAME", "n1");
         command.env("EDGE_LISTEN", "127.0.0.1:0").stderr(Stdio::piped());
         let mut child = command.spawn().expect("starts");
-        let files = BTreeMap::from([("config".into(), config), ("signed".into(), signed)]);
         let ((found, addresses), (line_logged, logged)) = (channel(), channel());
         let log = child.stderr.take().expect("a log");
         std::thread::spawn(move || {
--- a/gateway/tests/net/signed.rs
+++ b/gateway/tests/net/signed.rs
@@ -256,7 +256,12 @@
          hup
          log < is read again
          w1 > GET $url
-         w1 < 403 | this class is not passed on by links",
+         w1 < 403 | this class is not passed on by links
+         edit signed 127.0.0.1:0 => 127.0.0.2:0
+         hup
+         log < listening on 127.0.0.2:
+         w1 > GET /alive
+         w1 < 200",
     );
 }
 
