Let refused clients come back within their aim, not after 250 ms

Cause: advance() in src/logic.rs gave PAUSE.0, the pause between trials of a failing server, as the advice to clients; the two have nothing in common.

Change: a sixth of the class's aim. A test fails without it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -57,6 +57,9 @@
 const PAUSE: (Micros, Micros) = (250_000, 4_000_000);
 /// A silent attempt is given up after so many times its expected time, plus some µs for jitter.
 const PATIENCE: (f64, Micros) = (2.0, 150_000);
+/// Part of its aim after which a client that was refused may come back: a jam passes in moments, and the aim
+/// counts from its first try. Later answers earn next to nothing and take as much.
+const RETURN: Micros = 6;
 /// µs between looks at what is out.
 const LOOK: Micros = 20_000;
 /// Attempts for one request at most: what four places do not give is not worth a storm.
@@ -494,7 +497,7 @@
             };
         let Some(choice) = (if bound { None } else { self.choose(open, class) }) else {
             if open.out() == 0 {
-                self.give_up(id, PAUSE.0, actions);
+                self.give_up(id, class.aim / RETURN, actions);
             }
             return;
         };
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -861,3 +861,15 @@
     rig.tell(Event::Homes(None));
     assert!(sources(&mut rig, 0..100).contains(&(51, false)));
 }
+
+#[test]
+fn a_refused_client_may_come_back_while_its_answer_still_counts() {
+    // No cache is left: refused at once. The aim of 250 ms counts from the first try; a client that is sent away
+    // for as long as that earns nothing with its next one, and takes as much room.
+    let mut rig = Rig::new(settings(), vec![host(50, 0, 1), host(ORIGIN, 0, 2)]);
+    let told = rig.ask(42).into_iter().find_map(|a| match a {
+        Action::Refuse { retry_after, .. } => Some(retry_after),
+        _ => None,
+    });
+    assert!((1..=250 * MS / 4).contains(&told.expect("refused")), "{told:?}");
+}
