Pool FP, FN and q of all caches until one has shown enough itself

Checked: q of a cache moves once in 50 requests that meet its role (EPOCH).

Cause: shares() in src/logic.rs took the mean over caches that had been heard, never what they had shown together.

Change: each role also keeps FP, FN and q over all caches; they stand for a cache whose own are missing. The mechanism per cache stays. The test fails without it (one sibling tried in each of 200 requests).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -270,6 +270,8 @@
     wake: bool,
     watching: bool,
     homes: Option<Homes>,
+    /// By role, FP, FN and q of all caches taken together.
+    all: [Indicator; 2],
 }
 
 /// In the order of their places; the lesser id goes first where two are the same.
@@ -534,9 +536,11 @@
         edge.out.step(1.0, now, LOAD_SPAN);
         self.out.step(1.0, now, LOAD_SPAN);
         edge.roles[EDGE].count(record);
+        self.all[EDGE].count(record);
         self.filling.step(f64::from(u8::from(choice.link)), now, LOAD_SPAN);
         if let (true, Some(s)) = (choice.sibling, self.servers.get_mut(&choice.source)) {
             s.roles[SOURCE].count(choice.positive[1]);
+            self.all[SOURCE].count(choice.positive[1]);
         }
         if let Some(open) = self.open.get_mut(&id) {
             let (to, sent, check_at) = (choice, now, now + patience);
@@ -653,12 +657,11 @@
         ranked(all.collect())
     }
 
-    /// FP, FN and q of a cache in a role; one that was not heard counts as the average of those that were.
+    /// FP, FN and q of a cache in a role. Danger: with many routers each sees too little of any cache to
+    /// tell; what all have shown together stands for it until it has shown as much itself.
     fn shares(&self, s: &Server, role: usize) -> [f64; 3] {
-        let share = |get: fn(&Indicator) -> Option<f64>, usual| {
-            let all = self.servers.values().filter_map(|o| get(&o.roles[role]));
-            get(&s.roles[role]).or_else(|| mean(all)).unwrap_or(usual)
-        };
+        let (own, all) = (&s.roles[role], &self.all[role]);
+        let share = |get: fn(&Indicator) -> Option<f64>, usual| get(own).or(get(all)).unwrap_or(usual);
         [share(|i| i.fp.0, UNHEARD[0]), share(|i| i.fn_.0, UNHEARD[1]), share(|i| i.q, UNHEARD[2])]
     }
 
@@ -906,6 +909,7 @@
             }
             if cacheable && (hit || filled || outcome.status == Status::Miss) {
                 s.roles[EDGE].seen(positive[0], hit);
+                self.all[EDGE].seen(positive[0], hit);
             }
         }
         if let Some(s) = self.servers.get_mut(&source).filter(|_| outside) {
@@ -920,6 +924,7 @@
             }
             if sibling && (filled || outcome.status == Status::Miss || outcome.note == Note::SourceLacks) {
                 s.roles[SOURCE].seen(positive[1], filled);
+                self.all[SOURCE].seen(positive[1], filled);
                 if filled {
                     s.roles[SOURCE].cost.add(excess, AGEING);
                 }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -873,3 +873,31 @@
     });
     assert!((1..=250 * MS / 4).contains(&told.expect("refused")), "{told:?}");
 }
+
+#[test]
+fn siblings_that_hold_nothing_are_found_out_together_where_each_is_hardly_seen() {
+    // One of a hundred routers sees a request now and then at each of twenty caches: an epoch of q never ends.
+    let caches = (1..=20).map(|n| host(n, 1, 0));
+    let hosts = caches.chain([host(50, 0, 1), host(51, 0, 1), host(ORIGIN, 0, 2)]).collect();
+    let mut rig = Rig::new(settings(), hosts);
+    let mut named = Vec::new();
+    for object in 0..200 {
+        rig.wait(130);
+        let mut sent = get(&rig.ask(object)).expect("sent");
+        let (mut attempt, mut siblings) = (0, 0);
+        while sent.source < 50 {
+            siblings += 1;
+            let Some(next) = get(&rig.answer(attempt, Status::Miss, Note::SourceLacks)) else { break };
+            (sent, attempt) = (next, attempt + 1);
+        }
+        if sent.source >= 50 {
+            let (id, latency) = (rig.next, 300 * MS);
+            let filled =
+                Outcome { id, attempt, status: Status::Ok, latency, closed: true, note: Note::Filled };
+            rig.tell(Event::Outcome(filled));
+        }
+        named.push(siblings);
+    }
+    assert!(named[..20].iter().sum::<usize>() > 0, "an unheard sibling is tried");
+    assert_eq!(named[150..].iter().sum::<usize>(), 0, "{named:?}");
+}
