Share connections to stores where handshakes have a price

Checked: each gateway opened another connection whenever an attempt met one out (dispatch() in gateway/src/net.rs: only an idle connection was taken), although four caches a branch and some multiplexing need about one each.

Change: with a price on handshakes a connection carries up to 16 attempts, no more than limits.streamsPerConn, before another is opened. Without a price all is as it was: a large answer holds up nobody. Wrong values are named by their key. A scenario fails without it.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -11,6 +11,9 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+/// Most attempts that share a connection while others could be opened: with more, one cut connection costs many.
+const SHARED: u64 = 16;
+
 /// What the gateway is told at its start.
 #[derive(Debug)]
 pub struct Config {
@@ -41,6 +44,8 @@
 pub struct Terms {
     /// Names of the classes.
     pub classes: Vec<String>,
+    /// Attempts that a connection to a store carries before another one is opened.
+    pub streams: usize,
     /// By class, how long a client waits in all.
     pub deadlines: Vec<Micros>,
     /// By class, whether its requests carry an idempotency key.
@@ -177,6 +182,23 @@
     }
 }
 
+/// Attempts that a connection to a store carries before another one is opened. An answer holds up those behind it,
+/// so it is one where handshakes are free. Danger: where they are paid for and a hundred gateways open one for each
+/// attempt that meets another, the price is more than the wait, and stores run short of connections.
+fn streams(settings: &Value, limits: &Value) -> Result<usize, String> {
+    let price = match get(settings, "costs").and_then(|costs| get(costs, "handshake")) {
+        None => 0.0,
+        Some(v) => as_f64(v).ok_or("settings.costs.handshake must be a number")?,
+    };
+    let most = match get(limits, "streamsPerConn") {
+        None => 1,
+        Some(v) => as_u64(v)
+            .filter(|n| *n >= 1)
+            .ok_or("settings.limits.streamsPerConn must be a whole number from 1")?,
+    };
+    Ok(if price > 0.0 { most.min(SHARED) as usize } else { 1 })
+}
+
 fn terms(settings: &Value) -> Result<Terms, String> {
     let none = Value::Null;
     let limits = get(settings, "limits").unwrap_or(&none);
@@ -204,6 +226,7 @@
         keyed: services.iter().map(|v| text(v, "effect") == Ok(Some("token"))).collect(),
         deadlines: services.iter().map(deadline).collect::<Result<_, _>>()?,
         zones: texts(settings, "zones").map_err(nested)?,
+        streams: streams(settings, limits)?,
         kinds: texts(settings, "models").map_err(nested)?,
         connect_timeout: span("connectTimeoutMs", 400.0)?,
         idle: span("connIdleMs", 30_000.0)?,
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -922,7 +922,7 @@
     // Stores.
 
     /// Finds an attempt a connection. An answer blocks those behind it on its connection, so each attempt gets
-    /// one of its own as far as the budget goes.
+    /// one of its own as far as the budget goes, unless handshakes have a price.
     fn dispatch(&mut self, at: Micros, attempt: Key) {
         let Some((server, call)) = self.core.target(attempt) else { return };
         let call = call.to_string();
@@ -944,7 +944,7 @@
         }
         let more = links.len() < most && self.links < self.most_links;
         let key = match best {
-            Some((0, _, key)) => Some(key),
+            Some((load, _, key)) if load < self.terms.streams => Some(key),
             Some((_, _, key)) if !more => Some(key),
             _ => {
                 let due = at + self.terms.connect_timeout;
--- a/gateway/tests/net/command.rs
+++ b/gateway/tests/net/command.rs
@@ -27,6 +27,8 @@
         ("\"services\"", "\"other\"", "settings.services"),
         ("\"name\":\"n1\",", "", "name"),
         ("400", "-1", "connectTimeoutMs"),
+        ("\"cancel\":true", "\"streamsPerConn\":0", "settings.limits.streamsPerConn"),
+        ("\"balancers\":1", "\"costs\":{\"handshake\":\"dear\"}", "settings.costs.handshake"),
         ("{", "", "JSON"),
     ] {
         for command in ["check-config", "serve"] {
--- a/gateway/tests/net/platform.rs
+++ b/gateway/tests/net/platform.rs
@@ -119,6 +119,24 @@
     );
 }
 
+#[test]
+fn where_handshakes_have_a_price_attempts_share_a_connection() {
+    let mut s = Scenario::new(Setup { dead: &["a1"], ..Setup::default() });
+    // The connection that brought the first request is the one on which the second came last.
+    s.run(
+        "edit config \"limits\":{\"cancel\" => \"costs\":{\"handshake\":0.08},\"limits\":{\"streamsPerConn\":32,\"cancel\"
+         hup
+         log < read again
+         c1 > serve 1 op=bid-status ttl=2000 row=0000000000000001 block=0 family=1 call=aa
+         store < PULL aa
+         c1 > serve 2 op=bid-status ttl=2000 row=0000000000000002 block=0 family=1 call=bb
+         store < PULL bb
+         store reset aa
+         store < closed bb
+         never closed aa",
+    );
+}
+
 #[test]
 fn news_is_applied_in_order_and_asked_for_again_from_the_last_one() {
     let mut s = usual();
