Withhold fills before the origin brings them too late, and not for one parent's losses

Checked: the wait for the first byte at the parents stays at 10 to 40 ms in every second, so that tells the origin's state and not the parents' links.

Cause: learn() in src/logic.rs laid a fill to the origin only once it was past the whole aim, when what had been asked since was later still; and it laid fills lost at once, which a parent that is gone or errs says within a round trip, to the origin too.

Change: late from 0.55 of the aim; a fill lost before that says nothing of the origin. Both tests fail without it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -53,6 +53,9 @@
 const REFUSING: f64 = 0.8;
 /// Fills asked for over those brought in time that are too many; the most withheld; the newest's weight.
 const OVERASKED: [f64; 3] = [1.2, 0.97, 0.3];
+/// Share of the aim from which a fill counts as too late. Danger: counted from the aim itself, an origin that
+/// slows is asked until all come too late; what is asked next waits longer than what has come.
+const LATE: f64 = 0.55;
 /// µs: first and longest pause between trials of a failing server.
 const PAUSE: (Micros, Micros) = (250_000, 4_000_000);
 /// A silent attempt is given up after so many times its expected time, plus some µs for jitter.
@@ -858,8 +861,11 @@
         attempt.source_failed |= blame == Blame::Source || outcome.status == Status::Miss;
         // Danger: clients of little patience leave before a fill can come; that tells nothing of the origin.
         let set = &self.settings.classes[class];
-        let late = outcome.latency as f64 > set.aim as f64 + set.aim_stretch * work;
-        let failed = attempt.source_failed
+        let late = outcome.latency as f64 > LATE * (set.aim as f64 + set.aim_stretch * work);
+        // Danger: a parent that is gone or errs says so at once. Laid to the origin, it withholds the fills
+        // of all healthy parents; that parent alone is left to trials.
+        let alone = outcome.note == Note::SourceLost && !late;
+        let failed = attempt.source_failed && !alone
             || outcome.note == Note::OriginFailed
             || outcome.status == Status::Timeout && late;
         if link && !sibling && !peek && outside && (filled || failed) {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -901,3 +901,41 @@
     assert!(named[..20].iter().sum::<usize>() > 0, "an unheard sibling is tried");
     assert_eq!(named[150..].iter().sum::<usize>(), 0, "{named:?}");
 }
+
+/// Asks for so many objects; each fill ends as told by its source. Returns what was sent first for each.
+fn fills(rig: &mut Rig, count: u64, end: impl Fn(ServerId) -> (Status, Note, Micros)) -> Vec<Get> {
+    let mut all = Vec::new();
+    for object in 0..count {
+        rig.wait(130);
+        let Some(sent) = get(&rig.ask(5000 + object)) else { continue };
+        let (status, note, latency) =
+            if sent.peek { (Status::Miss, Note::SourceLacks, 20 * MS) } else { end(sent.source) };
+        let (id, closed) = (rig.next, status == Status::Ok);
+        rig.tell(Event::Outcome(Outcome { id, attempt: 0, status, latency, closed, note }));
+        rig.tell(Event::Gone(id));
+        all.push(sent);
+    }
+    all
+}
+
+#[test]
+fn fills_are_withheld_before_an_origin_that_slows_brings_them_all_too_late() {
+    // The aim is 250 + 2 * 50 ms. At 250 ms each is still in time, and what is asked next waits longer.
+    let mut rig = Rig::new(Settings { siblings: Siblings::None, ..settings() }, fleet());
+    let sent = fills(&mut rig, 60, |_| (Status::Ok, Note::FilledByOrigin, 250 * MS));
+    assert!(sent[30..].iter().filter(|g| g.peek).count() > 5, "some are withheld");
+    let mut rig = Rig::new(Settings { siblings: Siblings::None, ..settings() }, fleet());
+    let sent = fills(&mut rig, 60, |_| (Status::Ok, Note::FilledByOrigin, 120 * MS));
+    assert!(sent.iter().all(|g| !g.peek), "none while it is quick");
+}
+
+#[test]
+fn a_parent_that_loses_its_fills_at_once_withholds_none_of_the_others() {
+    let mut rig = Rig::new(Settings { siblings: Siblings::None, ..settings() }, fleet());
+    let sent = fills(&mut rig, 80, |source| match source {
+        50 => (Status::Error, Note::SourceLost, 20 * MS),
+        _ => (Status::Ok, Note::Filled, 60 * MS),
+    });
+    assert!(sent.iter().any(|g| g.source == 50), "it is tried");
+    assert!(sent.iter().filter(|g| g.source == 51).all(|g| !g.peek), "the other fetches");
+}
