Use more of a cold budget where many gateways share it; none divides by zero

Checked: 100 gateways together used 0.35 of the budget of the rule, which allows twice the capacity of the slowest warming: 0.7 of that capacity. The reserve stands for bursts, and those of a hundred even out: by chance alone the sum of 100 shares varies by a fifth of what the sum of four varies by.

Cause: COLD_SHARE in src/logic.rs was one figure for four gateways and a hundred. Found by the test: settings of no gateways made a share of infinity.

Change: 0.35 for up to four, 0.41 for eight, 0.51 for a hundred, 0.55 at most.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -43,8 +43,8 @@
 const LEAST: (f64, f64) = (0.8, 0.2);
 /// Above this stretch (time taken over sending time) a default cache is passed over for one half as busy.
 const CROWDED: f64 = 1.8;
-/// Share of a cold budget in use: sizes and records are estimates, demand comes in bursts.
-const COLD_SHARE: f64 = 0.35;
+/// Share of a cold budget in use, and how much more with many routers: bursts are one's own, or even out.
+const COLD_SHARE: (f64, f64) = (0.35, 0.2);
 /// Share of a fill that a request with a hit record counts for in its source's budget: records can be wrong.
 const RECORDED_FILL: f64 = 0.3;
 /// Share of failed answers above which a server is left to trials; well above the odd error.
@@ -55,8 +55,7 @@
 const REFUSING: f64 = 0.8;
 /// Fills asked for over those brought in time that are too many; the most withheld; the newest's weight.
 const OVERASKED: [f64; 3] = [1.2, 0.97, 0.3];
-/// Share of the aim from which a fill counts as too late. Danger: counted from the aim itself, an origin that
-/// slows is asked until all come too late; what is asked next waits longer than what has come.
+/// Share of the aim from which a fill counts as too late: what is asked next waits longer than what has come.
 const LATE: f64 = 0.55;
 /// µs: first and longest pause between trials of a failing server.
 const PAUSE: (Micros, Micros) = (250_000, 4_000_000);
@@ -620,10 +619,11 @@
         }
         let (multiple, share) = match self.is_cache(s) {
             true => (set.fall_multiple, self.routers_of(s.host.zone)),
-            false => (set.parent_fall_multiple, set.routers as f64),
+            false => (set.parent_fall_multiple, set.routers.max(1) as f64),
         };
         let span = set.fall_span.max(1);
-        let room = multiple * warmth * self.flows(s) * span as f64 / share * COLD_SHARE;
+        let used = COLD_SHARE.0 + COLD_SHARE.1 * (1.0 - (4.0 / share).min(1.0).sqrt());
+        let room = multiple * warmth * self.flows(s) * span as f64 / share * used;
         // A share may be under one request: then a router has turns in some spans, which begin at any time.
         let [slot, first] = [self.now, s.told].map(|at| (at + self.seed % span) / span);
         let turn = if first < slot { unit(self.seed ^ mix(s.host.server ^ mix(slot))) } else { 0.0 };
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1006,3 +1006,45 @@
     assert!(alike.0 > 70 && alike.1 > 70, "an even share: {alike:?}");
     assert!(full.0 * 5 < alike.0 * 4 && full.0 > alike.0 / 5, "fewer, not none: {alike:?} {full:?}");
 }
+
+/// Share that so many routers together use of the budget of a parent that starts cold, over six seconds.
+fn cold_share_used(routers: u64) -> f64 {
+    let set = Settings {
+        siblings: Siblings::None,
+        weighted: true,
+        routers,
+        zone_routers: vec![0, routers, 1],
+        parent_cold_from: 0.2,
+        ..settings()
+    };
+    let mut hosts = fleet();
+    hosts.iter_mut().for_each(|h| h.weight = 30.0);
+    let mut rigs = many(routers.max(1) as usize, &set, &hosts);
+    let cold = Host { started: rigs[0].now, weight: 30.0, ..host(50, 0, 1) };
+    rigs.iter_mut().for_each(|r| r.list(Scope::Changes, vec![cold.clone()]));
+    // Together they ask for six times as much as it may get, whatever their number.
+    let (steps, mut sent, mut room) = (300, 0.0, 0.0);
+    let each = 240.0 / routers.max(1) as f64;
+    for step in 0..steps {
+        for (n, rig) in rigs.iter_mut().enumerate() {
+            rig.wait(20);
+            let due = ((step + 1) as f64 * each / 5.0) as u64 - (step as f64 * each / 5.0) as u64;
+            for _ in 0..due {
+                let object = step * 100_000 + n as u64 * 100 + rig.next % 100;
+                sent += f64::from(u8::from(rig.serve(object, Note::Filled).source == 50)) * 50.0;
+            }
+        }
+        room += 2.0 * (0.2 + 0.8 * (20 * step) as f64 / 22_000.0) * 30.0 * 20.0;
+    }
+    sent / room
+}
+
+#[test]
+fn any_number_of_routers_uses_a_cold_parents_budget_and_none_passes_it() {
+    for (routers, least, most) in
+        [(0, 0.3, 0.45), (1, 0.3, 0.45), (4, 0.3, 0.45), (100, 0.45, 0.65), (1000, 0.45, 0.65)]
+    {
+        let used = cold_share_used(routers);
+        assert!((least..most).contains(&used), "{routers} routers use {used}");
+    }
+}
