Believe what caches report of their link instead of guessing at the other gateways

Cause: the module never read the reports; the gateway did not pass them on.

Change: outcomes carry the report, by the names of the settings; x1 of a cache of the own branch counts before the guess, less the older it is (1 s). Values that are missing, negative or no number are passed over. Tests fail without the change.

--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -75,6 +75,12 @@
         }
     }
 
+    /// Numbers set apart by commas; none where the field is absent.
+    fn numbers(&self, key: &str) -> Result<Vec<f64>, String> {
+        let number = |n: &str| n.parse().map_err(|_| format!("{key} cannot be {n:?}"));
+        self.text(key).map_or(Ok(Vec::new()), |row| row.split(',').map(number).collect())
+    }
+
     fn time(&self, key: &str) -> Result<Micros, String> {
         Ok(micros(self.decimal(key)?))
     }
@@ -194,6 +200,7 @@
                 closed: line.maybe::<u8>("complete")?.unwrap_or(0) != 0,
                 note: note(line.maybe("note")?.unwrap_or(0)),
                 waited: line.time("fillWaitMs")?,
+                load: line.numbers("load")?,
             }),
             "HEADERS" => Event::Started(line.whole("handle")?),
             "CLIENT_LEFT" => Event::Gone(line.whole("handle")?),
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -46,6 +46,8 @@
     pub classes: Vec<String>,
     /// Attempts that a connection to a store carries before another one is opened.
     pub streams: usize,
+    /// Names of the values in a store's report of its load.
+    pub report: Vec<String>,
     /// By class, how long a client waits in all.
     pub deadlines: Vec<Micros>,
     /// By class, whether its requests carry an idempotency key.
@@ -226,6 +228,8 @@
         keyed: services.iter().map(|v| text(v, "effect") == Ok(Some("token"))).collect(),
         deadlines: services.iter().map(deadline).collect::<Result<_, _>>()?,
         zones: texts(settings, "zones").map_err(nested)?,
+        report: texts(get(settings, "report").unwrap_or(&none), "fields")
+            .map_err(|e| format!("settings.report.{e}"))?,
         streams: streams(settings, limits)?,
         kinds: texts(settings, "models").map_err(nested)?,
         connect_timeout: span("connectTimeoutMs", 400.0)?,
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -331,7 +331,7 @@
 
     /// An attempt has ended without a word from its store.
     pub fn outcome(&mut self, now: Micros, key: Key, status: Status, note: Note) -> Option<Ticket> {
-        self.answered(now, key, status, note, 0)
+        self.answered(now, key, status, note, 0, Vec::new())
     }
 
     /// An attempt has ended; `waited` is the wait for the source, as told. If that is the final answer, whoever waits
@@ -343,6 +343,7 @@
         status: Status,
         note: Note,
         waited: Micros,
+        load: Vec<f64>,
     ) -> Option<Ticket> {
         let attempt = self.attempts.remove(key)?;
         if let Some(at) = attempt.get.stop_at {
@@ -364,6 +365,7 @@
             closed: open.answered,
             note,
             waited,
+            load,
         };
         self.feed(now, Event::Outcome(outcome));
         self.sweep(attempt.request);
@@ -461,6 +463,7 @@
             closed: open.answered,
             note: Note::None,
             waited: 0,
+            load: Vec::new(),
         }));
         self.sweep(attempt.request);
     }
--- a/gateway/src/resp.rs
+++ b/gateway/src/resp.rs
@@ -29,6 +29,8 @@
     pub same: bool,
     /// How the answer came about.
     pub note: Note,
+    /// The store's report of its load, as it came.
+    pub report: Option<&'a str>,
     /// µs that the store waited for its source, as told.
     pub waited: Micros,
     /// The tag of the bytes.
@@ -144,9 +146,19 @@
         return Err(format!("{word} with {} bytes", body.len()));
     }
     let note = note(field(fields, "remark"));
-    let entity = field(fields, "entity");
+    let (entity, report) = (field(fields, "entity"), field(fields, "report"));
     let waited = field(fields, "delay").and_then(|ms| ms.parse().ok()).map_or(0, larchway::settings::micros);
-    Ok(Some((Reply { id, status, same: word == "current", note, waited, entity, body }, length)))
+    Ok(Some((Reply { id, status, same: word == "current", note, report, waited, entity, body }, length)))
+}
+
+/// The values of a report `inflight:7;util:0.61` in the order of these names; one that is missing or no number is
+/// NaN, for whoever reads them to pass over.
+pub fn loads(report: &str, names: &[String]) -> Vec<f64> {
+    let value = |name: &String| {
+        let found = report.split(';').find_map(|f| f.split_once(':').filter(|(n, _)| n == name));
+        found.and_then(|(_, value)| value.parse().ok()).unwrap_or(f64::NAN)
+    };
+    names.iter().map(value).collect()
 }
 
 /// Writes an array of bulk strings.
@@ -212,7 +224,8 @@
     }
     let Some(Conn { role: Role::Store(link), .. }) = gateway.conn(key) else { return Ok(0) };
     link.end(place);
-    if let Some(ticket) = gateway.core.answered(at, attempt, status, reply.note, reply.waited) {
+    let load = reply.report.map_or(Vec::new(), |report| loads(report, &gateway.terms.report));
+    if let Some(ticket) = gateway.core.answered(at, attempt, status, reply.note, reply.waited, load) {
         gateway.answer(at, ticket, &Final::Served(&reply));
     }
     Ok(used)
@@ -314,6 +327,17 @@
         assert_eq!(fields(&told), None);
     }
 
+    #[test]
+    fn a_report_is_read_by_the_names_of_the_settings_whatever_its_order() {
+        let names = ["util", "x1", "x0"].map(String::from);
+        assert_eq!(loads("x0:0.7;x1:2;util:0.25", &names), [0.25, 2.0, 0.7]);
+        assert_eq!(loads("x1:1.5", &names)[1], 1.5);
+        for spoilt in ["", "util", "x1:", "x1:many;util:x", ";;:"] {
+            assert!(loads(spoilt, &names).iter().all(|v| v.is_nan()), "{spoilt:?}");
+        }
+        assert!(loads("util:1", &[]).is_empty());
+    }
+
     #[test]
     fn what_is_no_answer_is_an_error_before_it_fills_the_memory() {
         for text in
--- a/src/helpers.rs
+++ b/src/helpers.rs
@@ -46,6 +46,31 @@
     }
 }
 
+/// A quantity told from outside now and then, which counts less the longer ago that was.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Told {
+    value: f64,
+    at: Option<u64>,
+}
+
+impl Told {
+    /// Takes in what is told now; the newest has this weight against what was told within the span.
+    pub fn hear(&mut self, value: f64, at: u64, (span, weight): (f64, f64)) {
+        let kept = (1.0 - weight) * self.trust(at, span);
+        *self = Told { value: value + kept * (self.value - value), at: Some(at) };
+    }
+
+    /// From 1 for what was told now to 0 for what never was or is long ago.
+    fn trust(&self, at: u64, span: f64) -> f64 {
+        self.at.map_or(0.0, |told| (-(at.saturating_sub(told) as f64) / span).exp())
+    }
+
+    /// Between what was told and one's own guess, by its age.
+    pub fn or(&self, guess: f64, at: u64, span: f64) -> f64 {
+        guess + self.trust(at, span) * (self.value - guess)
+    }
+}
+
 /// A sum over the last span of time.
 #[derive(Debug, Clone, Default)]
 pub struct Window(VecDeque<(u64, f64)>);
@@ -76,6 +101,11 @@
     rho.clamp(0.0, 1.0)
 }
 
+/// Transfers that fit at full pace, from how long one took while so many were out. A pace above the bar is a jam.
+pub fn learned_flows(weight: f64, bar: f64, old: f64, pace: f64, load: f64) -> f64 {
+    old + weight * if pace > bar { load / pace - old } else { (load - old).max(0.0) }
+}
+
 /// The plain mean, if there is any number.
 pub fn mean(numbers: impl Iterator<Item = f64>) -> Option<f64> {
     let (sum, n) = numbers.fold((0.0, 0.0), |(sum, n), x| (sum + x, n + 1.0));
@@ -88,6 +118,15 @@
     -unit(key ^ mix(server.wrapping_add(0x9e37_79b9))).ln() / weight
 }
 
+/// What goes with servers of these weights, in the order of their places for a key; the lesser id goes first where two
+/// are the same.
+pub fn ranked<T>(key: u64, all: impl Iterator<Item = (u64, f64, T)>) -> Vec<T> {
+    let mut all: Vec<_> =
+        all.map(|(server, weight, item)| (place(key, server, weight), server, item)).collect();
+    all.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+    all.into_iter().map(|(_, _, item)| item).collect()
+}
+
 /// Spreads a number over all 64 bits, the same on every machine.
 pub fn mix(mut x: u64) -> u64 {
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -120,6 +120,16 @@
     pub parent_cold_span: Micros,
     /// Within this time of a purge older copies are gone everywhere.
     pub purge_done: Micros,
+    /// Names of the values in reports of load.
+    pub report: Vec<String>,
+}
+
+impl Settings {
+    /// What a cache's report says of its location's link: transfers over those that fit at full pace.
+    pub fn link_told(&self, load: &[f64]) -> Option<f64> {
+        let at = self.report.iter().position(|name| name == "x1")?;
+        load.get(at).copied().filter(|v| v.is_finite() && *v >= 0.0)
+    }
 }
 
 impl Default for Settings {
@@ -150,6 +160,7 @@
             parent_cold_from: 0.06,
             parent_cold_span: 22_000_000,
             purge_done: 6_000_000,
+            report: Vec::new(),
         }
     }
 }
@@ -296,6 +307,8 @@
     pub closed: bool,
     /// How the answer came about.
     pub note: Note,
+    /// The cache's report of its load, in the order of [`Settings::report`]; empty: none came.
+    pub load: Vec<f64>,
     /// Of the latency, the wait for the source's first byte; 0 where it is not told.
     pub waited: Micros,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,7 +3,7 @@
 //!
 //! The ordinary path is the paper's: FP, FN and q per cache give the chance of a miss (Eq. 1 to 3); the edge
 //! cache plus at most one sibling minimize Eq. (11).
-use crate::helpers::{mean, miss_chance, mix, place, unit, Aged, Level, Window};
+use crate::helpers::{learned_flows, mean, miss_chance, mix, ranked, unit, Aged, Level, Told, Window};
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -29,10 +29,10 @@
 const LOAD_SPAN: f64 = 3_000_000.0;
 /// µs: span of the usual rate of work sent to a server, by which a parent's capacity is judged.
 const USUAL_SPAN: f64 = 10_000_000.0;
-/// Weight of the newest in a cache's pace, the time that a hit takes over its sending time.
-const PACED: f64 = 0.3;
-/// The most that one fill counts for in a parent's pace: sizes are not told, and vary widely.
-const PACE_MOST: f64 = 4.0;
+/// µs: how long a report of the link's load counts, and the weight of the newest: noisy, and late.
+const REPORTED: (f64, f64) = (1_000_000.0, 0.4);
+/// Weight of the newest in a server's pace, the time taken over the sending time, and the most a fill counts.
+const PACED: (f64, f64) = (0.3, 4.0);
 /// Time taken over sending time that tells of a jam, and the work (µs) from which no far source alone does.
 const JAMMED: (f64, f64) = (1.4, 100_000.0);
 /// Share of the link's told size below which nothing learned goes: slow fills are not all the link's doing.
@@ -151,7 +151,7 @@
     /// Danger: a cache that grows slower and slower looks no busier than its like. Harm: one large object of
     /// untold size makes it look slow for seconds.
     fn paced(&mut self, now: Micros, pace: f64) {
-        self.pace = (self.pace(now) + PACED * (pace - self.pace(now)), now);
+        self.pace = (self.pace(now) + PACED.0 * (pace - self.pace(now)), now);
     }
     fn pace(&self, now: Micros) -> f64 {
         1.0 + (self.pace.0 - 1.0).max(0.0) * (-((now - self.pace.1) as f64) / LOAD_SPAN).exp()
@@ -259,6 +259,8 @@
     filling: Level,
     /// Transfers that the link carries at full pace, once it jammed.
     link: Option<f64>,
+    /// Transfers on it over those that fit at full pace, as its caches report.
+    link_told: Told,
     /// Caches of the own location.
     caches: f64,
     wake: bool,
@@ -268,12 +270,6 @@
     all: [Indicator; 2],
 }
 
-/// In the order of their places; the lesser id goes first where two are the same.
-fn ranked(mut all: Vec<(f64, &Server)>) -> Vec<&Server> {
-    all.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.host.server.cmp(&b.1.host.server)));
-    all.into_iter().map(|(_, s)| s).collect()
-}
-
 /// Whom a failure is laid to; the link is to blame for a late fill.
 #[derive(PartialEq)]
 enum Blame {
@@ -302,11 +298,6 @@
     (blamed, unreached || outcome.status == Status::ConnectFailed)
 }
 
-/// Transfers that fit at full pace, from how long one took while so many were out.
-fn learn_flows(old: f64, pace: f64, load: f64) -> f64 {
-    old + 2.0 * AGEING * if pace > JAMMED.0 { load / pace - old } else { (load - old).max(0.0) }
-}
-
 impl Router {
     /// A router that knows only its settings; `seed` feeds its random numbers.
     pub fn new(settings: Settings, seed: u64) -> Self {
@@ -379,7 +370,7 @@
     }
 
     fn count_caches(&mut self) {
-        let own = self.servers.values().filter(|s| s.host.zone == self.settings.zone && self.is_cache(s));
+        let own = self.servers.values().filter(|s| self.is_own(s));
         self.caches = own.filter(|s| s.host.state == State::Up).count().max(1) as f64;
     }
 
@@ -548,6 +539,11 @@
         self.servers.values().find(|s| s.host.kind == kind && self.usable(s, work))
     }
 
+    /// Whether it is a cache of the own location.
+    fn is_own(&self, s: &Server) -> bool {
+        s.host.zone == self.settings.zone && self.is_cache(s)
+    }
+
     fn is_cache(&self, s: &Server) -> bool {
         Some(s.host.kind) != self.settings.parent_kind && Some(s.host.kind) != self.settings.origin_kind
     }
@@ -573,7 +569,7 @@
     /// of all. The others have there what one had there of late, half of it pooled over the location.
     fn load(&self, s: &Server) -> f64 {
         let mut usual = s.out.mean(self.now, LOAD_SPAN);
-        if s.host.zone == self.settings.zone && self.is_cache(s) {
+        if self.is_own(s) {
             usual = (usual + self.out.mean(self.now, LOAD_SPAN) / self.caches) / 2.0;
         }
         s.out.now + usual * (self.routers_of(s.host.zone) - 1.0)
@@ -638,8 +634,7 @@
     /// Servers by the shared hash, the default first; the same at every router.
     fn by_hash<'a>(&self, key: u64, servers: impl Iterator<Item = &'a Server>) -> Vec<&'a Server> {
         let weight = |h: &Host| if self.settings.weighted { h.weight.max(0.01) } else { 1.0 };
-        let all = servers.map(|s| (place(key, s.host.server, weight(&s.host)), s));
-        ranked(all.collect())
+        ranked(key, servers.map(|s| (s.host.server, weight(&s.host), s)))
     }
 
     /// The same among parents: all that are listed or, where a shape is given, by its weights.
@@ -647,13 +642,10 @@
         let parents = || self.servers.values().filter(|s| Some(s.host.kind) == self.settings.parent_kind);
         let Some(weights) = shape else { return self.by_hash(mix(object), parents()) };
         let of = |id| weights.iter().find(|(server, w)| *server == id && *w > 0.0).map(|(_, w)| *w);
-        let all =
-            parents().filter_map(|s| of(s.host.server).map(|w| (place(mix(object), s.host.server, w), s)));
-        ranked(all.collect())
+        ranked(mix(object), parents().filter_map(|s| Some((s.host.server, of(s.host.server)?, s))))
     }
 
-    /// FP, FN and q of a cache in a role. Danger: with many routers each sees too little of any cache to
-    /// tell; what all have shown together stands for it until it has shown as much itself.
+    /// FP, FN and q of a cache in a role; what all have shown together stands for what it has not shown yet.
     fn shares(&self, s: &Server, role: usize) -> [f64; 3] {
         let (own, all) = (&s.roles[role], &self.all[role]);
         let share = |get: fn(&Indicator) -> Option<f64>, usual| get(own).or(get(all)).unwrap_or(usual);
@@ -694,7 +686,7 @@
         let (req, work) = (&open.req, open.work);
         let mean = self.work[req.class].or(work).max(if open.sized { work } else { 0.0 });
         let key = mix(req.object ^ mix(req.part + 1));
-        let own = self.servers.values().filter(|s| s.host.zone == self.settings.zone && self.is_cache(s));
+        let own = self.servers.values().filter(|s| self.is_own(s));
         let spent = |a: &Attempt| a.edge_failed || !a.done;
         let avoid = |s: &Server| open.attempts.iter().any(|a| a.to.edge == s.host.server && spent(a));
         let bound = |s: &Server| {
@@ -793,7 +785,8 @@
     /// Danger: in a jam of a cache or of the location's link, all slow down until none is in time. What
     /// can't be is declined at once, before it takes room from what can. Harm: a late answer earns a little.
     fn in_time(&self, open: &Open, class: &Class, edge: f64, miss: f64) -> bool {
-        let link = self.link.map_or(1.0, |flows| (self.link_load() + 1.0) / flows);
+        let guess = self.link.map_or(1.0, |flows| (self.link_load() + 1.0) / flows);
+        let link = self.link_told.or(guess, self.now, REPORTED.0);
         let aim = class.aim as f64 + class.aim_stretch * open.work;
         let stretch = edge + miss * (link - edge).max(0.0);
         let least = open.least() * stretch + miss * self.penalty.or(FIRST_PENALTY).min(FIRST_PENALTY);
@@ -876,19 +869,19 @@
         self.out.step(-1.0, now, LOAD_SPAN);
         if link {
             self.filling.step(-1.0, now, LOAD_SPAN);
-            let unnoted = outcome.status == Status::Ok && outcome.note == Note::None;
-            if (filled || blame == Blame::Link || unnoted)
-                && known
-                && work > JAMMED.1
-                && (self.link.is_some() || pace > JAMMED.0)
-            {
-                let load = self.link_load();
-                let least = self.link_floor();
-                let first = least / LINK_LEAST;
-                self.link = Some(learn_flows(self.link.unwrap_or(first), pace, load).max(least));
+            let noted = filled || (outcome.status, &outcome.note) == (Status::Ok, &Note::None);
+            let tells = (noted || blame == Blame::Link) && known && work > JAMMED.1;
+            if tells && (self.link.is_some() || pace > JAMMED.0) {
+                let (load, least) = (self.link_load(), self.link_floor());
+                let old = self.link.unwrap_or(least / LINK_LEAST);
+                self.link = Some(learned_flows(2.0 * AGEING, JAMMED.0, old, pace, load).max(least));
             }
         }
+        // Danger: of many routers each sees little of the link, and takes an idle one for full by what it
+        // guesses of the others. Reports count the work of all. Harm: they are late.
         let asked = self.servers.get(&edge);
+        let told = asked.filter(|s| self.is_own(s)).and(self.settings.link_told(&outcome.load));
+        told.into_iter().for_each(|load| self.link_told.hear(load, now, REPORTED));
         let (warm, usual) = asked.map_or((false, FIRST_FLOWS), |s| (self.warmth(s) >= 1.0, self.flows(s)));
         let load = asked.map_or(0.0, |s| self.load(s));
         let mut returned = Vec::new();
@@ -909,7 +902,13 @@
                     s.paced(now, pace);
                 }
                 if sized && work > 20_000.0 && warm {
-                    s.flows = Some(learn_flows(usual, outcome.latency as f64 / work, load));
+                    s.flows = Some(learned_flows(
+                        2.0 * AGEING,
+                        JAMMED.0,
+                        usual,
+                        outcome.latency as f64 / work,
+                        load,
+                    ));
                 }
             }
             if cacheable && (hit || filled || outcome.status == Status::Miss) {
@@ -925,7 +924,7 @@
                 s.filled = now;
                 if !sibling {
                     let sent = outcome.latency.saturating_sub(outcome.waited) as f64;
-                    s.paced(now, (sent / (work + FIRST_COST)).min(PACE_MOST));
+                    s.paced(now, (sent / (work + FIRST_COST)).min(PACED.1));
                 }
                 if s.success(now) {
                     returned.push(source);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -53,6 +53,13 @@
     }
 }
 
+fn text(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        _ => String::new(),
+    }
+}
+
 fn list<'a>(value: &'a Value, key: &str) -> &'a [Value] {
     match get(value, key) {
         Some(Value::Array(items)) => items,
@@ -141,6 +148,7 @@
         parent_cold_from: number(info, "parentFloor", usual.parent_cold_from),
         parent_cold_span: span(info, "upperColdMs", 22_000.0),
         purge_done: span(info, "goneEverywhereMs", 6000.0),
+        report: list(part("report"), "fields").iter().map(text).collect(),
     };
     Ok(settings)
 }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -64,7 +64,16 @@
     fn answer(&mut self, attempt: u64, status: Status, note: Note) -> Vec<Action> {
         let closed = status == Status::Ok;
         let (id, latency) = (self.next, 60 * MS);
-        self.tell(Event::Outcome(Outcome { id, attempt, status, latency, closed, note, waited: 0 }))
+        self.tell(Event::Outcome(Outcome {
+            id,
+            attempt,
+            status,
+            latency,
+            closed,
+            note,
+            waited: 0,
+            load: Vec::new(),
+        }))
     }
     fn serve(&mut self, object: ObjectId, note: Note) -> Get {
         let sent = get(&self.ask(object)).expect("sent");
@@ -385,8 +394,16 @@
         if sent.is_some_and(|sent| sent.source == sent.server) {
             looked += 1;
             let (status, latency, closed) = (Status::Miss, MS, false);
-            let end =
-                rig.tell(Event::Outcome(Outcome { id, attempt, status, latency, closed, note, waited: 0 }));
+            let end = rig.tell(Event::Outcome(Outcome {
+                id,
+                attempt,
+                status,
+                latency,
+                closed,
+                note,
+                waited: 0,
+                load: Vec::new(),
+            }));
             assert!(refused(&end), "nothing is filled after the look");
         } else if id > 20 {
             // Fills take 2.4 s for what alone takes 0.3 s.
@@ -399,6 +416,7 @@
                 closed,
                 note: Note::Filled,
                 waited: 0,
+                load: Vec::new(),
             }));
         }
     }
@@ -426,6 +444,7 @@
                 closed: true,
                 note,
                 waited: 0,
+                load: Vec::new(),
             }));
         }
     }
@@ -439,7 +458,16 @@
         rig.wait(500);
         rig.ask(object);
         let (id, latency, status) = (rig.next, 2000 * MS, Status::Error);
-        let end = Outcome { id, attempt: 0, status, latency, closed: false, note: Note::None, waited: 0 };
+        let end = Outcome {
+            id,
+            attempt: 0,
+            status,
+            latency,
+            closed: false,
+            note: Note::None,
+            waited: 0,
+            load: Vec::new(),
+        };
         rig.tell(Event::Outcome(end));
         rig.answer(1, Status::Ok, Note::Filled);
     }
@@ -564,7 +592,16 @@
         let req = Request { id, object: id, ttl, size_kb, ..Request::default() };
         assert!(get(&rig.tell(Event::Request(req))).is_some(), "request {id} was declined");
         let (status, latency, note) = (Status::Ok, 320 * MS, Note::Filled);
-        rig.tell(Event::Outcome(Outcome { id, attempt: 0, status, latency, closed: true, note, waited: 0 }));
+        rig.tell(Event::Outcome(Outcome {
+            id,
+            attempt: 0,
+            status,
+            latency,
+            closed: true,
+            note,
+            waited: 0,
+            load: Vec::new(),
+        }));
     }
 }
 
@@ -646,7 +683,16 @@
         // The origin brings everything, long after it was wanted; parents bring what they hold at once.
         let late = if sent.peek { 60 * MS } else { 2000 * MS };
         let (id, status, note) = (rig.next, Status::Ok, Note::Filled);
-        let end = Outcome { id, attempt: 0, status, latency: late, closed: true, note, waited: 0 };
+        let end = Outcome {
+            id,
+            attempt: 0,
+            status,
+            latency: late,
+            closed: true,
+            note,
+            waited: 0,
+            load: Vec::new(),
+        };
         rig.tell(Event::Outcome(end));
     }
     assert!(peeks > 60, "{peeks} of 100 spare the origin");
@@ -675,6 +721,7 @@
             closed: false,
             note,
             waited: 0,
+            load: Vec::new(),
         }));
     }
     assert!(refused(&ask(&mut rig, 100, 10 * MS)), "none is that small");
@@ -695,7 +742,16 @@
         late += usize::from(slow);
         let (id, latency) = (rig.next, if slow { 400 * MS } else { 55 * MS });
         let (status, note) = (Status::Ok, Note::Hit);
-        rig.tell(Event::Outcome(Outcome { id, attempt: 0, status, latency, closed: true, note, waited: 0 }));
+        rig.tell(Event::Outcome(Outcome {
+            id,
+            attempt: 0,
+            status,
+            latency,
+            closed: true,
+            note,
+            waited: 0,
+            load: Vec::new(),
+        }));
     }
     assert!(late < 20, "{late} of 100 to a cache eight times slower than its like");
 }
@@ -722,7 +778,8 @@
     assert!(get(&rig.tell(Event::Request(req(0)))).is_some());
     assert_eq!(rig.tell(Event::Request(req(0))), [], "an id used twice is answered once");
     let (status, latency, note) = (Status::Ok, MS, Note::Hit);
-    let unknown = Outcome { id: 77, attempt: 3, status, latency, closed: true, note, waited: 0 };
+    let unknown =
+        Outcome { id: 77, attempt: 3, status, latency, closed: true, note, waited: 0, load: Vec::new() };
     assert!(get(&rig.tell(Event::Outcome(unknown))).is_none());
 }
 
@@ -789,6 +846,7 @@
                 closed: true,
                 note,
                 waited: 0,
+                load: Vec::new(),
             }));
         }
     }
@@ -806,7 +864,16 @@
         get(&rig.tell(Event::Request(request))).filter(|g| g.source != g.server).map(|_| rig.next)
     };
     let end = |rig: &mut Rig, id, note, latency| {
-        let outcome = Outcome { id, attempt: 0, status: Status::Ok, latency, closed: true, note, waited: 0 };
+        let outcome = Outcome {
+            id,
+            attempt: 0,
+            status: Status::Ok,
+            latency,
+            closed: true,
+            note,
+            waited: 0,
+            load: Vec::new(),
+        };
         rig.tell(Event::Outcome(outcome));
     };
     // The class is known to take 200 ms; the objects that follow are all new, and larger than that.
@@ -849,6 +916,7 @@
                 closed: true,
                 note,
                 waited: 0,
+                load: Vec::new(),
             }));
             get.expect("an attempt")
         })
@@ -890,6 +958,7 @@
         closed: false,
         note: Note::SourceLacks,
         waited: 0,
+        load: Vec::new(),
     }));
     assert!(
         again.iter().any(|a| matches!(a, Action::Get(get) if get.source == 51 && !get.peek)),
@@ -942,6 +1011,7 @@
                 closed: true,
                 note: Note::Filled,
                 waited: 0,
+                load: Vec::new(),
             };
             rig.tell(Event::Outcome(filled));
         }
@@ -960,7 +1030,16 @@
         let (status, note, latency) =
             if sent.peek { (Status::Miss, Note::SourceLacks, 20 * MS) } else { end(sent.source) };
         let (id, closed) = (rig.next, status == Status::Ok);
-        rig.tell(Event::Outcome(Outcome { id, attempt: 0, status, latency, closed, note, waited: 0 }));
+        rig.tell(Event::Outcome(Outcome {
+            id,
+            attempt: 0,
+            status,
+            latency,
+            closed,
+            note,
+            waited: 0,
+            load: Vec::new(),
+        }));
         rig.tell(Event::Gone(id));
         all.push(sent);
     }
@@ -1048,3 +1127,33 @@
         assert!((least..most).contains(&used), "{routers} routers use {used}");
     }
 }
+
+/// What becomes of a request after caches have reported this load of the link, so many ms before.
+fn asked_after_reports(load: &[f64], ms: Micros) -> Vec<Action> {
+    let report = ["util", "x1", "x0"].map(String::from).to_vec();
+    let mut rig = Rig::new(Settings { siblings: Siblings::None, report, ..settings() }, fleet());
+    for object in 0..10 {
+        let sent = get(&rig.ask(object)).is_some();
+        rig.wait(60);
+        let (id, latency, load) = (rig.next, 60 * MS, load.to_vec());
+        if sent {
+            let (status, note) = (Status::Ok, Note::Filled);
+            let end = Outcome { id, attempt: 0, status, latency, closed: true, note, waited: 0, load };
+            rig.tell(Event::Outcome(end));
+        }
+    }
+    rig.wait(ms);
+    rig.ask(1000)
+}
+
+#[test]
+fn a_link_that_caches_report_as_full_is_believed_at_once_and_not_for_long() {
+    // The aim is 250 + 2 * 50 ms: at twenty times its 50 ms a fill is late, though nothing of one's own was slow.
+    let fills = |actions: &[Action]| get(actions).is_some_and(|g| g.source != g.server);
+    assert!(!fills(&asked_after_reports(&[0.3, 20.0, 0.5], 10)));
+    assert!(fills(&asked_after_reports(&[0.3, 20.0, 0.5], 8000)), "an old report does not count");
+    for load in [&[0.3, 0.4, 0.5][..], &[], &[0.3], &[f64::NAN; 3], &[0.3, -8.0, 0.5], &[0.3, f64::INFINITY]]
+    {
+        assert!(fills(&asked_after_reports(load, 10)), "{load:?}");
+    }
+}
