Count fills that are out for too long before they end: the origin stops no more

It stops when overrun for 3 s, so whatever holds it back has to act within that time.

Checked: a fill counted against the origin when its attempt ended. At an overrun origin that is after 1 s and more, and an answer comes to a gateway every 0.7 s, so the share withheld begins to grow when the three seconds are nearly over. Ruled out: that withheld fills reach it (they are peeks, which fetch nothing).

Cause: learn() in src/logic.rs was the only place that moved the share; what was still out told it nothing.

Change: the look at what is out, every 20 ms, counts a fetch once it is out for longer than counts as late; its end does not count again. Plain records move to src/records.rs. A test fails without it.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 mod helpers;
 mod interface;
 mod logic;
+mod records;
 pub mod settings;
 
 pub use helpers::{miss_chance, mix, place, unit};
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,6 +5,7 @@
 //! cache plus at most one sibling minimize Eq. (11).
 use crate::helpers::{learned_flows, mean, miss_chance, mix, ranked, unit, Aged, Level, Told, Window};
 use crate::interface::*;
+use crate::records::{Choice, Item};
 use std::collections::{BTreeMap, VecDeque};
 
 /// µs: how long a hit record counts; about as long as a cache keeps what nobody asks for.
@@ -31,7 +32,7 @@
 const USUAL_SPAN: f64 = 10_000_000.0;
 /// µs: how long a report of the link's load counts, and the weight of the newest: noisy, and late.
 const REPORTED: (f64, f64) = (1_000_000.0, 0.4);
-/// Weight of the newest in a server's pace, the time taken over the sending time, and the most a fill counts.
+/// Weight of the newest in a server's pace (time taken over sending time), and the most that a fill counts.
 const PACED: (f64, f64) = (0.3, 4.0);
 /// Time taken over sending time that tells of a jam, and the work (µs) from which no far source alone does.
 const JAMMED: (f64, f64) = (1.4, 100_000.0);
@@ -169,20 +170,6 @@
     }
 }
 
-/// Where an attempt goes, the indications at edge cache and sibling, and the µs it should take.
-#[derive(Default, Clone, Copy)]
-struct Choice {
-    edge: ServerId,
-    source: ServerId,
-    sibling: bool,
-    /// Whether the source is only to give what it holds.
-    peek: bool,
-    /// Whether it is likely to take the location's link.
-    link: bool,
-    positive: [bool; 2],
-    expected: f64,
-}
-
 /// One attempt of a request.
 #[derive(Default)]
 struct Attempt {
@@ -194,6 +181,16 @@
     cancelled: bool,
     edge_failed: bool,
     source_failed: bool,
+    /// Whether it has counted as a fill that comes too late.
+    late: bool,
+}
+
+impl Attempt {
+    /// Whether a parent or the origin fetches what it lacks.
+    fn fetches(&self) -> bool {
+        let Choice { edge, source, sibling, peek, link, .. } = self.to;
+        link && !sibling && !peek && source != edge
+    }
 }
 
 /// A request not yet forgotten.
@@ -227,16 +224,6 @@
     }
 }
 
-/// What is remembered of a part of an object.
-#[derive(Default)]
-struct Item {
-    group: u64,
-    seen: u32,
-    last: Micros,
-    work: Option<f64>,
-    hits: Vec<(ServerId, Micros)>,
-}
-
 /// The decisions of one router.
 #[derive(Default)]
 pub struct Router {
@@ -840,7 +827,7 @@
         let now = self.now;
         let Some(open) = self.open.get_mut(&outcome.id) else { return };
         let attempt = &mut open.attempts[outcome.attempt as usize];
-        let Choice { edge, source, sibling, peek, positive, link, .. } = attempt.to;
+        let Choice { edge, source, sibling, positive, link, .. } = attempt.to;
         let (class, key) = (open.req.class, (open.req.object, open.req.part));
         let (work, sized, known) = (open.work.max(1.0), open.sized, open.sized || open.known);
         let cacheable = !self.settings.classes[class].uncacheable;
@@ -860,7 +847,7 @@
         let failed = attempt.source_failed && !alone
             || outcome.note == Note::OriginFailed
             || outcome.status == Status::Timeout && late;
-        if link && !sibling && !peek && outside && (filled || failed) {
+        if attempt.fetches() && !attempt.late && (filled || failed) {
             // Danger: an origin that slows brings all that it is asked for, too late, until it stops.
             self.unfilled += OVERASKED[2] * (f64::from(u8::from(!filled || late)) - self.unfilled);
         }
@@ -965,6 +952,17 @@
         let overdue = |a: &Attempt| !a.done && !a.cancelled && now >= a.check_at;
         let waits = |o: &Open| !o.closed && !o.streaming && o.attempts.last().is_some_and(overdue);
         let due: Vec<RequestId> = self.open.iter().filter(|(_, o)| waits(o)).map(|(&id, _)| id).collect();
+        // Danger: an origin that is overrun answers nothing for a second, and is asked all that while. Harm: a
+        // large object counts as late before it can be whole.
+        for open in self.open.values_mut().filter(|o| !o.closed) {
+            let class = &self.settings.classes[open.req.class];
+            let aim = LATE * (class.aim as f64 + class.aim_stretch * open.work);
+            let waits = |a: &&mut Attempt| !a.done && !a.late && a.fetches() && now > a.sent + aim as Micros;
+            for attempt in open.attempts.iter_mut().filter(waits) {
+                attempt.late = true;
+                self.unfilled += OVERASKED[2] * (1.0 - self.unfilled);
+            }
+        }
         let mut copies = self.open.values().filter(|o| o.out() > 1).count() as f64;
         let most = 2.0 + SECOND_COPIES * self.open.len() as f64;
         for id in due {
--- /dev/null
+++ b/src/records.rs
@@ -0,0 +1,26 @@
+//! Plain records of the decision module, without any decision.
+use crate::interface::{Micros, ServerId};
+
+/// Where an attempt goes, the indications at edge cache and sibling, and the µs it should take.
+#[derive(Default, Clone, Copy)]
+pub(crate) struct Choice {
+    pub edge: ServerId,
+    pub source: ServerId,
+    pub sibling: bool,
+    /// Whether the source is only to give what it holds.
+    pub peek: bool,
+    /// Whether it is likely to take the location's link.
+    pub link: bool,
+    pub positive: [bool; 2],
+    pub expected: f64,
+}
+
+/// What is remembered of a part of an object.
+#[derive(Default)]
+pub(crate) struct Item {
+    pub group: u64,
+    pub seen: u32,
+    pub last: Micros,
+    pub work: Option<f64>,
+    pub hits: Vec<(ServerId, Micros)>,
+}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1157,3 +1157,19 @@
         assert!(fills(&asked_after_reports(load, 10)), "{load:?}");
     }
 }
+
+#[test]
+fn fills_that_are_out_for_too_long_count_before_they_end() {
+    // An origin that is overrun ends nothing for a second. Late is from 0.55 of 250 + 2 * 50 ms.
+    let later = |ms: Micros| {
+        let mut rig = Rig::new(Settings { siblings: Siblings::None, ..settings() }, fleet());
+        (0..12).for_each(|object| drop(rig.ask(object)));
+        for _ in 0..ms / 20 {
+            rig.wait(20);
+            rig.tell(Event::Timer(0));
+        }
+        (100..130).filter(|&object| get(&rig.ask(object)).is_some_and(|g| g.peek)).count()
+    };
+    assert_eq!(later(160), 0, "none is late yet");
+    assert!(later(300) > 10, "most is withheld: {}", later(300));
+}
