--- a/src/logic.rs
+++ b/src/logic.rs
@@ -952,8 +952,8 @@
         let overdue = |a: &Attempt| !a.done && !a.cancelled && now >= a.check_at;
         let waits = |o: &Open| !o.closed && !o.streaming && o.attempts.last().is_some_and(overdue);
         let due: Vec<RequestId> = self.open.iter().filter(|(_, o)| waits(o)).map(|(&id, _)| id).collect();
-        // Danger: an origin that is overrun answers nothing for a second, and is asked all that while. Harm: a
-        // large object counts as late before it can be whole.
+        // Danger: an origin that is overrun answers nothing for a second, and is asked all that while.
+        // Harm: a large object counts as late before it can be whole.
         for open in self.open.values_mut().filter(|o| !o.closed) {
             let class = &self.settings.classes[open.req.class];
             let aim = LATE * (class.aim as f64 + class.aim_stretch * open.work);
