--- a/gateway/tests/net/platform.rs
+++ b/gateway/tests/net/platform.rs
@@ -119,6 +119,7 @@
     );
 }
 
+/// docs/design/large-fleet.md, invariant 3.
 #[test]
 fn where_handshakes_have_a_price_attempts_share_a_connection() {
     let mut s = Scenario::new(Setup { dead: &["a1"], ..Setup::default() });
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -973,6 +973,7 @@
     assert!(sources(&mut rig, 0..100).contains(&(51, false)));
 }
 
+/// docs/design/large-fleet.md, invariant 1.
 #[test]
 fn a_refused_client_may_come_back_while_its_answer_still_counts() {
     // No cache is left: refused at once. The aim of 250 ms counts from the first try; a client that is sent away
@@ -985,6 +986,7 @@
     assert!((1..=250 * MS / 4).contains(&told.expect("refused")), "{told:?}");
 }
 
+/// docs/design/large-fleet.md, invariant 2.
 #[test]
 fn siblings_that_hold_nothing_are_found_out_together_where_each_is_hardly_seen() {
     // One of a hundred routers sees a request now and then at each of twenty caches: an epoch of q never ends.
@@ -1046,6 +1048,7 @@
     all
 }
 
+/// docs/design/large-fleet.md, invariant 4.
 #[test]
 fn fills_are_withheld_before_an_origin_that_slows_brings_them_all_too_late() {
     // The aim is 250 + 2 * 50 ms. At 250 ms each is still in time, and what is asked next waits longer.
@@ -1057,6 +1060,7 @@
     assert!(sent.iter().all(|g| !g.peek), "none while it is quick");
 }
 
+/// docs/design/large-fleet.md, invariant 5.
 #[test]
 fn a_parent_that_loses_its_fills_at_once_withholds_none_of_the_others() {
     let mut rig = Rig::new(Settings { siblings: Siblings::None, ..settings() }, fleet());
@@ -1068,6 +1072,7 @@
     assert!(sent.iter().filter(|g| g.source == 51).all(|g| !g.peek), "the other fetches");
 }
 
+/// docs/design/large-fleet.md, invariant 6.
 #[test]
 fn part_of_the_objects_of_a_parent_whose_link_is_full_go_to_their_next_home() {
     let ends = |slow: Micros| {
@@ -1118,6 +1123,7 @@
     sent / room
 }
 
+/// docs/design/large-fleet.md, invariant 7.
 #[test]
 fn any_number_of_routers_uses_a_cold_parents_budget_and_none_passes_it() {
     for (routers, least, most) in
@@ -1146,6 +1152,7 @@
     rig.ask(1000)
 }
 
+/// docs/design/large-fleet.md, invariant 8.
 #[test]
 fn a_link_that_caches_report_as_full_is_believed_at_once_and_not_for_long() {
     // The aim is 250 + 2 * 50 ms: at twenty times its 50 ms a fill is late, though nothing of one's own was slow.
@@ -1158,6 +1165,7 @@
     }
 }
 
+/// docs/design/large-fleet.md, invariant 4.
 #[test]
 fn fills_that_are_out_for_too_long_count_before_they_end() {
     // An origin that is overrun ends nothing for a second. Late is from 0.55 of 250 + 2 * 50 ms.
