Move the pooled q every 8 requests: a gateway of a fleet hardly ends an epoch of 50

Cause: count() in src/logic.rs used one epoch for a cache's own q and the pooled one. T is open in the design.

Change: the pooled q moves every 8 requests, a cache's own every 50 as before. The test fails with 50.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -12,8 +12,8 @@
 const RECORD_LIFE: Micros = 12_000_000;
 /// Entries in the record table: minutes of traffic of one router, a few MB.
 const TABLE_SIZE: usize = 50_000;
-/// Requests in an epoch of q (the paper's T), per cache and role: some seconds of one cache's traffic.
-const EPOCH: u32 = 50;
+/// Requests in an epoch of q (the paper's T): of a cache in a role, seconds of its traffic; of all caches.
+const EPOCH: (u32, u32) = (50, 8);
 /// Weight of the newest epoch in q (the paper's delta).
 const DELTA: f64 = 0.25;
 /// Weight of the newest observation in an aged mean: about the last twenty count.
@@ -91,11 +91,11 @@
 
 impl Indicator {
     /// Counts an indication; q moves once an epoch, Eq. (10).
-    fn count(&mut self, positive: bool) {
+    fn count(&mut self, positive: bool, epoch: u32) {
         self.asked += 1;
         self.positive += u32::from(positive);
-        if self.asked == EPOCH {
-            let seen = f64::from(self.positive) / f64::from(EPOCH);
+        if self.asked == epoch {
+            let seen = f64::from(self.positive) / f64::from(epoch);
             self.q = Some(self.q.map_or(seen, |old| DELTA * seen + (1.0 - DELTA) * old));
             (self.asked, self.positive) = (0, 0);
         }
@@ -507,12 +507,12 @@
         let Some(edge) = self.servers.get_mut(&choice.edge) else { return };
         edge.out.step(1.0, now, LOAD_SPAN);
         self.out.step(1.0, now, LOAD_SPAN);
-        edge.roles[EDGE].count(record);
-        self.all[EDGE].count(record);
+        edge.roles[EDGE].count(record, EPOCH.0);
+        self.all[EDGE].count(record, EPOCH.1);
         self.filling.step(f64::from(u8::from(choice.link)), now, LOAD_SPAN);
         if let (true, Some(s)) = (choice.sibling, self.servers.get_mut(&choice.source)) {
-            s.roles[SOURCE].count(choice.positive[1]);
-            self.all[SOURCE].count(choice.positive[1]);
+            s.roles[SOURCE].count(choice.positive[1], EPOCH.0);
+            self.all[SOURCE].count(choice.positive[1], EPOCH.1);
         }
         if let Some(open) = self.open.get_mut(&id) {
             let (to, sent, check_at) = (choice, now, now + patience);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1020,7 +1020,8 @@
         named.push(siblings);
     }
     assert!(named[..20].iter().sum::<usize>() > 0, "an unheard sibling is tried");
-    assert_eq!(named[150..].iter().sum::<usize>(), 0, "{named:?}");
+    // Within a few seconds of one router: in all it names some twenty before the end of a day of 24 s.
+    assert_eq!(named[25..].iter().sum::<usize>(), 0, "{named:?}");
 }
 
 /// Asks for so many objects; each fill ends as told by its source. Returns what was sent first for each.
