Write the aim of an answer, the learned flows and the tests' outcomes once each

Need: on reading the change again, aim + stretch x sending time stood in three places of src/logic.rs, learned_flows() was called twice with the same two constants, and 16 tests spelt out all eight fields of an outcome to leave two of them empty.

Change: Class::aim_of, one closure in learn(), and ended() in tests/module.rs; no assertion is touched.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -124,6 +124,13 @@
     pub report: Vec<String>,
 }
 
+impl Class {
+    /// Time within which an answer of this sending time (µs) earns the full worth.
+    pub fn aim_of(&self, work: f64) -> f64 {
+        self.aim as f64 + self.aim_stretch * work
+    }
+}
+
 impl Settings {
     /// What a cache's report says of its location's link: transfers over those that fit at full pace.
     pub fn link_told(&self, load: &[f64]) -> Option<f64> {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -774,7 +774,7 @@
     fn in_time(&self, open: &Open, class: &Class, edge: f64, miss: f64) -> bool {
         let guess = self.link.map_or(1.0, |flows| (self.link_load() + 1.0) / flows);
         let link = self.link_told.or(guess, self.now, REPORTED.0);
-        let aim = class.aim as f64 + class.aim_stretch * open.work;
+        let aim = class.aim_of(open.work);
         let stretch = edge + miss * (link - edge).max(0.0);
         let least = open.least() * stretch + miss * self.penalty.or(FIRST_PENALTY).min(FIRST_PENALTY);
         open.work * stretch <= aim * if open.sized { IN_TIME.0 } else { IN_TIME.1 }
@@ -840,7 +840,7 @@
         attempt.source_failed |= blame == Blame::Source || outcome.status == Status::Miss;
         // Danger: clients of little patience leave before a fill can come; that tells nothing of the origin.
         let set = &self.settings.classes[class];
-        let late = outcome.latency as f64 > LATE * (set.aim as f64 + set.aim_stretch * work);
+        let late = outcome.latency as f64 > LATE * set.aim_of(work);
         // Danger: a parent that is gone or errs says so at once. Laid to the origin, it withholds the fills
         // of all healthy parents; that parent alone is left to trials.
         let alone = outcome.note == Note::SourceLost && !late;
@@ -853,6 +853,7 @@
         }
         let excess = (outcome.latency as f64 - work).max(0.0);
         let pace = outcome.latency as f64 / (work + FIRST_COST);
+        let learned = |old, pace, load| learned_flows(2.0 * AGEING, JAMMED.0, old, pace, load);
         self.out.step(-1.0, now, LOAD_SPAN);
         if link {
             self.filling.step(-1.0, now, LOAD_SPAN);
@@ -861,7 +862,7 @@
             if tells && (self.link.is_some() || pace > JAMMED.0) {
                 let (load, least) = (self.link_load(), self.link_floor());
                 let old = self.link.unwrap_or(least / LINK_LEAST);
-                self.link = Some(learned_flows(2.0 * AGEING, JAMMED.0, old, pace, load).max(least));
+                self.link = Some(learned(old, pace, load).max(least));
             }
         }
         // Danger: of many routers each sees little of the link, and takes an idle one for full by what it
@@ -889,13 +890,7 @@
                     s.paced(now, pace);
                 }
                 if sized && work > 20_000.0 && warm {
-                    s.flows = Some(learned_flows(
-                        2.0 * AGEING,
-                        JAMMED.0,
-                        usual,
-                        outcome.latency as f64 / work,
-                        load,
-                    ));
+                    s.flows = Some(learned(usual, outcome.latency as f64 / work, load));
                 }
             }
             if cacheable && (hit || filled || outcome.status == Status::Miss) {
@@ -956,7 +951,7 @@
         // Harm: a large object counts as late before it can be whole.
         for open in self.open.values_mut().filter(|o| !o.closed) {
             let class = &self.settings.classes[open.req.class];
-            let aim = LATE * (class.aim as f64 + class.aim_stretch * open.work);
+            let aim = LATE * class.aim_of(open.work);
             let waits = |a: &&mut Attempt| !a.done && !a.late && a.fetches() && now > a.sent + aim as Micros;
             for attempt in open.attempts.iter_mut().filter(waits) {
                 attempt.late = true;
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -36,6 +36,17 @@
     hosts
 }
 
+/// The end of an attempt of which its store reported nothing more.
+fn ended(
+    id: RequestId,
+    attempt: u64,
+    (status, note): (Status, Note),
+    latency: Micros,
+    closed: bool,
+) -> Outcome {
+    Outcome { id, attempt, status, latency, closed, note, waited: 0, load: Vec::new() }
+}
+
 struct Rig {
     router: Router,
     now: Micros,
@@ -64,16 +75,7 @@
     fn answer(&mut self, attempt: u64, status: Status, note: Note) -> Vec<Action> {
         let closed = status == Status::Ok;
         let (id, latency) = (self.next, 60 * MS);
-        self.tell(Event::Outcome(Outcome {
-            id,
-            attempt,
-            status,
-            latency,
-            closed,
-            note,
-            waited: 0,
-            load: Vec::new(),
-        }))
+        self.tell(Event::Outcome(ended(id, attempt, (status, note), latency, closed)))
     }
     fn serve(&mut self, object: ObjectId, note: Note) -> Get {
         let sent = get(&self.ask(object)).expect("sent");
@@ -394,30 +396,12 @@
         if sent.is_some_and(|sent| sent.source == sent.server) {
             looked += 1;
             let (status, latency, closed) = (Status::Miss, MS, false);
-            let end = rig.tell(Event::Outcome(Outcome {
-                id,
-                attempt,
-                status,
-                latency,
-                closed,
-                note,
-                waited: 0,
-                load: Vec::new(),
-            }));
+            let end = rig.tell(Event::Outcome(ended(id, attempt, (status, note), latency, closed)));
             assert!(refused(&end), "nothing is filled after the look");
         } else if id > 20 {
             // Fills take 2.4 s for what alone takes 0.3 s.
             let (id, status, latency, closed) = (id - 20, Status::Ok, 2400 * MS, true);
-            rig.tell(Event::Outcome(Outcome {
-                id,
-                attempt,
-                status,
-                latency,
-                closed,
-                note: Note::Filled,
-                waited: 0,
-                load: Vec::new(),
-            }));
+            rig.tell(Event::Outcome(ended(id, attempt, (status, Note::Filled), latency, closed)));
         }
     }
     assert!(looked > 20, "{looked}");
@@ -436,16 +420,7 @@
         if id >= 250 {
             let (attempt, status, note) = (0, Status::Ok, Note::Filled);
             let latency = 1500 * MS;
-            rig.tell(Event::Outcome(Outcome {
-                id: id - 150,
-                attempt,
-                status,
-                latency,
-                closed: true,
-                note,
-                waited: 0,
-                load: Vec::new(),
-            }));
+            rig.tell(Event::Outcome(ended(id - 150, attempt, (status, note), latency, true)));
         }
     }
     assert!(declined > 50, "{declined}");
@@ -458,16 +433,7 @@
         rig.wait(500);
         rig.ask(object);
         let (id, latency, status) = (rig.next, 2000 * MS, Status::Error);
-        let end = Outcome {
-            id,
-            attempt: 0,
-            status,
-            latency,
-            closed: false,
-            note: Note::None,
-            waited: 0,
-            load: Vec::new(),
-        };
+        let end = ended(id, 0, (status, Note::None), latency, false);
         rig.tell(Event::Outcome(end));
         rig.answer(1, Status::Ok, Note::Filled);
     }
@@ -592,16 +558,7 @@
         let req = Request { id, object: id, ttl, size_kb, ..Request::default() };
         assert!(get(&rig.tell(Event::Request(req))).is_some(), "request {id} was declined");
         let (status, latency, note) = (Status::Ok, 320 * MS, Note::Filled);
-        rig.tell(Event::Outcome(Outcome {
-            id,
-            attempt: 0,
-            status,
-            latency,
-            closed: true,
-            note,
-            waited: 0,
-            load: Vec::new(),
-        }));
+        rig.tell(Event::Outcome(ended(id, 0, (status, note), latency, true)));
     }
 }
 
@@ -683,16 +640,7 @@
         // The origin brings everything, long after it was wanted; parents bring what they hold at once.
         let late = if sent.peek { 60 * MS } else { 2000 * MS };
         let (id, status, note) = (rig.next, Status::Ok, Note::Filled);
-        let end = Outcome {
-            id,
-            attempt: 0,
-            status,
-            latency: late,
-            closed: true,
-            note,
-            waited: 0,
-            load: Vec::new(),
-        };
+        let end = ended(id, 0, (status, note), late, true);
         rig.tell(Event::Outcome(end));
     }
     assert!(peeks > 60, "{peeks} of 100 spare the origin");
@@ -713,16 +661,7 @@
         assert!(sent.is_some(), "object {object} is not tried");
         let (id, status, note) = (rig.next, Status::Timeout, Note::None);
         rig.wait(60);
-        rig.tell(Event::Outcome(Outcome {
-            id,
-            attempt: 0,
-            status,
-            latency: 60 * MS,
-            closed: false,
-            note,
-            waited: 0,
-            load: Vec::new(),
-        }));
+        rig.tell(Event::Outcome(ended(id, 0, (status, note), 60 * MS, false)));
     }
     assert!(refused(&ask(&mut rig, 100, 10 * MS)), "none is that small");
     for object in 200..220 {
@@ -742,16 +681,7 @@
         late += usize::from(slow);
         let (id, latency) = (rig.next, if slow { 400 * MS } else { 55 * MS });
         let (status, note) = (Status::Ok, Note::Hit);
-        rig.tell(Event::Outcome(Outcome {
-            id,
-            attempt: 0,
-            status,
-            latency,
-            closed: true,
-            note,
-            waited: 0,
-            load: Vec::new(),
-        }));
+        rig.tell(Event::Outcome(ended(id, 0, (status, note), latency, true)));
     }
     assert!(late < 20, "{late} of 100 to a cache eight times slower than its like");
 }
@@ -778,8 +708,7 @@
     assert!(get(&rig.tell(Event::Request(req(0)))).is_some());
     assert_eq!(rig.tell(Event::Request(req(0))), [], "an id used twice is answered once");
     let (status, latency, note) = (Status::Ok, MS, Note::Hit);
-    let unknown =
-        Outcome { id: 77, attempt: 3, status, latency, closed: true, note, waited: 0, load: Vec::new() };
+    let unknown = ended(77, 3, (status, note), latency, true);
     assert!(get(&rig.tell(Event::Outcome(unknown))).is_none());
 }
 
@@ -838,16 +767,7 @@
             let (status, note) =
                 if lost { (Status::Timeout, Note::None) } else { (Status::Ok, Note::Filled) };
             let latency = if lost { 2800 * MS } else { 310 * MS };
-            rig.tell(Event::Outcome(Outcome {
-                id,
-                attempt: 0,
-                status,
-                latency,
-                closed: true,
-                note,
-                waited: 0,
-                load: Vec::new(),
-            }));
+            rig.tell(Event::Outcome(ended(id, 0, (status, note), latency, true)));
         }
     }
 }
@@ -864,16 +784,7 @@
         get(&rig.tell(Event::Request(request))).filter(|g| g.source != g.server).map(|_| rig.next)
     };
     let end = |rig: &mut Rig, id, note, latency| {
-        let outcome = Outcome {
-            id,
-            attempt: 0,
-            status: Status::Ok,
-            latency,
-            closed: true,
-            note,
-            waited: 0,
-            load: Vec::new(),
-        };
+        let outcome = ended(id, 0, (Status::Ok, note), latency, true);
         rig.tell(Event::Outcome(outcome));
     };
     // The class is known to take 200 ms; the objects that follow are all new, and larger than that.
@@ -908,16 +819,7 @@
             let (id, latency) = (rig.next, 5 * MS);
             rig.wait(20);
             let (status, note) = (Status::Ok, Note::Filled);
-            rig.tell(Event::Outcome(Outcome {
-                id,
-                attempt: 0,
-                status,
-                latency,
-                closed: true,
-                note,
-                waited: 0,
-                load: Vec::new(),
-            }));
+            rig.tell(Event::Outcome(ended(id, 0, (status, note), latency, true)));
             get.expect("an attempt")
         })
         .collect()
@@ -950,16 +852,7 @@
     let object = (0..400u64).find(|n| sources(&mut rig, *n..*n + 1) == [(50, true)]).expect("one that moves");
     rig.ask(1000 + object);
     let id = rig.next;
-    let again = rig.tell(Event::Outcome(Outcome {
-        id,
-        attempt: 0,
-        status: Status::Miss,
-        latency: 5 * MS,
-        closed: false,
-        note: Note::SourceLacks,
-        waited: 0,
-        load: Vec::new(),
-    }));
+    let again = rig.tell(Event::Outcome(ended(id, 0, (Status::Miss, Note::SourceLacks), 5 * MS, false)));
     assert!(
         again.iter().any(|a| matches!(a, Action::Get(get) if get.source == 51 && !get.peek)),
         "{again:?}"
@@ -1005,16 +898,7 @@
         }
         if sent.source >= 50 {
             let (id, latency) = (rig.next, 300 * MS);
-            let filled = Outcome {
-                id,
-                attempt,
-                status: Status::Ok,
-                latency,
-                closed: true,
-                note: Note::Filled,
-                waited: 0,
-                load: Vec::new(),
-            };
+            let filled = ended(id, attempt, (Status::Ok, Note::Filled), latency, true);
             rig.tell(Event::Outcome(filled));
         }
         named.push(siblings);
@@ -1033,16 +917,7 @@
         let (status, note, latency) =
             if sent.peek { (Status::Miss, Note::SourceLacks, 20 * MS) } else { end(sent.source) };
         let (id, closed) = (rig.next, status == Status::Ok);
-        rig.tell(Event::Outcome(Outcome {
-            id,
-            attempt: 0,
-            status,
-            latency,
-            closed,
-            note,
-            waited: 0,
-            load: Vec::new(),
-        }));
+        rig.tell(Event::Outcome(ended(id, 0, (status, note), latency, closed)));
         rig.tell(Event::Gone(id));
         all.push(sent);
     }
