--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -3,11 +3,12 @@
 use crate::hierarchy::{self, HierarchyFile};
 use crate::signed::{token::Parties, Keys, Secret};
 use larchway::settings::{as_f64, as_u64, get, read_value};
-use larchway::{Micros, Settings};
+use larchway::{Class, Micros, Settings};
 use larchway_members::{format::Defaults, Policy};
 use miniserde::json::{self, Value};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -35,15 +36,34 @@
     pub items: Vec<Item>,
     /// The module's settings.
     pub settings: Settings,
+    /// The classes in the order of the file; the core gives them slots.
+    pub classes: Vec<(String, ClassTerms)>,
     /// What the wires need of the settings.
     pub terms: Terms,
+    /// Where operators call, if they may.
+    pub console: Option<SocketAddr>,
+    /// The keys that the file holds.
+    pub shape: Shape,
+}
+
+/// A class as a request keeps it to its end.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct ClassTerms {
+    /// What the module needs of it.
+    pub class: Class,
+    /// How long a client waits in all.
+    pub deadline: Micros,
+    /// Whether its requests carry an idempotency key.
+    pub keyed: bool,
 }
 
 /// Names and limits of the settings that concern the wires.
 #[derive(Debug, Clone, Default)]
 pub struct Terms {
-    /// Names of the classes.
+    /// Names of the classes, by slot.
     pub classes: Vec<String>,
+    /// By slot, whether only requests under way have that class.
+    pub retired: Vec<bool>,
     /// Attempts that a connection to a store carries before another one is opened.
     pub streams: usize,
     /// Names of the values in a store's report of its load.
@@ -108,14 +128,27 @@
 }
 
 impl Terms {
-    /// Whether these names can take the place of others while requests are open. Requests and stores are kept
-    /// by the places of their class, zone and kind, so names may be added behind the others but not changed.
+    /// Takes the classes, in the order of their slots.
+    pub fn name<'a>(&mut self, classes: &mut dyn Iterator<Item = (&'a str, &'a ClassTerms, bool)>) {
+        (self.classes, self.retired, self.deadlines, self.keyed) = Default::default();
+        for (name, terms, current) in classes {
+            self.classes.push(name.to_string());
+            self.retired.push(!current);
+            self.deadlines.push(terms.deadline);
+            self.keyed.push(terms.keyed);
+        }
+    }
+
+    /// The slot of a class that new requests may have.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        let retired = |at: usize| self.retired.get(at) == Some(&true);
+        self.classes.iter().enumerate().position(|(at, n)| n == name && !retired(at))
+    }
+
+    /// Whether these names can take the place of others while requests are open. Stores are kept by the places of
+    /// their zone and kind, so those names may be added behind the others but not changed.
     pub fn extends(&self, old: &Terms) -> Result<(), String> {
-        for (key, new, old) in [
-            ("services", &self.classes, &old.classes),
-            ("zones", &self.zones, &old.zones),
-            ("models", &self.kinds, &old.kinds),
-        ] {
+        for (key, new, old) in [("zones", &self.zones, &old.zones), ("models", &self.kinds, &old.kinds)] {
             if !new.starts_with(old) {
                 return Err(format!("settings.{key} may only grow while the gateway runs"));
             }
@@ -128,7 +161,8 @@
 fn from_env() -> Result<Config, String> {
     let path = std::env::var("EDGE_CONFIG").map_err(|_| "EDGE_CONFIG is not set".to_string())?;
     let text = std::fs::read_to_string(&path).map_err(|e| format!("EDGE_CONFIG: cannot read {path}: {e}"))?;
-    read(&text, std::env::var("EDGE_NAME").ok(), std::env::var("EDGE_LISTEN").ok())
+    let told = |name: &str| std::env::var(name).ok();
+    read(&text, told("EDGE_NAME"), told("EDGE_LISTEN"), told("EDGE_CONSOLE"))
 }
 
 /// Reads JSON text of any kind.
@@ -204,12 +238,6 @@
 fn terms(settings: &Value) -> Result<Terms, String> {
     let none = Value::Null;
     let limits = get(settings, "limits").unwrap_or(&none);
-    let class = |v: &Value| {
-        text(v, "name")
-            .map_err(|e| format!("settings.services: {e}"))?
-            .map(str::to_string)
-            .ok_or_else(|| "settings.services: name is missing".to_string())
-    };
     let span = |key: &str, default: f64| match get(limits, key) {
         None => Ok(larchway::settings::micros(default)),
         Some(v) => as_f64(v)
@@ -218,15 +246,7 @@
             .ok_or_else(|| format!("settings.limits.{key} must be a number above 0")),
     };
     let nested = |e: String| format!("settings.{e}");
-    let deadline = |v: &Value| {
-        let ms = get(v, "deadlineMs").map_or(Some(3000.0), as_f64).filter(|ms| *ms > 0.0);
-        ms.map(larchway::settings::micros).ok_or("settings.services: deadlineMs must be a number above 0")
-    };
-    let services = list(settings, "services").map_err(nested)?;
     Ok(Terms {
-        classes: services.iter().map(class).collect::<Result<_, _>>()?,
-        keyed: services.iter().map(|v| text(v, "effect") == Ok(Some("token"))).collect(),
-        deadlines: services.iter().map(deadline).collect::<Result<_, _>>()?,
         zones: texts(settings, "zones").map_err(nested)?,
         report: texts(get(settings, "report").unwrap_or(&none), "fields")
             .map_err(|e| format!("settings.report.{e}"))?,
@@ -234,11 +254,147 @@
         kinds: texts(settings, "models").map_err(nested)?,
         connect_timeout: span("connectTimeoutMs", 400.0)?,
         idle: span("connIdleMs", 30_000.0)?,
+        ..Terms::default()
     })
 }
 
+/// A number above 0 that must be there.
+fn above_0(value: &Value, key: &str) -> Result<f64, String> {
+    let told = get(value, key).ok_or_else(|| format!("{key} is missing"))?;
+    as_f64(told)
+        .filter(|n| *n > 0.0 && n.is_finite())
+        .ok_or_else(|| format!("{key} must be a number above 0"))
+}
+
+/// One of these words, where there is one. A word that is not known would pass for the mildest.
+fn one_of(value: &Value, key: &str, words: &[&str]) -> Result<(), String> {
+    match text(value, key)? {
+        Some(word) if !words.contains(&word) => {
+            Err(format!("{key}: {word:?} is none of {}", words.join(", ")))
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Reads one class; errors name the key within it.
+fn class_terms(value: &Value, class: &Class) -> Result<(String, ClassTerms), String> {
+    let name = text(value, "name")?.ok_or("name is missing")?;
+    // It goes to stores within a list of fields, which it must not add to.
+    if name.is_empty() || name.contains([',', '=']) || name.chars().any(char::is_control) {
+        return Err(format!("name: {name:?} cannot name a class"));
+    }
+    let deadline = larchway::settings::micros(above_0(value, "deadlineMs")?);
+    one_of(value, "effect", &["pure", "token", "side_effect"])?;
+    one_of(value, "group", &["all", "zone", "cell"])?;
+    for key in ["targetMs", "windowMs", "aimStretch"] {
+        if get(value, key).is_some_and(|v| as_f64(v).is_none_or(|n| n.is_nan() || n < 0.0)) {
+            return Err(format!("{key} must be a number from 0"));
+        }
+    }
+    let keyed = text(value, "effect")? == Some("token");
+    Ok((name.to_string(), ClassTerms { class: class.clone(), deadline, keyed }))
+}
+
+/// Reads the classes.
+fn classes(settings: &Value, read: &Settings) -> Result<Vec<(String, ClassTerms)>, String> {
+    let services = list(settings, "services").map_err(|e| format!("settings.{e}"))?;
+    if services.is_empty() {
+        return Err("settings.services is missing or empty".into());
+    }
+    let mut found: Vec<(String, ClassTerms)> = Vec::new();
+    for (at, (value, class)) in services.iter().zip(&read.classes).enumerate() {
+        let (name, terms) = class_terms(value, class).map_err(|e| format!("settings.services[{at}].{e}"))?;
+        if found.iter().any(|(n, _)| *n == name) {
+            return Err(format!("settings.services[{at}].name: {name:?} stands twice"));
+        }
+        found.push((name, terms));
+    }
+    // Danger: a list that is short of a class would have its writes kept like any object.
+    let none = Value::Null;
+    let info = get(settings, "familyInfo").unwrap_or(&none);
+    for key in ["lifetimeByClassMs", "graceForMs", "neverKept"] {
+        let told = list(info, key).map_err(|e| format!("settings.familyInfo.{e}"))?;
+        if !told.is_empty() && told.len() < services.len() {
+            return Err(format!(
+                "settings.familyInfo.{key} has {} of {} classes",
+                told.len(),
+                services.len()
+            ));
+        }
+    }
+    let limits = get(settings, "limits").unwrap_or(&none);
+    above_0(limits, "maxAttempts").map_err(|e| format!("settings.limits.{e}"))?;
+    Ok(found)
+}
+
+/// The keys of a file and the kind of value that each has; of classes those that all have. The platform writes its
+/// files whole: a key that the file in force has and the next one lacks is a sign of a file cut short or of a slip.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Shape(BTreeMap<String, &'static str>);
+
+impl Shape {
+    /// Of a file.
+    pub fn of(file: &Value) -> Self {
+        let mut keys = BTreeMap::new();
+        collect(file, "", &mut keys);
+        Shape(keys)
+    }
+
+    /// Whether a file of this shape can take the place of one of another. What is to go is set to null.
+    pub fn replaces(&self, old: &Shape) -> Result<(), String> {
+        for (key, kind) in &old.0 {
+            match self.0.get(key) {
+                None => return Err(format!("{key} is missing, and the file in force has it")),
+                Some(found) if found != kind && ![*found, *kind].contains(&"null") => {
+                    return Err(format!("{key} is of another type: {found}, and {kind} in the file in force"))
+                }
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+}
+
+fn collect(value: &Value, path: &str, keys: &mut BTreeMap<String, &'static str>) {
+    let Value::Object(members) = value else { return };
+    for (key, value) in members {
+        let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+        let kind = match value {
+            Value::Null => "null",
+            Value::Bool(_) => "a truth value",
+            Value::Number(_) => "a number",
+            Value::String(_) => "a string",
+            Value::Array(_) => "a list",
+            Value::Object(_) => "an object",
+        };
+        keys.insert(path.clone(), kind);
+        match value {
+            Value::Array(items) if path == "settings.services" => {
+                let mut common: Option<BTreeMap<String, &'static str>> = None;
+                for item in items.iter() {
+                    let mut own = BTreeMap::new();
+                    collect(item, "settings.services[]", &mut own);
+                    common = Some(match common {
+                        None => own,
+                        Some(all) => all.into_iter().filter(|(k, v)| own.get(k) == Some(v)).collect(),
+                    });
+                }
+                keys.extend(common.unwrap_or_default());
+            }
+            // What is known is news, not configuration.
+            _ if path == "known" => {}
+            value => collect(value, &path, keys),
+        }
+    }
+}
+
 /// Reads the configuration; what the environment names goes before what the file says.
-pub fn read(text_: &str, name: Option<String>, listen: Option<String>) -> Result<Config, String> {
+pub fn read(
+    text_: &str,
+    name: Option<String>,
+    listen: Option<String>,
+    console: Option<String>,
+) -> Result<Config, String> {
     let all = parse(text_)?;
     let none = Value::Null;
     let name = match name {
@@ -256,10 +412,14 @@
     let limits = get(&all, "limits").unwrap_or(&none);
     let limit = |key, default, least| whole(limits, key, default, least).map_err(|e| format!("limits.{e}"));
     let settings = get(&all, "settings").ok_or("settings is missing")?;
-    let terms = terms(settings)?;
-    if terms.classes.is_empty() {
-        return Err("settings.services is missing or empty".into());
-    }
+    let mut terms = terms(settings)?;
+    let read = read_value(settings).map_err(|e| format!("settings: {e}"))?;
+    let classes = classes(settings, &read)?;
+    terms.name(&mut classes.iter().map(|(name, terms)| (&name[..], terms, true)));
+    let console = match console {
+        Some(c) => Some(c.parse().map_err(|_| format!("EDGE_CONSOLE: {c:?} is not an address with a port"))?),
+        None => address(&all, "console")?,
+    };
     let known = get(&all, "known").unwrap_or(&none);
     let items = list(known, "items").map_err(|e| format!("known.{e}"))?;
     let item = |v: &Value| bulletin::item(v, &terms).map_err(|e| format!("known.items: {e}"));
@@ -272,8 +432,11 @@
         bulletin: address(&all, "bulletin")?,
         known: whole(known, "no", 0, 0).map_err(|e| format!("known.{e}"))?,
         items: items.iter().map(item).collect::<Result<_, _>>()?,
-        settings: read_value(settings).map_err(|e| format!("settings: {e}"))?,
+        settings: read,
+        classes,
         terms,
+        console,
+        shape: Shape::of(&all),
     })
 }
 
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -1,6 +1,7 @@
 //! Requests, attempts and outcomes: feeds the module its events and carries out its actions. Knows no wire and
 //! no socket; the clock is an argument. Each request gets its final answer exactly once.
 use crate::bulletin::{News, Store};
+use crate::config::ClassTerms;
 use crate::deadlines::{Deadlines, Due};
 use crate::slots::{Key, Slots};
 use larchway::{
@@ -8,6 +9,8 @@
     State, Status,
 };
 use larchway_members::witness::Evidence;
+use larchway_operations::classes::Heir;
+use larchway_operations::{Book, End, Tally};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// µs before the client's own deadline at which the final answer goes out: the request was on its way for a
@@ -114,7 +117,10 @@
 /// The core of a gateway.
 pub struct Core {
     router: Router,
-    fresh: Vec<Micros>,
+    /// The classes by slot: each request keeps its own to its end.
+    pub classes: Book<ClassTerms>,
+    /// What operators read of requests and attempts.
+    pub tally: Tally,
     requests: Slots<Open>,
     calls: BTreeSet<String>,
     attempts: Slots<Attempt>,
@@ -146,10 +152,11 @@
 
 impl Core {
     /// A core that knows only its settings.
-    pub fn new(settings: Settings, seed: u64) -> Self {
+    pub fn new(seed: u64) -> Self {
         Core {
-            fresh: settings.classes.iter().map(|c| c.fresh).collect(),
-            router: Router::new(settings, seed),
+            router: Router::new(Settings::default(), seed),
+            classes: Book::default(),
+            tally: Tally::default(),
             requests: Slots::default(),
             calls: BTreeSet::new(),
             attempts: Slots::default(),
@@ -164,10 +171,44 @@
         }
     }
 
-    /// Puts settings in the place of those in force; requests, attempts and what was learned stay.
-    pub fn configure(&mut self, settings: Settings) {
-        self.fresh = settings.classes.iter().map(|c| c.fresh).collect();
-        self.router.configure(settings);
+    /// Puts settings and classes in the place of those in force; requests, attempts and what was learned stay.
+    /// Returns the settings with the classes in their slots.
+    pub fn configure(&mut self, settings: Settings, classes: Vec<(String, ClassTerms)>) -> Settings {
+        let heirs = self.classes.replace(classes);
+        let heirs: Vec<_> = heirs
+            .into_iter()
+            .map(|heir| match heir {
+                Heir::New(to) => (None, to),
+                Heir::Of { from, to } => (Some(from), to),
+            })
+            .collect();
+        self.tally.declare(self.classes.current().map(|(_, name, _)| name));
+        let classes = self.classes.all().map(|(_, terms)| terms.class.clone()).collect();
+        let settings = Settings { classes, ..settings };
+        self.router.configure(settings.clone(), &heirs);
+        settings
+    }
+
+    /// Puts settings of the same classes in force.
+    pub fn adjust(&mut self, settings: Settings) {
+        self.router.configure(settings, &[]);
+    }
+
+    /// The stores that the module avoids now by its own choice.
+    pub fn avoided(&self, now: Micros) -> impl Iterator<Item = ServerId> + '_ {
+        self.router.avoided(now)
+    }
+
+    /// A request that can be read was refused before it was taken in.
+    pub fn turn_away(&mut self, class: usize) {
+        self.tally.taken();
+        self.ended(class, End::Dropped);
+    }
+
+    fn ended(&mut self, class: usize, end: End) {
+        if let Some((name, _)) = self.classes.get(class) {
+            self.tally.ended(name, end);
+        }
     }
 
     /// How many requests have not ended, answered ones with attempts out among them.
@@ -189,6 +230,8 @@
         let ttl = ask.ttl.saturating_sub((ask.ttl / MARGIN.2).clamp(MARGIN.1, MARGIN.0));
         let (class, object, part, group) = (ask.class, ask.object, ask.part, ask.group);
         self.held += ask.body.len();
+        self.tally.taken();
+        self.classes.hold(class);
         let open = Open { ticket, ask, deadline: now + ttl, attempts: Vec::new(), out: 0, answered: false };
         let key = self.requests.insert(open);
         self.deadlines.set(now + ttl, Due::Request(key));
@@ -206,6 +249,8 @@
     pub fn gone(&mut self, now: Micros, request: Key) {
         let Some(open) = self.requests.get_mut(request).filter(|r| !r.answered) else { return };
         open.answered = true;
+        let class = open.ask.class;
+        self.ended(class, End::BadGateway);
         self.feed(now, Event::Gone(request.0));
     }
 
@@ -270,7 +315,9 @@
                 // Guards the promise of one final answer even where the module has none to give.
                 if let Some(open) = self.requests.get_mut(key).filter(|r| !r.answered) {
                     open.answered = true;
+                    let class = open.ask.class;
                     self.orders.push_back(Order::Failed(open.ticket, true));
+                    self.ended(class, End::BadGateway);
                     self.feed(now, Event::Gone(key.0));
                 }
             }
@@ -307,7 +354,7 @@
         let get = &attempt.get;
         let stop = get.stop_at.unwrap_or(open.deadline).min(open.deadline);
         let source = (get.source != get.server).then(|| self.stores.get(&get.source)).flatten();
-        let fresh = self.fresh.get(open.ask.class).copied().unwrap_or(0);
+        let fresh = self.classes.get(open.ask.class).map_or(0, |(_, terms)| terms.class.fresh);
         // A bound below the fresh time stems from a purge: it moves on with the clock while an attempt waits.
         let waited = now.saturating_sub(attempt.at);
         let within = match get.max_age {
@@ -356,7 +403,7 @@
         open.out -= 1;
         let served = status == Status::Ok && !open.answered;
         open.answered |= served;
-        let ticket = open.ticket;
+        let (ticket, class) = (open.ticket, open.ask.class);
         let outcome = Outcome {
             id: attempt.request.0,
             attempt: attempt.number,
@@ -367,6 +414,9 @@
             waited,
             load,
         };
+        if served {
+            self.ended(class, End::Passed);
+        }
         self.feed(now, Event::Outcome(outcome));
         self.sweep(attempt.request);
         served.then_some(ticket)
@@ -387,6 +437,7 @@
             if let Some(open) = self.requests.remove(key) {
                 self.held -= open.ask.body.len();
                 self.calls.remove(&open.ask.call);
+                self.classes.release(open.ask.class);
                 self.deadlines.clear(open.deadline, Due::Request(key));
             }
         }
@@ -471,7 +522,11 @@
     fn finish(&mut self, key: Key, order: impl FnOnce(Ticket) -> Order) {
         let Some(open) = self.requests.get_mut(key).filter(|r| !r.answered) else { return };
         open.answered = true;
-        self.orders.push_back(order(open.ticket));
+        let class = open.ask.class;
+        let order = order(open.ticket);
+        let refused = matches!(order, Order::Refused(..));
+        self.orders.push_back(order);
+        self.ended(class, if refused { End::Dropped } else { End::BadGateway });
         self.sweep(key);
     }
 }
@@ -491,9 +546,10 @@
 
     fn core() -> Core {
         let class = |aim, effect, fresh| Class { aim, aim_stretch: 2.0, effect, fresh, ..Class::default() };
-        let classes = vec![class(600 * MS, Effect::Pure, 0), class(400 * MS, Effect::Pure, 8000 * MS)];
+        let classes = [class(600 * MS, Effect::Pure, 0), class(400 * MS, Effect::Pure, 8000 * MS)];
+        let terms = |c: &Class| ClassTerms { class: c.clone(), deadline: 6000 * MS, keyed: false };
+        let classes = classes.iter().zip(["files", "status"]).map(|(c, n)| (n.into(), terms(c))).collect();
         let settings = Settings {
-            classes,
             parent_kind: Some(1),
             origin_kind: Some(2),
             cancel: true,
@@ -501,7 +557,8 @@
             max_attempts: 8,
             ..Settings::default()
         };
-        let mut core = Core::new(settings, 1);
+        let mut core = Core::new(1);
+        core.configure(settings, classes);
         let stores = vec![
             store(1, 0, State::Up),
             store(2, 0, State::Up),
@@ -642,4 +699,70 @@
         assert_eq!(orders.iter().filter(|o| **o == Order::Failed(ticket(1), true)).count(), 1);
         assert_eq!((core.open(), core.unanswered()), (0, 0));
     }
+
+    /// Invariant 1 of `docs/design/operations.md`, over random histories, against what the sockets were told.
+    #[test]
+    fn each_request_taken_is_counted_once_by_how_it_ended() {
+        for seed in 0..40u64 {
+            let mut drawn = 0;
+            let mut draw = |most: u64| {
+                drawn += 1;
+                larchway::mix(larchway::mix(seed + 1) ^ larchway::mix(drawn)) % most
+            };
+            let mut core = core();
+            let (mut at, mut taken, mut left) = (START, 0u64, 0u64);
+            let mut counted = [0u64; 3];
+            let mut requests: Vec<Key> = Vec::new();
+            let mut attempts: Vec<Key> = Vec::new();
+            for step in 0..400 {
+                at += draw(40) * MS;
+                match draw(10) {
+                    0..=3 => {
+                        let ask = Ask { ttl: (1 + draw(900)) * MS, ..ask(draw(2) as usize, 1000 + step) };
+                        taken += 1;
+                        requests.extend(core.request(at, ticket(step), ask));
+                    }
+                    4..=6 if !attempts.is_empty() => {
+                        let key = attempts.swap_remove(draw(attempts.len() as u64) as usize);
+                        let all = [Status::Ok, Status::Error, Status::Full, Status::Reset, Status::Miss];
+                        let status = all[draw(5) as usize];
+                        if core.outcome(at, key, status, Note::None).is_some() {
+                            counted[0] += 1;
+                        }
+                    }
+                    7 if !requests.is_empty() => {
+                        let key = requests.swap_remove(draw(requests.len() as u64) as usize);
+                        let before = core.unanswered();
+                        core.gone(at, key);
+                        left += (before - core.unanswered()) as u64;
+                    }
+                    8 => {
+                        taken += 1;
+                        counted[1] += 1;
+                        core.turn_away(draw(2) as usize);
+                    }
+                    _ => {}
+                }
+                while let Some(due) = core.deadlines.pop(at) {
+                    core.due(at, due);
+                }
+                for order in std::mem::take(&mut core.orders) {
+                    match order {
+                        Order::Send(key) => attempts.push(key),
+                        Order::Refused(..) => counted[1] += 1,
+                        Order::Failed(..) => counted[2] += 1,
+                        Order::Kill { .. } => {}
+                    }
+                }
+                let sum = |get: fn(&larchway_operations::tally::Counts) -> u64| {
+                    core.tally.classes().map(|(_, c)| get(&c)).sum::<u64>()
+                };
+                let found = [sum(|c| c.passed), sum(|c| c.dropped), sum(|c| c.bad_gateway)];
+                assert_eq!(found, [counted[0], counted[1], counted[2] + left], "seed {seed}, step {step}");
+                assert_eq!(core.tally.in_progress(), core.unanswered() as u64);
+                assert_eq!(core.tally.all_taken(), taken);
+                assert_eq!(taken, found.iter().sum::<u64>() + core.tally.in_progress());
+            }
+        }
+    }
 }
--- a/gateway/src/deadlines.rs
+++ b/gateway/src/deadlines.rs
@@ -20,6 +20,8 @@
     Membership,
     /// The hierarchy: objects move a step on.
     Hierarchy,
+    /// A caller of the console is to be looked at, or its address is to be tried again.
+    Console,
     /// The time to go on accepting after SIGTERM is over.
     Stop,
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 pub mod admin;
 pub mod bulletin;
 pub mod config;
+pub mod console;
 pub mod core;
 pub mod deadlines;
 pub mod hierarchy;
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -1,7 +1,8 @@
 //! The loop: connections in numbered slots, their buffers, and one poller.
 use crate::admin::{self, Admin, Turn};
 use crate::bulletin::{self, Reader, Store};
-use crate::config::{Config, Ensemble, Files, Front, Loaded, Terms};
+use crate::config::{Config, Ensemble, Files, Front, Loaded, Shape, Terms};
+use crate::console::{self, Console};
 use crate::core::{Core, Order, Ticket};
 use crate::deadlines::Due;
 use crate::hierarchy::{Hierarchy, HierarchyFile};
@@ -12,6 +13,8 @@
 use crate::slots::{Key, Slots};
 use crate::thrift::{self, Calls};
 use larchway::{Micros, Note, ServerId, Settings, State, Status};
+use larchway_operations::cordon::{self, Cordon, Verdict};
+use larchway_operations::tally::Gauges;
 use polling::{Event, PollMode, Poller};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use socket2::{Domain, Protocol, Socket, Type};
@@ -30,6 +33,14 @@
 const ADMIN: usize = usize::MAX - 5;
 /// The keys of the clients of the admin socket, one a place.
 const ADMIN_CLIENTS: usize = usize::MAX - 5 - admin::MOST;
+const CONSOLE: usize = ADMIN_CLIENTS - 1;
+/// The keys of the callers of the console, one a place.
+const CONSOLE_CLIENTS: usize = CONSOLE - console::MOST;
+/// µs after which a turn of the loop is cut, so that callers of the console are not kept waiting: what is left is
+/// polled again.
+const LONGEST_TURN: Micros = 20_000;
+/// µs after which an address that is not free is tried again.
+const BIND_AGAIN: Micros = 100_000;
 /// µs for which requests are still taken in after SIGTERM.
 const ACCEPTING: Micros = 700_000;
 /// µs after which a client that reads nothing of its answers, or asks for nothing, is cut off.
@@ -194,6 +205,14 @@
     hierarchy: Option<Hierarchy>,
     hierarchy_due: Option<Micros>,
     settings: Settings,
+    shape: Shape,
+    /// Where operators call, as configured; the console itself; and when it is to be looked at.
+    console_at: Option<SocketAddr>,
+    console: Option<Console>,
+    console_due: Option<Micros>,
+    /// What operators say of stores.
+    cordon: Cordon,
+    sockets: usize,
     resumed: Vec<Key>,
     seed: u64,
     drawn: u64,
@@ -242,10 +261,13 @@
     open().map_err(|e| format!("cannot take signals: {e}"))
 }
 
-/// Empties such a pipe.
-fn drain(mut told: &UnixStream) {
-    let mut bytes = [0; 64];
-    while matches!(told.read(&mut bytes), Ok(n) if n > 0) {}
+/// Empties such a pipe, and returns how many signals it told of.
+fn drain(mut told: &UnixStream) -> u64 {
+    let (mut bytes, mut all) = ([0; 64], 0);
+    while let Ok(n @ 1..) = told.read(&mut bytes) {
+        all += n as u64;
+    }
+    all
 }
 
 /// Listens at an address and polls it under a key.
@@ -278,7 +300,13 @@
             admin: None,
             hierarchy: None,
             hierarchy_due: None,
-            settings: config.settings.clone(),
+            settings: Settings::default(),
+            shape: Shape::default(),
+            console_at: None,
+            console: None,
+            console_due: None,
+            cordon: Cordon::default(),
+            sockets: 0,
             resumed: Vec::new(),
             seed: config.seed,
             drawn: 0,
@@ -289,7 +317,7 @@
             pools: BTreeMap::new(),
             feed: Feed::default(),
             own_zone: 0,
-            core: Core::new(config.settings.clone(), config.seed),
+            core: Core::new(config.seed),
             memory: 0,
             most_clients: 0,
             most_links: 0,
@@ -313,6 +341,7 @@
         hierarchy: Option<HierarchyFile>,
     ) -> Result<(), String> {
         self.memory = config.memory;
+        self.sockets = config.sockets;
         self.most_clients = config.sockets * 2 / 5;
         self.most_links = (config.sockets / 2).min(config.memory / 3 / resp::LONGEST);
         self.own_zone = config.settings.zone;
@@ -327,13 +356,21 @@
             }
             self.tend_hierarchy(at);
         }
-        self.settings = config.settings.clone();
-        self.core.configure(config.settings);
+        self.settings = self.core.configure(config.settings, config.classes);
+        self.shape = config.shape;
         // Danger: budgets of cold stores that are shared by fewer gateways than there are.
         if !self.alive.is_empty() {
             self.count_gateways();
         }
         self.terms = config.terms;
+        let current: BTreeSet<usize> = self.core.classes.current().map(|(at, _, _)| at).collect();
+        let classes = self.core.classes.all().enumerate();
+        self.terms.name(&mut classes.map(|(at, (name, terms))| (name, terms, current.contains(&at))));
+        if self.console_at != config.console {
+            self.console_at = config.console;
+            self.console = None;
+        }
+        self.tend_console(at);
         if let Some(fleet) = fleet {
             let listen = self.listener.local_addr().map_or(config.listen, |here| here).to_string();
             let changes = self.hierarchy.as_ref().and_then(Hierarchy::path).map(String::from);
@@ -356,8 +393,10 @@
     /// Reads the configuration again, whole, and puts it in the place of the old one. One that cannot be used
     /// is logged by its faulty key and changes nothing.
     fn reload(&mut self, at: Micros) {
-        drain(&self.reload_told);
-        match self.files.read().and_then(|loaded| self.replace(at, loaded)) {
+        let signals = drain(&self.reload_told);
+        let done = self.files.read().and_then(|loaded| self.replace(at, loaded));
+        self.core.tally.read(signals, done.is_ok());
+        match done {
             Ok(()) => log!("the configuration is read again"),
             Err(why) => log!("the configuration stays as it was: {why}"),
         }
@@ -366,6 +405,7 @@
     /// Puts a configuration in the place of the one in force; what can fail comes first.
     fn replace(&mut self, at: Micros, loaded: Loaded) -> Result<(), String> {
         let Loaded { config, front, fleet, hierarchy } = loaded;
+        config.shape.replaces(&self.shape)?;
         config.terms.extends(&self.terms)?;
         let moved = config.listen != self.listens;
         let listener = if moved { Some(polled(&self.poller, config.listen, PLATFORM)?) } else { None };
@@ -427,9 +467,20 @@
                 Err(e) if e.kind() != ErrorKind::Interrupted => return Err(format!("cannot poll: {e}")),
                 _ => {}
             }
-            for event in &events {
+            let turn = now();
+            // Operators wait a second at most, however much else there is to do.
+            let (first, rest): (Vec<&Event>, Vec<&Event>) =
+                events.iter().partition(|e| (CONSOLE_CLIENTS..=CONSOLE).contains(&e.key));
+            for event in first.into_iter().chain(rest) {
                 let at = now();
+                if at > turn + LONGEST_TURN {
+                    break;
+                }
                 match event.key {
+                    CONSOLE => self.admit_caller(at),
+                    key if (CONSOLE_CLIENTS..CONSOLE).contains(&key) => {
+                        self.serve_caller(at, key - CONSOLE_CLIENTS);
+                    }
                     PLATFORM | SECOND => self.accept(at, event.key),
                     SIGNAL => self.stop(at),
                     RELOAD => self.reload(at),
@@ -475,6 +526,10 @@
             Due::Connection(key) => self.look(at, key),
             Due::Bulletin => self.tend_feed(at),
             Due::Membership => self.tend_membership(at),
+            Due::Console => {
+                self.console_due = None;
+                self.tend_console(at);
+            }
             Due::Hierarchy => {
                 self.hierarchy_due = None;
                 self.tend_hierarchy(at);
@@ -723,8 +778,13 @@
             conn.due = at + LINGER;
             self.core.deadlines.set(conn.due, Due::Connection(key));
         }
-        match conn.role {
-            Role::Store(_) if empty => self.send_waiting(at, key),
+        match &mut conn.role {
+            Role::Store(link) if empty => {
+                if std::mem::take(&mut link.partly) {
+                    self.core.tally.tried();
+                }
+                self.send_waiting(at, key);
+            }
             // A request that waited for earlier answers to be read has its turn.
             Role::Web(_) if empty && !conn.input.rest().is_empty() => self.resumed.push(key),
             _ => {}
@@ -988,6 +1048,10 @@
                         conn.heard = at;
                     }
                     link.open.push((call, attempt));
+                    link.partly = !conn.output.rest().is_empty();
+                    if !link.partly {
+                        self.core.tally.tried();
+                    }
                     if let Some(a) = self.core.attempt(attempt) {
                         a.begun = true;
                     }
@@ -1082,6 +1146,109 @@
         }
     }
 
+    // The console.
+
+    /// Listens where operators call, as soon as that address is free, and looks at callers whose time has come.
+    fn tend_console(&mut self, at: Micros) {
+        let mut due = None;
+        match (&mut self.console, self.console_at) {
+            (None, Some(address)) => match polled(&self.poller, address, CONSOLE) {
+                Ok(listener) => {
+                    if let Ok(here) = listener.local_addr() {
+                        log!("operators may call at {here}");
+                    }
+                    self.console = Some(Console::new(listener, address, self.sockets / 24));
+                }
+                Err(why) => {
+                    log!("console: {why}");
+                    due = Some(at + BIND_AGAIN);
+                }
+            },
+            (Some(console), _) => {
+                for (place, turn) in console.tick(at) {
+                    self.caller_turned(place, turn);
+                }
+            }
+            (None, None) => {}
+        }
+        self.set_console(due);
+    }
+
+    /// Sets when the console is to be looked at.
+    fn set_console(&mut self, due: Option<Micros>) {
+        let due = due.or_else(|| self.console.as_ref().and_then(Console::next_due));
+        if due != self.console_due {
+            if let Some(old) = std::mem::replace(&mut self.console_due, due) {
+                self.core.deadlines.clear(old, Due::Console);
+            }
+            if let Some(due) = due {
+                self.core.deadlines.set(due, Due::Console);
+            }
+        }
+    }
+
+    fn admit_caller(&mut self, at: Micros) {
+        while let Some(console) = &mut self.console {
+            let Some((place, stream, old)) = console.accept(at) else { break };
+            old.into_iter().for_each(|old| drop(self.poller.delete(&old)));
+            let interest = Event::readable(CONSOLE_CLIENTS + place);
+            if let Err(e) = self.poller.add_with_mode(stream, interest, PollMode::Level) {
+                log!("cannot poll a connection: {e}");
+            }
+        }
+        self.set_console(None);
+    }
+
+    fn serve_caller(&mut self, at: Micros, place: usize) {
+        let mut turn = self.console.as_mut().and_then(|c| c.turn(at, place));
+        if let Some(console::Turn::Asks(call)) = turn {
+            let reply = self.called(at, call);
+            turn = self.console.as_mut().and_then(|c| c.answer(at, place, &reply));
+        }
+        if let Some(turn) = turn {
+            self.caller_turned(place, turn);
+        }
+        self.set_console(None);
+    }
+
+    fn caller_turned(&mut self, place: usize, turn: console::Turn) {
+        match turn {
+            // One that is closed is no longer polled; there is nothing to do about an error here.
+            console::Turn::Gone(stream) => drop(self.poller.delete(&stream)),
+            console::Turn::Waits { write } => {
+                let stream = self.console.as_ref().and_then(|c| c.stream(place));
+                let interest = Event { key: CONSOLE_CLIENTS + place, readable: true, writable: write };
+                let armed = stream.map(|s| self.poller.modify_with_mode(s, interest, PollMode::Level));
+                if let Some(Err(e)) = armed {
+                    log!("cannot poll a connection: {e}");
+                }
+            }
+            console::Turn::Asks(_) => {}
+        }
+    }
+
+    /// Answers an operator.
+    fn called(&mut self, at: Micros, call: console::Call) -> console::Reply {
+        match call {
+            console::Call::Readiness if self.stopping() => console::Reply::new(503, "it is told to stop\n"),
+            console::Call::Readiness if self.core.well => console::Reply::new(200, "ready\n"),
+            console::Call::Readiness => console::Reply::new(503, "no list of stores is known yet\n"),
+            console::Call::Stats => console::Reply::new(200, self.core.tally.report(self.gauges(at))),
+            console::Call::Store { who, down } => {
+                let input = cordon::Input::Call { who: who.clone(), down };
+                let verdict = self.cordon_told(at, input).unwrap_or(Verdict::Unknown);
+                log!("an operator calls {who:?} {}: {verdict:?}", if down { "out" } else { "back" });
+                console::Reply::store(&who, down, verdict)
+            }
+        }
+    }
+
+    fn gauges(&self, at: Micros) -> Gauges {
+        let skipped: BTreeSet<ServerId> =
+            self.cordon.out().chain(self.core.avoided(at)).filter(|id| self.cordon.lists(*id)).collect();
+        Gauges { known_stores: self.cordon.listed(), skipped_stores: skipped.len() }
+    }
+
     fn tend_membership(&mut self, at: Micros) {
         self.membership_due = None;
         let effects = self.membership.as_mut().map(|m| m.tick(at)).unwrap_or_default();
@@ -1189,7 +1356,7 @@
             settings.zone_routers[zone] = number;
         }
         settings.routers = settings.zone_routers.iter().sum::<u64>().max(1);
-        self.core.configure(settings);
+        self.core.adjust(settings);
     }
 
     /// Takes in news of the bulletin: of stores by way of the merge, where they are merged.
@@ -1203,8 +1370,34 @@
         }
     }
 
-    /// Takes in news of stores or a purge.
+    /// Takes in news of stores or a purge: of stores by way of what operators say of them.
     pub fn news(&mut self, at: Micros, news: &bulletin::News) {
+        match news {
+            bulletin::News::Roster { whole, stores } => {
+                self.cordon_told(at, cordon::Input::List { whole: *whole, entries: stores.clone() });
+            }
+            news => self.core.news(at, news),
+        }
+    }
+
+    /// Takes in what the list, an operator or another process says of stores. Returns what a caller is told.
+    fn cordon_told(&mut self, at: Micros, input: cordon::Input) -> Option<Verdict> {
+        let (mut out, mut verdict) = (Vec::new(), None);
+        self.cordon.handle(at, input, &mut out);
+        for output in out {
+            match output {
+                cordon::Output::List { whole, entries } => {
+                    self.listed(at, &bulletin::News::Roster { whole, stores: entries });
+                }
+                cordon::Output::Keep(_) => {}
+                cordon::Output::Verdict(told) => verdict = Some(told),
+            }
+        }
+        verdict
+    }
+
+    /// Takes in stores as they count.
+    fn listed(&mut self, at: Micros, news: &bulletin::News) {
         self.core.news(at, news);
         let bulletin::News::Roster { whole, stores } = news else { return };
         if let Some(hierarchy) = &mut self.hierarchy {
--- a/gateway/src/resp.rs
+++ b/gateway/src/resp.rs
@@ -185,12 +185,15 @@
     past: VecDeque<String>,
     /// Whether an attempt was given up here of which nothing came: the next may be met by the same silence.
     pub doubtful: bool,
+    /// Whether a part of the last attempt is still to be written.
+    pub partly: bool,
 }
 
 impl Link {
     /// A connection that carries nothing.
     pub fn new(store: ServerId) -> Self {
-        Link { store, waiting: VecDeque::new(), open: Vec::new(), past: VecDeque::new(), doubtful: false }
+        let (waiting, open, past) = (VecDeque::new(), Vec::new(), VecDeque::new());
+        Link { store, waiting, open, past, doubtful: false, partly: false }
     }
 
     /// Whether an id is or was used here: a late or second answer to its first attempt must not pass for the
--- a/gateway/src/signed/mod.rs
+++ b/gateway/src/signed/mod.rs
@@ -142,7 +142,7 @@
     else {
         return Err(missing);
     };
-    let class_at = terms.classes.iter().position(|c| c == class).ok_or(missing)?;
+    let class_at = terms.class(class).ok_or(missing)?;
     let group = link::canonical(group).filter(|g| *g < 256).ok_or(missing)?;
     let part = link::canonical(part).ok_or(missing)?;
     if thing.len() != 16 || !thing.bytes().all(|b| b.is_ascii_digit() || (b'a'..=b'f').contains(&b)) {
@@ -314,6 +314,7 @@
     let (class, group, thing, part) = object(&gateway.terms, front, request.path)?;
     admitted(front, request, at / 1_000_000).map_err(|denied| (403, denied.text()))?;
     if !gateway.has_room() {
+        gateway.core.turn_away(class);
         return Err((503, "too much is under way"));
     }
     // One tag can go on to the store; of several, or of any, the answer's tag is compared here.
--- a/gateway/src/thrift.rs
+++ b/gateway/src/thrift.rs
@@ -323,7 +323,7 @@
         return Err(format!("{} stands twice", twice[0]));
     }
     let op = required("op")?;
-    let class = terms.classes.iter().position(|c| c == op).ok_or_else(|| format!("op {op:?} is unknown"))?;
+    let class = terms.class(op).ok_or_else(|| format!("op {op:?} is unknown"))?;
     let (call, thing) = (required("call")?, required("row")?);
     digits("call", call)?;
     let longest = terms.deadlines.get(class).map_or(LONGEST_WAIT, |d| 2 * d / 1000);
@@ -397,7 +397,10 @@
             }
             return Ok(used);
         }
-        (_, Some(Ok(_))) => busy(out, seq, 200),
+        (_, Some(Ok(ask))) => {
+            busy(out, seq, 200);
+            gateway.core.turn_away(ask.class);
+        }
         (_, Some(Err(why))) => {
             log!("a request is malformed: {why}");
             exception(out, "serve", seq, PROTOCOL_ERROR, &why);
--- a/gateway/tests/net/command.rs
+++ b/gateway/tests/net/command.rs
@@ -29,6 +29,14 @@
         ("400", "-1", "connectTimeoutMs"),
         ("\"cancel\":true", "\"streamsPerConn\":0", "settings.limits.streamsPerConn"),
         ("\"balancers\":1", "\"costs\":{\"handshake\":\"dear\"}", "settings.costs.handshake"),
+        ("\"maxAttempts\":8", "\"maxAttempts\":0", "settings.limits.maxAttempts"),
+        ("\"maxAttempts\":8,", "", "settings.limits.maxAttempts"),
+        ("\"deadlineMs\":2500", "\"deadlineMs\":\"2500\"", "settings.services[1].deadlineMs"),
+        ("\"bid-status\"", "\"history-files\"", "settings.services[1].name"),
+        ("\"bid-status\"", "\"bid,status\"", "settings.services[1].name"),
+        ("\"token\"", "\"tokens\"", "settings.services[2].effect"),
+        ("[0,8000,0]", "[0,8000]", "settings.familyInfo.lifetimeByClassMs"),
+        ("\"seed\"", "\"console\":\"here\",\"seed\"", "console"),
         ("{", "", "JSON"),
     ] {
         for command in ["check-config", "serve"] {
--- a/gateway/tests/net/main.rs
+++ b/gateway/tests/net/main.rs
@@ -3,6 +3,7 @@
 mod ensemble;
 mod hierarchy;
 mod membership;
+mod operations;
 mod platform;
 mod scenario;
 mod signed;
--- /dev/null
+++ b/gateway/tests/net/operations.rs
@@ -0,0 +1,231 @@
+//! The operators' days: console, figures, stores out by hand, retuning. Numbers are those of
+//! `docs/design/operations.md`.
+use crate::scenario::{entry, unix_ms, Scenario, Setup, ROW};
+
+fn served() -> Scenario {
+    let mut s = Scenario::new(Setup { console: true, ..Setup::default() });
+    s.set("row", ROW).set("ask", &format!("op=history-files ttl=6000 row={ROW} block=3 family=17"));
+    s
+}
+
+#[test]
+fn a_call_cut_at_any_byte_is_answered_and_silent_callers_keep_nobody_out() {
+    let mut s = served();
+    for n in 0..20 {
+        s.run(&format!("o-quiet{n} connect\no-half{n} text PUT /ops/stores/down HTTP/1.1\\r\\nContent-Le"));
+    }
+    for byte in "GET /ops/readiness HTTP/1.1\r\n\r\n".bytes() {
+        s.run(&format!("o1 raw {byte:02x}\nwait 1"));
+    }
+    let begun = unix_ms();
+    s.run(
+        "o1 < 200
+         o2 > GET /ops/nothing
+         o2 < 404
+         o3 > PUT /ops/stores/down | {\"who\":\"s-nobody\"}
+         o3 < 404
+         o4 > PUT /ops/stores/down | {\"whom\":\"s-a1\"}
+         o4 < 400
+         o5 > POST /ops/stats
+         o5 < 405 Allow=GET
+         o6 > GET /ops/readiness
+         o6 < 200
+         c1 > isWell 1
+         c1 < well 1",
+    );
+    assert!(unix_ms() - begun < 5_000);
+}
+
+#[test]
+fn each_request_is_counted_once_as_it_ended() {
+    let mut s = served();
+    s.run(
+        "figure passed.history-files 0
+         figure passed.bid-submit 0
+         figure known_stores 4
+         figure skipped_stores 0
+         c1 > serve 1 $ask call=aa
+         store < PULL aa
+         figure in_progress 1
+         figure upstream_tries 1
+         store > aa ok remark=HIT | #200000
+         c1 < served 1 | #200000
+         c1 > serve 2 $ask call=bb
+         store < PULL bb
+         store > bb error remark=ORIGIN_ERR
+         c1 < busy 2 pushback 1000
+         c1 > serve 3 op=bid-status call=cc ttl=300 row=$row block=0 family=1
+         store < PULL cc
+         c1 < failed 3
+         c1 > serve 4 op=bid-status call=dd ttl=2000 row=$row block=0 family=1
+         store < PULL dd
+         c1 > forget 0 4
+         store < KILL dd
+         figure passed.history-files 1
+         figure dropped.history-files 1
+         figure bad_gateway.bid-status 2
+         figure in_progress 0
+         figure loads 0
+         hup
+         figure loads 1
+         put config
+         hup
+         figure load_errors 1
+         figure loads 1",
+    );
+}
+
+#[test]
+fn a_store_out_by_hand_gets_nothing_until_it_is_called_back_whatever_the_list_says() {
+    let mut s = served();
+    let a1: std::net::SocketAddr = s.var("a1").parse().expect("an address");
+    for health in ["up", "removed"] {
+        let text = entry("a1", a1, "standard", health);
+        s.set(&format!("entry_{health}"), &text);
+    }
+    s.run(
+        "bulletin < call last=1
+         o1 > PUT /ops/stores/down | {\"who\":\"s-a1\"}
+         o1 < 200
+         o2 > PUT /ops/stores/down | {\"who\":\"s-a1\"}
+         o2 < 200
+         figure skipped_stores 1
+         bulletin > {\"no\":2,\"roster\":{\"seq\":2,\"whole\":false,\"hosts\":[$entry_up]}}
+         bulletin > {\"no\":3,\"roster\":{\"seq\":3,\"whole\":false,\"hosts\":[$entry_removed]}}
+         figure known_stores 3
+         bulletin > {\"no\":4,\"roster\":{\"seq\":4,\"whole\":false,\"hosts\":[$entry_up]}}
+         figure known_stores 4
+         hup
+         figure loads 1",
+    );
+    let ask = |s: &mut Scenario, from: u64| {
+        let mut places = Vec::new();
+        for n in from..from + 20 {
+            s.run(&format!(
+                "c{n} > serve 1 op=history-files ttl=6000 row={n:016x} block=0 family=1 call=x{n}
+                 store < PULL x{n} at=?box
+                 store > x{n} ok remark=HIT | got
+                 c{n} < served 1 | got"
+            ));
+            places.push(s.var("box").to_string());
+        }
+        places
+    };
+    assert!(ask(&mut s, 100).iter().all(|at| at == "a2"), "nothing goes to a store that is out");
+    s.run(
+        "o3 > PUT /ops/stores/up | {\"who\":\"s-a1\"}
+         o3 < 200
+         figure skipped_stores 0",
+    );
+    // One call back answers two out. Its return is cold, so that work comes back by and by.
+    let back = ask(&mut s, 200);
+    assert!(back.iter().any(|at| at == "a1"), "{back:?}");
+}
+
+#[test]
+fn with_all_stores_out_requests_are_refused_at_once() {
+    let mut s = served();
+    for who in ["s-a1", "s-a2", "s-b1", "s-c1"] {
+        s.run(&format!("o-{who} > PUT /ops/stores/down | {{\"who\":\"{who}\"}}\no-{who} < 200"));
+    }
+    s.run(
+        "c1 > serve 1 $ask call=aa
+         c1 < busy 1 pushback 100
+         c1 > serve 2 op=bid-submit call=bb ttl=3000 row=$row block=0 family=1 dedupe=k1 | a bid
+         c1 < busy 2 pushback 134
+         never PULL aa",
+    );
+}
+
+#[test]
+fn classes_appear_move_and_go_while_a_request_under_way_keeps_its_own() {
+    let mut s = served();
+    s.run(
+        "c1 > serve 1 op=bid-status call=aa ttl=2500 row=$row block=0 family=1
+         store < PULL aa profile=bid-status f=swr
+         edit config [0,8000,0] => [0,0,5000]
+         edit config [false,false,true] => [false,true,false]
+         edit config \"bid-submit\" => \"bid-watch\"
+         edit config \"bid-status\" => \"bid-submit\"
+         edit config \"effect\":\"token\" => \"effect\":\"pure\"
+         hup
+         figure loads 1
+         figure passed.bid-watch 0
+         c1 > serve 2 op=bid-status call=bb ttl=2000 row=$row block=0 family=1
+         c1 < exception 2
+         c1 > serve 3 op=bid-watch call=cc ttl=2000 row=$row block=0 family=1
+         store < PULL cc profile=bid-watch f=swr
+         store reset aa
+         store < PULL aa profile=bid-status
+         store > aa ok remark=HIT | as it was
+         c1 < served 1 | as it was
+         store > cc ok remark=HIT | new
+         c1 < served 3 | new
+         figure passed.bid-status 1
+         figure passed.bid-watch 1
+         figure in_progress 0",
+    );
+}
+
+/// Each of these files is turned down whole, and what ran goes on (invariant 5).
+#[test]
+fn a_file_that_cannot_be_used_is_turned_down_by_the_name_of_its_key() {
+    let mut s = served();
+    let faults = [
+        ("\"maxAttempts\":8", "\"maxAttempts\":0", "settings.limits.maxAttempts"),
+        ("\"maxAttempts\":8", "\"maxAttempts\":-2", "settings.limits.maxAttempts"),
+        ("\"maxAttempts\":8", "\"maxAttempts\":null", "settings.limits.maxAttempts"),
+        ("\"maxAttempts\":8", "\"maxAttempts\":\"8\"", "settings.limits.maxAttempts"),
+        ("\"maxAttempts\":8", "\"mostAttempts\":8", "settings.limits.maxAttempts"),
+        ("\"deadlineMs\":2500", "\"deadlineMs\":0", "settings.services[1].deadlineMs"),
+        ("\"deadlineMs\":2500", "\"deadlineMs\":-5", "settings.services[1].deadlineMs"),
+        ("\"deadlineMs\":2500", "\"deadlineMs\":NaN", "JSON"),
+        ("\"deadlineMs\":2500", "\"deadlineMs\":[2500]", "settings.services[1].deadlineMs"),
+        ("\"deadlineMs\":2500", "\"deadlinesMs\":2500", "settings.services[1].deadlineMs"),
+        ("\"name\":\"bid-status\"", "\"named\":\"bid-status\"", "settings.services[1].name"),
+        (
+            "\"name\":\"bid-status\",\"targetMs\":400",
+            "\"name\":\"bid-submit\",\"targetMs\":400",
+            "settings.services[2].name",
+        ),
+        ("\"effect\":\"token\"", "\"effect\":7", "settings.services[2].effect"),
+        ("\"windowMs\":3000", "\"windowMs\":\"long\"", "settings.services[2].windowMs"),
+        ("\"targetMs\":800", "\"targetMs\":-1", "settings.services[2].targetMs"),
+        ("\"services\":[", "\"services\":[],\"others\":[", "settings.services"),
+        ("\"settings\"", "\"setting\"", "settings"),
+        ("\"oneFlowKbPerS\":7800", "\"flowKbPerS\":7800", "settings.familyInfo.oneFlowKbPerS"),
+        ("\"upperColdMs\":21000", "\"upperColdMs\":\"21000\"", "settings.familyInfo.upperColdMs"),
+        ("\"limits\":{\"cancel\"", "\"limit\":{\"cancel\"", "settings.limits"),
+        ("\"locality\":1", "\"place\":1", "settings.locality"),
+        ("\"known\":{\"no\":1", "\"known\":{\"no\":\"1\"", "known.no"),
+    ];
+    // A place may write five lines a second to the log.
+    for (n, (from, to, key)) in faults.iter().enumerate() {
+        s.run(&format!(
+            "edit config {from} => {to}
+             hup
+             figure load_errors {}
+             log < {key}
+             wait 250
+             edit config {to} => {from}",
+            n + 1
+        ));
+    }
+    let n = faults.len();
+    s.run(&format!(
+        "put config
+         hup
+         figure load_errors {}
+         put config {{\"seed\":\"8c
+         hup
+         figure load_errors {}
+         figure loads 0
+         figure known_stores 4
+         c1 > serve 1 op=bid-status call=aa ttl=2000 row=$row block=0 family=1
+         store < PULL aa
+         store > aa ok remark=HIT | as before
+         c1 < served 1 | as before",
+        n + 1,
+        n + 2
+    ));
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -35,7 +35,7 @@
 }
 
 /// One class of requests.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Class {
     /// Answers within this span earn the full worth.
     pub aim: Micros,
@@ -53,6 +53,8 @@
     pub grace: Micros,
     /// Never kept: it runs at the origin.
     pub uncacheable: bool,
+    /// Attempts for one request at most; 0: as [`Settings::max_attempts`]. A request keeps those of its class.
+    pub attempts: u64,
 }
 
 /// Which other caches may supply a fill.
@@ -132,6 +134,11 @@
 }
 
 impl Settings {
+    /// Attempts for one request of a class at most.
+    pub fn attempts_of(&self, class: &Class) -> usize {
+        (if class.attempts > 0 { class.attempts } else { self.max_attempts }) as usize
+    }
+
     /// What a cache's report says of its location's link: transfers over those that fit at full pace.
     pub fn link_told(&self, load: &[f64]) -> Option<f64> {
         let at = self.report.iter().position(|name| name == "x1")?;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,6 +8,8 @@
 use crate::records::{Choice, Item};
 use std::collections::{BTreeMap, VecDeque};
 
+mod view;
+
 /// µs: how long a hit record counts; about as long as a cache keeps what nobody asks for.
 const RECORD_LIFE: Micros = 12_000_000;
 /// Entries in the record table: minutes of traffic of one router, a few MB.
@@ -292,9 +294,12 @@
         Router { settings, seed, work, ..Router::default() }
     }
 
-    /// Puts settings in the place of those in force; classes may have been added behind the others.
-    pub fn configure(&mut self, settings: Settings) {
+    /// Puts settings in the place of those in force. `heirs`: classes that are new (from none) or changed.
+    pub fn configure(&mut self, settings: Settings, heirs: &[(Option<usize>, usize)]) {
         self.work.resize(settings.classes.len(), Aged::default());
+        let kept = |from: Option<usize>| from.map_or(Aged::default(), |at| self.work[at]);
+        let kept: Vec<Aged> = heirs.iter().map(|h| kept(h.0)).collect();
+        heirs.iter().zip(kept).for_each(|(h, work)| self.work[h.1] = work);
         self.settings = settings;
         self.count_caches();
     }
@@ -361,11 +366,6 @@
         self.caches = own.filter(|s| s.host.state == State::Up).count().max(1) as f64;
     }
 
-    /// How many servers are kept.
-    pub fn servers(&self) -> usize {
-        self.servers.len()
-    }
-
     /// Danger: over weeks of replaced servers, what is kept of each grows without end.
     fn retire(&mut self, id: ServerId) {
         self.servers.remove(&id);
@@ -462,7 +462,7 @@
         let Some(open) = self.open.get(&id) else { return };
         let class = &self.settings.classes[open.req.class];
         let (now, tries, end) = (self.now, open.attempts.len(), open.arrived + open.req.ttl);
-        let bound = tries >= TRIES.min(self.settings.max_attempts as usize)
+        let bound = tries >= TRIES.min(self.settings.attempts_of(class))
             || open.least() > end.saturating_sub(now) as f64
             || match (class.effect, open.ran) {
                 (_, None) | (Effect::Pure, _) => false,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -76,7 +76,7 @@
     (ms * 1000.0).round().max(0.0) as Micros
 }
 
-fn class(value: &Value, at: usize, info: &Value) -> Class {
+fn class(value: &Value, at: usize, info: &Value, limits: &Value) -> Class {
     let by_class = |key: &str| list(info, key).get(at).and_then(as_f64).map_or(0, micros);
     Class {
         aim: span(value, "targetMs", 0.0),
@@ -95,9 +95,15 @@
         fresh: by_class("lifetimeByClassMs"),
         grace: by_class("graceForMs"),
         uncacheable: list(info, "neverKept").get(at).and_then(as_bool).unwrap_or(false),
+        attempts: attempts(limits),
     }
 }
 
+/// Attempts for one request at most.
+fn attempts(limits: &Value) -> u64 {
+    number(limits, "maxAttempts", 1.0).max(1.0) as u64
+}
+
 /// Reads the settings from their JSON text.
 pub fn read(text: &str) -> Result<Settings, String> {
     let all: Value = json::from_str(text).map_err(|_| "info is not JSON".to_string())?;
@@ -112,7 +118,8 @@
     let none = Value::Null;
     let part = |key: &str| get(all, key).unwrap_or(&none);
     let (info, limits, rules) = (part("familyInfo"), part("limits"), part("rules"));
-    let classes = list(all, "services").iter().enumerate().map(|(at, c)| class(c, at, info)).collect();
+    let services = list(all, "services").iter().enumerate();
+    let classes = services.map(|(at, c)| class(c, at, info, limits)).collect();
     let usual = Settings::default();
     let told = flag(limits, "retryAfter", false);
     let settings = Settings {
@@ -138,7 +145,7 @@
         direct: flag(info, "mayPassBy", false),
         cancel: flag(limits, "cancel", false),
         duplicates: flag(limits, "mayDuplicate", false),
-        max_attempts: number(limits, "maxAttempts", 1.0).max(1.0) as u64,
+        max_attempts: attempts(limits),
         max_retry_after: if told { span(limits, "maxRetryAfterMs", 0.0) } else { 0 },
         fall_multiple: number(rules, "fallMultiple", usual.fall_multiple),
         fall_span: span(rules, "fallMs", 2000.0),
