--- a/crates/operations/src/cordon.rs
+++ b/crates/operations/src/cordon.rs
@@ -10,12 +10,14 @@
 pub const MOST_MARKS: usize = 4096;
 /// Ids remembered of stores that have gone, the oldest forgotten first.
 const MOST_GONE: usize = 4096;
+/// µs for which the other process's word on the list holds without own news: the bulletin has told all by then.
+const DOUBTED: Micros = 3_000_000;
 /// µs for which the return of a store is kept, so that both processes of an upgrade treat it as cold. Stores are warm
 /// long before.
 const RETURNED: Micros = 600_000_000;
 
 /// The operators' last word on a store.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Mark {
     /// The store's id.
     pub who: String,
@@ -44,6 +46,11 @@
     },
     /// The word that another process of this gateway has, or that one has kept.
     Marks(Vec<Mark>),
+    /// What another process of this gateway knows of the list: its stores, and whether each is to get work. Its news
+    /// may be newer than the list that this one began with.
+    Doubts(Vec<(String, bool)>),
+    /// A time named by [`Cordon::next_due`] has come.
+    Tick,
 }
 
 /// What an operator is told.
@@ -80,6 +87,9 @@
     listed: BTreeMap<ServerId, Entry>,
     /// The last word on each store that is out or has come back lately; [`MOST_MARKS`] at most.
     marks: BTreeMap<ServerId, Mark>,
+    /// Listed stores that another process knows as draining or gone, and until when that holds without own news of
+    /// them. Only listed ones stand here.
+    doubted: BTreeMap<ServerId, Micros>,
     /// Ids that were listed once, in the order in which they went; [`MOST_GONE`] at most.
     gone: VecDeque<ServerId>,
 }
@@ -89,6 +99,10 @@
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
         match input {
             Input::List { whole, entries } => {
+                // Own news is the newer word: doubts end with it.
+                for entry in &entries {
+                    self.doubted.remove(&entry.host.server);
+                }
                 let seen = entries.iter().map(|e| self.counts(e)).collect();
                 self.list(whole, entries);
                 out.push(Output::List { whole, entries: seen });
@@ -99,11 +113,34 @@
             }
             Input::Marks(marks) => {
                 let told: Vec<ServerId> = marks.into_iter().filter_map(|mark| self.take(now, mark)).collect();
+                // Both keep what both know: calls that came to two processes at once must not overwrite each other.
+                if !told.is_empty() {
+                    out.push(Output::Keep(self.marks.values().cloned().collect()));
+                }
                 self.tell(&told, out);
             }
+            Input::Doubts(stores) => {
+                let fit: BTreeSet<&str> = stores.iter().filter(|s| s.1).map(|s| s.0.as_str()).collect();
+                let up = self.listed.values().filter(|e| e.host.state == State::Up);
+                let doubted: Vec<ServerId> =
+                    up.filter(|e| !fit.contains(e.name.as_str())).map(|e| e.host.server).collect();
+                self.doubted.extend(doubted.iter().map(|id| (*id, now + DOUBTED)));
+                self.tell(&doubted, out);
+            }
+            Input::Tick => {
+                let over: Vec<ServerId> =
+                    self.doubted.iter().filter(|(_, until)| **until <= now).map(|(id, _)| *id).collect();
+                self.doubted.retain(|_, until| *until > now);
+                self.tell(&over, out);
+            }
         }
     }
 
+    /// When a tick is wanted.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.doubted.values().min().copied()
+    }
+
     fn list(&mut self, whole: bool, entries: Vec<Entry>) {
         if whole {
             let named: BTreeSet<ServerId> = entries.iter().map(|e| e.host.server).collect();
@@ -123,6 +160,7 @@
     }
 
     fn leave(&mut self, id: ServerId) {
+        self.doubted.remove(&id);
         if self.listed.remove(&id).is_some() {
             self.gone.push_back(id);
             if self.gone.len() > MOST_GONE {
@@ -177,6 +215,10 @@
 
     /// An entry as it counts: out by hand is a drain, and one that came back has started then.
     fn counts(&self, entry: &Entry) -> Entry {
+        if self.doubted.contains_key(&entry.host.server) && entry.host.state == State::Up {
+            let host = Host { state: State::Draining, ..entry.host.clone() };
+            return Entry { host, ..entry.clone() };
+        }
         let Some(mark) = self.marks.get(&entry.host.server).filter(|m| m.who == entry.name) else {
             return entry.clone();
         };
@@ -212,6 +254,14 @@
         self.listed.contains_key(&id)
     }
 
+    /// The listed stores, each with whether the list lets it have work.
+    pub fn stores(&self) -> impl Iterator<Item = (&str, bool)> {
+        self.listed.values().map(|e| {
+            let fit = e.host.state == State::Up && !self.doubted.contains_key(&e.host.server);
+            (e.name.as_str(), fit)
+        })
+    }
+
     /// How many stores are in the list.
     pub fn listed(&self) -> usize {
         self.listed.len()
--- a/crates/operations/src/lib.rs
+++ b/crates/operations/src/lib.rs
@@ -2,6 +2,7 @@
 //! `docs/design/operations.md` numbers the invariants.
 pub mod classes;
 pub mod cordon;
+pub mod handover;
 pub mod tally;
 
 pub use classes::Book;
--- a/crates/operations/tests/cordon.rs
+++ b/crates/operations/tests/cordon.rs
@@ -60,7 +60,7 @@
                     cordon.handle(now, Input::List { whole: true, entries }, &mut outputs);
                 }
                 Step::Call(id, down) => {
-                    let known = listed.contains_key(&id) || !down && once.contains(&id);
+                    let known = listed.contains_key(&id) || !down && (once.contains(&id) || out.contains(&id));
                     verdict = Some(if known { Verdict::Yes } else { Verdict::Unknown });
                     if known && down { out.insert(id); }
                     if known && !down && out.remove(&id) { back.insert(id, now); }
@@ -115,6 +115,35 @@
     }
 }
 
+#[test]
+fn what_the_other_process_knows_as_draining_gets_nothing_until_own_news_or_a_while() {
+    let mut cordon = Cordon::default();
+    let told = |cordon: &mut Cordon, now, input| {
+        let mut out = Vec::new();
+        cordon.handle(now, input, &mut out);
+        let lists = out.into_iter().filter_map(|o| {
+            if let Output::List { entries, .. } = o {
+                Some(entries)
+            } else {
+                None
+            }
+        });
+        lists.flatten().map(|e| (e.host.server, e.host.state)).collect::<Vec<_>>()
+    };
+    let all = vec![entry(1, State::Up), entry(2, State::Up), entry(3, State::Up)];
+    told(&mut cordon, 10, Input::List { whole: true, entries: all });
+    let stores = vec![("s-1".to_string(), true), ("s-2".to_string(), false)];
+    let doubted = told(&mut cordon, 20, Input::Doubts(stores));
+    assert_eq!(doubted, [(2, State::Draining), (3, State::Draining)]);
+    // Own news ends one doubt, time the other.
+    let news = Input::List { whole: false, entries: vec![entry(2, State::Up)] };
+    assert_eq!(told(&mut cordon, 30, news), [(2, State::Up)]);
+    let due = cordon.next_due().expect("a doubt is left");
+    assert_eq!(told(&mut cordon, due - 1, Input::Tick), []);
+    assert_eq!(told(&mut cordon, due, Input::Tick), [(3, State::Up)]);
+    assert_eq!(cordon.next_due(), None);
+}
+
 #[test]
 fn a_store_that_has_gone_takes_its_call_back_and_nobody_is_told_no() {
     let mut cordon = Cordon::default();
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -42,6 +42,8 @@
     pub terms: Terms,
     /// Where operators call, if they may.
     pub console: Option<SocketAddr>,
+    /// The folder that the processes of one gateway share.
+    pub scratch: Option<PathBuf>,
     /// The keys that the file holds.
     pub shape: Shape,
 }
@@ -162,7 +164,8 @@
     let path = std::env::var("EDGE_CONFIG").map_err(|_| "EDGE_CONFIG is not set".to_string())?;
     let text = std::fs::read_to_string(&path).map_err(|e| format!("EDGE_CONFIG: cannot read {path}: {e}"))?;
     let told = |name: &str| std::env::var(name).ok();
-    read(&text, told("EDGE_NAME"), told("EDGE_LISTEN"), told("EDGE_CONSOLE"))
+    let config = read(&text, told("EDGE_NAME"), told("EDGE_LISTEN"), told("EDGE_CONSOLE"))?;
+    Ok(Config { scratch: std::env::var_os("TMPDIR").map(PathBuf::from), ..config })
 }
 
 /// Reads JSON text of any kind.
@@ -436,6 +439,7 @@
         classes,
         terms,
         console,
+        scratch: None,
         shape: Shape::of(&all),
     })
 }
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -5,8 +5,8 @@
 use crate::deadlines::{Deadlines, Due};
 use crate::slots::{Key, Slots};
 use larchway::{
-    Action, Event, Get, Homes, Members, Micros, Note, Outcome, Request, Router, Scope, ServerId, Settings,
-    State, Status,
+    Action, Event, Get, Homes, Learned, Members, Micros, Note, Outcome, Request, Router, Scope, ServerId,
+    Settings, State, Status,
 };
 use larchway_members::witness::Evidence;
 use larchway_operations::classes::Heir;
@@ -17,6 +17,9 @@
 /// while when it came in, and the answer needs its time too. At most and at least, and a part of a short wait.
 const MARGIN: (Micros, Micros, Micros) = (30_000, 2_000, 16);
 
+/// Objects of which the next process of this gateway is told: minutes of traffic, about 1 MB.
+const HANDED: usize = 10_000;
+
 /// Who waits for an answer: a connection and the number of the request on it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Ticket {
@@ -129,6 +132,8 @@
     actions: Vec<Action>,
     /// Whether a list of stores is known.
     pub well: bool,
+    /// When all must be answered that comes from now on; none: in its own time.
+    pub last_answer: Option<Micros>,
     /// What the sockets have to do, in order.
     pub orders: VecDeque<Order>,
     /// All deadlines, also those of connections.
@@ -164,6 +169,7 @@
             events: VecDeque::new(),
             actions: Vec::new(),
             well: false,
+            last_answer: None,
             orders: VecDeque::new(),
             deadlines: Deadlines::default(),
             held: 0,
@@ -194,6 +200,18 @@
         self.router.configure(settings, &[]);
     }
 
+    /// What is learned, for the next process of this gateway.
+    pub fn learned(&self, now: Micros) -> (Vec<String>, Learned) {
+        let classes = self.classes.all().map(|(name, _)| name.to_string()).collect();
+        (classes, self.router.learned(now, HANDED))
+    }
+
+    /// Takes over what another process of this gateway has learned; classes go by their names.
+    pub fn take_over(&mut self, classes: &[String], learned: Learned) {
+        let places: Vec<_> = classes.iter().map(|name| self.classes.find(name)).collect();
+        self.router.take_over(learned, &places);
+    }
+
     /// The stores that the module avoids now by its own choice.
     pub fn avoided(&self, now: Micros) -> impl Iterator<Item = ServerId> + '_ {
         self.router.avoided(now)
@@ -228,6 +246,7 @@
             return None;
         }
         let ttl = ask.ttl.saturating_sub((ask.ttl / MARGIN.2).clamp(MARGIN.1, MARGIN.0));
+        let ttl = self.last_answer.map_or(ttl, |last| ttl.min(last.saturating_sub(now)));
         let (class, object, part, group) = (ask.class, ask.object, ask.part, ask.group);
         self.held += ask.body.len();
         self.tally.taken();
--- a/gateway/src/deadlines.rs
+++ b/gateway/src/deadlines.rs
@@ -22,6 +22,8 @@
     Hierarchy,
     /// A caller of the console is to be looked at, or its address is to be tried again.
     Console,
+    /// What another process said of stores lapses.
+    Cordon,
     /// The time to go on accepting after SIGTERM is over.
     Stop,
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod slots;
 pub mod table;
 pub mod thrift;
+pub mod upgrade;
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -12,8 +12,10 @@
 use crate::signed::{self, Session};
 use crate::slots::{Key, Slots};
 use crate::thrift::{self, Calls};
+use crate::upgrade::{self, Upgrade};
 use larchway::{Micros, Note, ServerId, Settings, State, Status};
 use larchway_operations::cordon::{self, Cordon, Verdict};
+use larchway_operations::handover::{self, Company, Frame};
 use larchway_operations::tally::Gauges;
 use polling::{Event, PollMode, Poller};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -36,6 +38,9 @@
 const CONSOLE: usize = ADMIN_CLIENTS - 1;
 /// The keys of the callers of the console, one a place.
 const CONSOLE_CLIENTS: usize = CONSOLE - console::MOST;
+const UPGRADE: usize = CONSOLE_CLIENTS - 1;
+/// The keys of the gateway's other processes, one a place.
+const PEERS: usize = UPGRADE - upgrade::MOST;
 /// µs after which a turn of the loop is cut, so that callers of the console are not kept waiting: what is left is
 /// polled again.
 const LONGEST_TURN: Micros = 20_000;
@@ -187,7 +192,9 @@
 /// The gateway.
 pub struct Gateway {
     poller: Poller,
-    listener: TcpListener,
+    /// Clients of the platform's front come in here; none before all is known, and none once they are left to the next
+    /// process.
+    listener: Option<TcpListener>,
     /// Where it listens, as configured.
     listens: SocketAddr,
     second: Option<TcpListener>,
@@ -213,6 +220,12 @@
     /// What operators say of stores.
     cordon: Cordon,
     sockets: usize,
+    /// The gateway's other processes: their sockets, and how they are.
+    upgrade: Option<Upgrade>,
+    company: Company,
+    cordon_due: Option<Micros>,
+    /// Whether clients are left to the next process.
+    leaving: bool,
     resumed: Vec<Key>,
     seed: u64,
     drawn: u64,
@@ -235,10 +248,14 @@
     stopping: Option<Micros>,
 }
 
-fn listen(address: SocketAddr) -> Result<TcpListener, String> {
+/// Listens at an address; `shared`: with the gateway's other processes, which must ask for it too.
+fn listen(address: SocketAddr, shared: bool) -> Result<TcpListener, String> {
     let open = || -> io::Result<TcpListener> {
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_reuse_address(true)?;
+        if shared {
+            socket.set_reuse_port(true)?;
+        }
         socket.set_nonblocking(true)?;
         socket.bind(&address.into())?;
         socket.listen(1024)?;
@@ -271,8 +288,8 @@
 }
 
 /// Listens at an address and polls it under a key.
-fn polled(poller: &Poller, address: SocketAddr, key: usize) -> Result<TcpListener, String> {
-    let listener = listen(address)?;
+fn polled(poller: &Poller, address: SocketAddr, key: usize, shared: bool) -> Result<TcpListener, String> {
+    let listener = listen(address, shared)?;
     let added = poller.add_with_mode(&listener, Event::readable(key), PollMode::Level);
     added.map_err(|e| format!("cannot poll: {e}"))?;
     Ok(listener)
@@ -285,13 +302,11 @@
         let poller = Poller::new().map_err(|e| format!("cannot poll: {e}"))?;
         let stop_told = told_by(&poller, &[SIGTERM, SIGINT], SIGNAL)?;
         let reload_told = told_by(&poller, &[SIGHUP], RELOAD)?;
-        let listener = polled(&poller, config.listen, PLATFORM)?;
-        let second = front.as_ref().map(|front| polled(&poller, front.listen, SECOND)).transpose()?;
         let mut gateway = Gateway {
             poller,
-            listener,
+            listener: None,
             listens: config.listen,
-            second,
+            second: None,
             front,
             membership: None,
             alive: BTreeMap::new(),
@@ -307,6 +322,10 @@
             console_due: None,
             cordon: Cordon::default(),
             sockets: 0,
+            upgrade: None,
+            company: Company::default(),
+            cordon_due: None,
+            leaving: false,
             resumed: Vec::new(),
             seed: config.seed,
             drawn: 0,
@@ -326,8 +345,19 @@
             stopping: None,
             terms: Terms::default(),
         };
-        let now = now();
-        gateway.take_in(now, config, fleet, hierarchy)?;
+        let at = now();
+        let shared = config.console.is_some();
+        let scratch = config.scratch.clone().filter(|_| shared);
+        let name = config.name.clone();
+        // What the other process knows comes before the first decision, and clients come when all is known.
+        let told = scratch.map(|folder| gateway.find_others(at, &folder, &name)).unwrap_or_default();
+        gateway.take_in(at, config, fleet, hierarchy)?;
+        gateway.told_first(now(), told);
+        gateway.listener = Some(polled(&gateway.poller, gateway.listens, PLATFORM, shared)?);
+        if let Some(front) = &gateway.front {
+            gateway.second = Some(polled(&gateway.poller, front.listen, SECOND, shared)?);
+        }
+        gateway.tell_status();
         Ok(gateway)
     }
 
@@ -342,8 +372,7 @@
     ) -> Result<(), String> {
         self.memory = config.memory;
         self.sockets = config.sockets;
-        self.most_clients = config.sockets * 2 / 5;
-        self.most_links = (config.sockets / 2).min(config.memory / 3 / resp::LONGEST);
+        self.share_limits();
         self.own_zone = config.settings.zone;
         if let Some(file) = hierarchy {
             let set = &config.settings;
@@ -356,7 +385,8 @@
             }
             self.tend_hierarchy(at);
         }
-        self.settings = self.core.configure(config.settings, config.classes);
+        let settings = Settings { part: 1.0 / self.company.share() as f64, ..config.settings };
+        self.settings = self.core.configure(settings, config.classes);
         self.shape = config.shape;
         // Danger: budgets of cold stores that are shared by fewer gateways than there are.
         if !self.alive.is_empty() {
@@ -372,7 +402,8 @@
         }
         self.tend_console(at);
         if let Some(fleet) = fleet {
-            let listen = self.listener.local_addr().map_or(config.listen, |here| here).to_string();
+            let here = self.listener.as_ref().and_then(|l| l.local_addr().ok());
+            let listen = here.unwrap_or(config.listen).to_string();
             let changes = self.hierarchy.as_ref().and_then(Hierarchy::path).map(String::from);
             self.set_up(at, fleet, Own { changes, name: config.name, listen, zone: self.own_zone });
         }
@@ -408,17 +439,22 @@
         config.shape.replaces(&self.shape)?;
         config.terms.extends(&self.terms)?;
         let moved = config.listen != self.listens;
-        let listener = if moved { Some(polled(&self.poller, config.listen, PLATFORM)?) } else { None };
+        let shared = config.console.is_some();
+        let listener =
+            if moved { Some(polled(&self.poller, config.listen, PLATFORM, shared)?) } else { None };
         let here = self.front.as_ref().map(|f| f.listen);
         let second = match &front {
-            Some(front) if here != Some(front.listen) => Some(polled(&self.poller, front.listen, SECOND)?),
+            Some(front) if here != Some(front.listen) => {
+                Some(polled(&self.poller, front.listen, SECOND, shared)?)
+            }
             _ => None,
         };
         let rebound = listener.is_some() || second.is_some();
         // A listener that is dropped is no longer polled; there is nothing to do about an error here.
-        if let Some(listener) = listener {
-            let _ = self.poller.delete(&self.listener);
-            (self.listener, self.listens) = (listener, config.listen);
+        if listener.is_some() {
+            let old = std::mem::replace(&mut self.listener, listener);
+            old.into_iter().for_each(|old| drop(self.poller.delete(&old)));
+            self.listens = config.listen;
         }
         if second.is_some() {
             let old = std::mem::replace(&mut self.second, second);
@@ -457,6 +493,9 @@
                 self.due(at, due);
                 self.carry_out(at);
             }
+            if self.leaving {
+                self.let_go(at);
+            }
             if self.finished(at) {
                 return Ok(());
             }
@@ -481,6 +520,8 @@
                     key if (CONSOLE_CLIENTS..CONSOLE).contains(&key) => {
                         self.serve_caller(at, key - CONSOLE_CLIENTS);
                     }
+                    UPGRADE => self.admit_process(at),
+                    key if (PEERS..UPGRADE).contains(&key) => self.hear_process(at, key - PEERS),
                     PLATFORM | SECOND => self.accept(at, event.key),
                     SIGNAL => self.stop(at),
                     RELOAD => self.reload(at),
@@ -494,7 +535,7 @@
     }
 
     fn log_listening(&self) {
-        for listener in [Some(&self.listener), self.second.as_ref()].into_iter().flatten() {
+        for listener in [self.listener.as_ref(), self.second.as_ref()].into_iter().flatten() {
             if let Ok(address) = listener.local_addr() {
                 log!("listening on {address}");
             }
@@ -504,8 +545,14 @@
     fn stop(&mut self, at: Micros) {
         drain(&self.stop_told);
         if self.stopping.is_none() {
-            log!("told to stop: taking requests for {} ms more", ACCEPTING / 1000);
             self.stopping = Some(at);
+            if self.company.successor() {
+                log!("told to stop: the next process takes all clients in");
+                self.leave(at);
+            } else {
+                log!("told to stop: taking requests for {} ms more", ACCEPTING / 1000);
+            }
+            self.tell_status();
             // The own node goes first, so that the fleet's users turn to the others.
             let effects = self.membership.as_mut().map(|m| m.close(at)).unwrap_or_default();
             self.perform(at, effects);
@@ -515,7 +562,8 @@
 
     /// Whether it was told to stop, has gone on accepting for long enough, and owes nothing.
     fn finished(&self, at: Micros) -> bool {
-        let owes = |c: &Conn| c.role.client() && !c.output.rest().is_empty();
+        // A client that is left to the next process is owed what it sends until its connection is closed.
+        let owes = |c: &Conn| c.role.client() && (self.leaving || !c.output.rest().is_empty());
         self.stopping.is_some_and(|since| at >= since + ACCEPTING)
             && self.core.unanswered() == 0
             && !self.conns.iter().any(|(_, c)| owes(c))
@@ -534,6 +582,16 @@
                 self.hierarchy_due = None;
                 self.tend_hierarchy(at);
             }
+            Due::Cordon => {
+                self.cordon_due = None;
+                self.cordon_told(at, cordon::Input::Tick);
+            }
+            // What comes later might not be answered before the platform's end.
+            Due::Stop if self.leaving => {
+                let longest = self.core.classes.current().map(|(_, _, c)| c.deadline).max().unwrap_or(0);
+                let stopped = self.stopping.unwrap_or(at);
+                self.core.last_answer = Some(handover::last_answer(stopped, longest));
+            }
             Due::Stop => {}
             due => self.core.due(at, due),
         }
@@ -543,7 +601,7 @@
 
     fn accept(&mut self, at: Micros, which: usize) {
         for _ in 0..64 {
-            let listener = if which == PLATFORM { Some(&self.listener) } else { self.second.as_ref() };
+            let listener = if which == PLATFORM { self.listener.as_ref() } else { self.second.as_ref() };
             let Some(listener) = listener else { return };
             match listener.accept() {
                 Ok((stream, _)) => {
@@ -1146,13 +1204,184 @@
         }
     }
 
+    // The gateway's other processes.
+
+    /// Finds the gateway's other processes. What they tell is taken in later, by [`Gateway::told_first`].
+    fn find_others(&mut self, at: Micros, folder: &Path, name: &str) -> Vec<(usize, Frame)> {
+        let upgrade::Begun { upgrade, kept, told } = match Upgrade::begin(folder, name) {
+            Ok(found) => found,
+            Err(why) => {
+                log!("no other process of this gateway can be found: {why}");
+                return Vec::new();
+            }
+        };
+        let polled = self.poller.add_with_mode(&upgrade.listener, Event::readable(UPGRADE), PollMode::Level);
+        if let Err(e) = polled {
+            log!("cannot poll: {e}");
+        }
+        for place in upgrade.places() {
+            self.company.joined(place);
+            if let Some(stream) = upgrade.stream(place) {
+                let interest = Event::readable(PEERS + place);
+                if let Err(e) = self.poller.add_with_mode(stream, interest, PollMode::Level) {
+                    log!("cannot poll a connection: {e}");
+                }
+            }
+        }
+        self.upgrade = Some(upgrade);
+        self.cordon_told(at, cordon::Input::Marks(kept));
+        told
+    }
+
+    /// Takes in what the others told at the start: the one that serves knows most.
+    fn told_first(&mut self, at: Micros, told: Vec<(usize, Frame)>) {
+        let serves = |place: usize| {
+            let status = told.iter().find(|(p, f)| *p == place && matches!(f, Frame::Status { .. }));
+            matches!(status, Some((_, Frame::Status { stopping: false, .. })))
+        };
+        let order = told.iter().map(|(place, _)| (*place, serves(*place))).collect::<BTreeMap<_, _>>();
+        let best = order.iter().max_by_key(|(_, serves)| **serves).map(|(place, _)| *place);
+        for (place, frame) in told {
+            match frame {
+                Frame::State(state) if Some(place) == best => {
+                    let (objects, stores) = (state.classes.len(), state.stores.len());
+                    log!("takes over what another process has learned: {objects} classes, {stores} stores");
+                    self.core.take_over(&state.classes, state.learned);
+                    self.cordon_told(at, cordon::Input::Doubts(state.stores));
+                }
+                Frame::State(_) => {}
+                frame => self.heard(at, place, frame),
+            }
+        }
+        self.share_limits();
+    }
+
+    fn admit_process(&mut self, at: Micros) {
+        while let Some(place) = self.upgrade.as_mut().and_then(Upgrade::accept) {
+            let stream = self.upgrade.as_ref().and_then(|u| u.stream(place));
+            let interest = Event::readable(PEERS + place);
+            if let Some(Err(e)) = stream.map(|s| self.poller.add_with_mode(s, interest, PollMode::Level)) {
+                log!("cannot poll a connection: {e}");
+            }
+            self.hear_process(at, place);
+        }
+    }
+
+    fn hear_process(&mut self, at: Micros, place: usize) {
+        let Some(upgrade) = &mut self.upgrade else { return };
+        let (frames, became) = upgrade.turn(place);
+        for frame in frames {
+            self.heard(at, place, frame);
+        }
+        self.became(place, became);
+    }
+
+    fn heard(&mut self, at: Micros, place: usize, frame: Frame) {
+        match frame {
+            Frame::Hello { name } => {
+                log!("another process of {name:?} begins");
+                self.company.joined(place);
+                self.share_limits();
+                let (classes, learned) = self.core.learned(at);
+                let stores = self.cordon.stores().map(|(name, fit)| (name.to_string(), fit)).collect();
+                let state = handover::State { classes, learned, stores };
+                for frame in [self.status(), Frame::Marks(self.cordon.marks().cloned().collect())] {
+                    self.tell_other(place, &frame);
+                }
+                self.tell_other(place, &Frame::State(Box::new(state)));
+            }
+            Frame::Marks(marks) => drop(self.cordon_told(at, cordon::Input::Marks(marks))),
+            Frame::Status { serving, stopping } => self.company.told(place, serving, stopping),
+            // It is asked for at the start alone.
+            Frame::State(_) => {}
+        }
+    }
+
+    fn status(&self) -> Frame {
+        Frame::Status { serving: self.listener.is_some(), stopping: self.stopping() }
+    }
+
+    fn tell_status(&mut self) {
+        let status = self.status();
+        self.tell_others(&status);
+    }
+
+    fn tell_others(&mut self, frame: &Frame) {
+        for place in self.upgrade.as_ref().map(Upgrade::places).unwrap_or_default() {
+            self.tell_other(place, frame);
+        }
+    }
+
+    fn tell_other(&mut self, place: usize, frame: &Frame) {
+        let became = self.upgrade.as_mut().and_then(|u| u.send(place, frame));
+        self.became(place, became);
+    }
+
+    fn became(&mut self, place: usize, became: Option<upgrade::Told>) {
+        match became {
+            Some(upgrade::Told::Gone(stream)) => {
+                // One that is closed is no longer polled; there is nothing to do about an error here.
+                let _ = self.poller.delete(&stream);
+                log!("another process of this gateway has ended");
+                self.company.left(place);
+                self.share_limits();
+            }
+            Some(upgrade::Told::Waits { write }) => {
+                let stream = self.upgrade.as_ref().and_then(|u| u.stream(place));
+                let interest = Event { key: PEERS + place, readable: true, writable: write };
+                let armed = stream.map(|s| self.poller.modify_with_mode(s, interest, PollMode::Level));
+                if let Some(Err(e)) = armed {
+                    log!("cannot poll a connection: {e}");
+                }
+            }
+            None => {}
+        }
+    }
+
+    /// Shares the gateway's limits among its processes.
+    fn share_limits(&mut self) {
+        let share = self.company.share();
+        let (sockets, memory) = (self.sockets / share, self.memory / share);
+        self.most_clients = sockets * 2 / 5;
+        self.most_links = (sockets / 2).min(memory / 3 / resp::LONGEST);
+        let part = 1.0 / share as f64;
+        if self.settings.part != part && !self.settings.classes.is_empty() {
+            self.settings.part = part;
+            self.count_gateways();
+        }
+    }
+
+    /// Leaves clients to the next process: what waits to be accepted is taken in, then nothing more comes here.
+    fn leave(&mut self, at: Micros) {
+        for (which, key) in [(PLATFORM, 0), (SECOND, 1)] {
+            self.accept(at, which);
+            let listener = if key == 0 { self.listener.take() } else { self.second.take() };
+            listener.into_iter().for_each(|old| drop(self.poller.delete(&old)));
+        }
+        self.leaving = true;
+    }
+
+    /// Closes clients' connections with nothing open, unsent or unread on them, so that clients turn to the next
+    /// process. Danger: what is unread when a connection is closed was sent for nothing.
+    fn let_go(&mut self, at: Micros) {
+        let idle = |c: &Conn| {
+            c.role.client()
+                && c.role.resting()
+                && c.output.rest().is_empty()
+                && c.input.rest().is_empty()
+                && matches!(c.stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+        };
+        let idle: Vec<Key> = self.conns.iter().filter(|(_, c)| idle(c)).map(|(key, _)| key).collect();
+        idle.into_iter().for_each(|key| self.close(at, key, None));
+    }
+
     // The console.
 
     /// Listens where operators call, as soon as that address is free, and looks at callers whose time has come.
     fn tend_console(&mut self, at: Micros) {
         let mut due = None;
         match (&mut self.console, self.console_at) {
-            (None, Some(address)) => match polled(&self.poller, address, CONSOLE) {
+            (None, Some(address)) => match polled(&self.poller, address, CONSOLE, false) {
                 Ok(listener) => {
                     if let Ok(here) = listener.local_addr() {
                         log!("operators may call at {here}");
@@ -1231,7 +1460,9 @@
     fn called(&mut self, at: Micros, call: console::Call) -> console::Reply {
         match call {
             console::Call::Readiness if self.stopping() => console::Reply::new(503, "it is told to stop\n"),
-            console::Call::Readiness if self.core.well => console::Reply::new(200, "ready\n"),
+            console::Call::Readiness if self.core.well && self.listener.is_some() => {
+                console::Reply::new(200, "ready\n")
+            }
             console::Call::Readiness => console::Reply::new(503, "no list of stores is known yet\n"),
             console::Call::Stats => console::Reply::new(200, self.core.tally.report(self.gauges(at))),
             console::Call::Store { who, down } => {
@@ -1389,10 +1620,24 @@
                 cordon::Output::List { whole, entries } => {
                     self.listed(at, &bulletin::News::Roster { whole, stores: entries });
                 }
-                cordon::Output::Keep(_) => {}
+                cordon::Output::Keep(marks) => {
+                    if let Some(upgrade) = &self.upgrade {
+                        upgrade.keep(marks.clone());
+                    }
+                    self.tell_others(&Frame::Marks(marks));
+                }
                 cordon::Output::Verdict(told) => verdict = Some(told),
             }
         }
+        let due = self.cordon.next_due();
+        if due != self.cordon_due {
+            if let Some(old) = std::mem::replace(&mut self.cordon_due, due) {
+                self.core.deadlines.clear(old, Due::Cordon);
+            }
+            if let Some(due) = due {
+                self.core.deadlines.set(due, Due::Cordon);
+            }
+        }
         verdict
     }
 
--- a/gateway/tests/net/operations.rs
+++ b/gateway/tests/net/operations.rs
@@ -98,27 +98,14 @@
          hup
          figure loads 1",
     );
-    let ask = |s: &mut Scenario, from: u64| {
-        let mut places = Vec::new();
-        for n in from..from + 20 {
-            s.run(&format!(
-                "c{n} > serve 1 op=history-files ttl=6000 row={n:016x} block=0 family=1 call=x{n}
-                 store < PULL x{n} at=?box
-                 store > x{n} ok remark=HIT | got
-                 c{n} < served 1 | got"
-            ));
-            places.push(s.var("box").to_string());
-        }
-        places
-    };
-    assert!(ask(&mut s, 100).iter().all(|at| at == "a2"), "nothing goes to a store that is out");
+    assert!(places(&mut s, 100).iter().all(|at| at == "a2"), "nothing goes to a store that is out");
     s.run(
         "o3 > PUT /ops/stores/up | {\"who\":\"s-a1\"}
          o3 < 200
          figure skipped_stores 0",
     );
     // One call back answers two out. Its return is cold, so that work comes back by and by.
-    let back = ask(&mut s, 200);
+    let back = places(&mut s, 200);
     assert!(back.iter().any(|at| at == "a1"), "{back:?}");
 }
 
@@ -229,3 +216,86 @@
         n + 2
     ));
 }
+
+/// Asks for twenty objects and returns which stores were asked.
+fn places(s: &mut Scenario, from: u64) -> Vec<String> {
+    let mut places = Vec::new();
+    for n in from..from + 20 {
+        s.run(&format!(
+            "c{n} > serve 1 op=history-files ttl=6000 row={n:016x} block=0 family=1 call=y{n}
+             store < PULL y{n} at=?box
+             store > y{n} ok remark=HIT | got
+             c{n} < served 1 | got"
+        ));
+        places.push(s.var("box").to_string());
+    }
+    places
+}
+
+#[test]
+fn a_second_process_takes_clients_in_while_the_old_one_ends_what_it_took() {
+    let mut s = served();
+    s.run(
+        "c1 > serve 1 $ask call=aa
+         store < PULL aa
+         c2 > isWell 1
+         c2 < well 1
+         o1 > PUT /ops/stores/down | {\"who\":\"s-a1\"}
+         o1 < 200
+         start
+         log < takes over
+         o2 > GET /ops/readiness
+         o2 < 200
+         figure skipped_stores 1
+         figure passed.history-files 0
+         old term
+         c2 < closed
+         c3 > serve 1 $ask call=bb
+         store < PULL bb
+         store > bb ok remark=HIT | by the new one
+         c3 < served 1 | by the new one
+         c1 > serve 2 op=bid-status call=cc ttl=2000 row=$row block=0 family=1
+         store < PULL cc
+         store > aa ok remark=HIT | by the old one
+         c1 < served 1 | by the old one
+         store > cc ok remark=HIT | too
+         c1 < served 2 | too
+         c1 < closed
+         old exit 0
+         figure passed.history-files 1",
+    );
+    assert!(
+        places(&mut s, 300).iter().all(|at| at == "a2"),
+        "what the old one was told holds for the new one"
+    );
+    // A second upgrade; the call back goes to the last process.
+    s.run(
+        "start
+         old term
+         old exit 0
+         figure skipped_stores 1
+         o5 > PUT /ops/stores/up | {\"who\":\"s-a1\"}
+         o5 < 200
+         figure skipped_stores 0",
+    );
+    assert!(places(&mut s, 400).iter().any(|at| at == "a1"));
+}
+
+#[test]
+fn a_call_to_either_process_holds_in_both_and_a_killed_process_takes_none_along() {
+    let mut s = served();
+    s.run(
+        "start
+         o1 > PUT /ops/stores/down | {\"who\":\"s-a2\"}
+         o1 < 200
+         old kill
+         log < has ended",
+    );
+    assert!(places(&mut s, 500).iter().all(|at| at == "a1"));
+    s.run(
+        "start
+         old kill
+         figure skipped_stores 1",
+    );
+    assert!(places(&mut s, 600).iter().all(|at| at == "a1"));
+}
--- a/gateway/tests/net/scenario/mod.rs
+++ b/gateway/tests/net/scenario/mod.rs
@@ -12,6 +12,7 @@
 //! put config TEXT      the file holds this alone; the next edit begins from what it was
 //! edit config A => B           A in that file (or `signed`, `ensemble`) becomes B;    bulletin move    to another address, $feed
 //! o1 > PUT /ops/stores/down | {"who":"s-a1"}         an operator calls; o1 < 200.   figure passed.files 3   is reported soon
+//! start   another process of the gateway beside the old one, at the same address    old term    old kill    old exit 0
 //! c1 raw 00ff    c1 close    c1 < closed    wait 50    term    hup    log < words    exit 0    never PULL aa
 //! ```
 //! A body `#N` stands for N bytes of every value. Expectations have seconds to be met, so no timing is tight.
@@ -45,6 +46,9 @@
 
 pub struct Scenario {
     child: Child,
+    /// How the program is started again, and the process before the last one.
+    program: Option<Command>,
+    old: Option<Child>,
     front: SocketAddr,
     second: SocketAddr,
     console: Option<SocketAddr>,
@@ -237,6 +241,49 @@
     (0..text.len()).step_by(2).map(|i| u8::from_str_radix(&text[i..i + 2], 16).expect("hex")).collect()
 }
 
+struct Started {
+    child: Child,
+    front: SocketAddr,
+    second: SocketAddr,
+    console: Option<SocketAddr>,
+    logged: Receiver<String>,
+}
+
+/// Starts the program, and waits until it listens.
+fn started(command: &mut Command, calls: bool) -> Started {
+    let mut child = command.spawn().expect("starts");
+    let ((found, addresses), (line_logged, logged)) = (channel(), channel());
+    let (called, callers) = channel();
+    let log = child.stderr.take().expect("a log");
+    std::thread::spawn(move || {
+        for line in std::io::BufRead::lines(std::io::BufReader::new(log)).map_while(Result::ok) {
+            eprintln!("{line}");
+            if let Some((_, address)) = line.split_once("operators may call at ") {
+                let _ = called.send(address.parse::<SocketAddr>().expect("an address"));
+            }
+            if let Some((_, address)) = line.split_once("listening on ") {
+                let _ = found.send(address.parse::<SocketAddr>().expect("an address"));
+            }
+            let _ = line_logged.send(line);
+        }
+    });
+    let next = || addresses.recv_timeout(PATIENCE).expect("it listens");
+    let (front, second) = (next(), next());
+    let console = calls.then(|| callers.recv_timeout(PATIENCE).expect("operators may call"));
+    Started { child, front, second, console, logged }
+}
+
+fn exit(child: &mut Child, code: i32) {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        if let Some(status) = child.try_wait().expect("waits") {
+            return assert_eq!(status.code(), Some(code));
+        }
+        assert!(Instant::now() < end, "it does not exit");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
 impl Scenario {
     pub fn new(setup: Setup) -> Self {
         let (told, heard) = channel();
@@ -282,31 +329,18 @@
         }
         command.env("EDGE_LISTEN", "127.0.0.1:0").stderr(Stdio::piped());
         if setup.console {
-            command.env("EDGE_CONSOLE", "127.0.0.1:0");
+            let folder = file("folder", "");
+            std::fs::remove_file(&folder).expect("it was written");
+            std::fs::create_dir(&folder).expect("a folder");
+            command.env("EDGE_CONSOLE", "127.0.0.1:0").env("TMPDIR", folder);
         }
-        let mut child = command.spawn().expect("starts");
-        let ((found, addresses), (line_logged, logged)) = (channel(), channel());
-        let (called, calls) = channel();
-        let log = child.stderr.take().expect("a log");
-        std::thread::spawn(move || {
-            for line in std::io::BufRead::lines(std::io::BufReader::new(log)).map_while(Result::ok) {
-                eprintln!("{line}");
-                if let Some((_, address)) = line.split_once("operators may call at ") {
-                    let _ = called.send(address.parse::<SocketAddr>().expect("an address"));
-                }
-                if let Some((_, address)) = line.split_once("listening on ") {
-                    let _ = found.send(address.parse::<SocketAddr>().expect("an address"));
-                }
-                let _ = line_logged.send(line);
-            }
-        });
-        let next = || addresses.recv_timeout(PATIENCE).expect("it listens");
-        let (front, second) = (next(), next());
-        let console = setup.console.then(|| calls.recv_timeout(PATIENCE).expect("operators may call"));
+        let Started { child, front, second, console, logged } = started(&mut command, setup.console);
         let (backlog, last, asked, clients) = (Vec::new(), String::new(), HashMap::new(), BTreeMap::new());
         let bulletin = open;
         Scenario {
             child,
+            program: setup.console.then_some(command),
+            old: None,
             front,
             second,
             console,
@@ -390,7 +424,21 @@
                 let old = self.vars.insert("feed".into(), feed.to_string());
                 self.vars.insert("old".into(), old.expect("an address"));
             }
-            ["exit", code] => self.exit(code.parse().expect("a code")),
+            ["exit", code] => exit(&mut self.child, code.parse().expect("a code")),
+            ["start"] => {
+                let program = self.program.as_mut().expect("a console");
+                let new = started(program.env("EDGE_LISTEN", self.front.to_string()), true);
+                self.old = Some(std::mem::replace(&mut self.child, new.child));
+                (self.second, self.console, self.logged) = (new.second, new.console, new.logged);
+            }
+            ["old", "exit", code] => {
+                exit(self.old.as_mut().expect("an old one"), code.parse().expect("a code"));
+            }
+            ["old", signal] => {
+                let id = self.old.as_ref().expect("an old one").id();
+                let line = format!("kill -{} {id}", signal.to_uppercase());
+                assert!(Command::new("sh").args(["-c", &line]).status().expect("kills").success());
+            }
             ["never", rest @ ..] => {
                 std::thread::sleep(Duration::from_millis(150));
                 self.backlog.extend(self.heard.try_iter());
@@ -469,17 +517,6 @@
         }
     }
 
-    fn exit(&mut self, code: i32) {
-        let end = Instant::now() + PATIENCE;
-        loop {
-            if let Some(status) = self.child.try_wait().expect("waits") {
-                return assert_eq!(status.code(), Some(code));
-            }
-            assert!(Instant::now() < end, "it does not exit");
-            std::thread::sleep(Duration::from_millis(10));
-        }
-    }
-
     fn find(&self, who: &str, words: &[&str]) -> Option<usize> {
         let fits = |h: &Heard| {
             h.who == who
@@ -677,8 +714,10 @@
 
 impl Drop for Scenario {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        for child in [Some(&mut self.child), self.old.as_mut()].into_iter().flatten() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
     }
 }
 
--- a/src/helpers.rs
+++ b/src/helpers.rs
@@ -3,6 +3,7 @@
 
 /// A mean in which older observations count less.
 #[derive(Debug, Clone, Copy, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Aged(pub Option<f64>);
 
 impl Aged {
@@ -19,6 +20,7 @@
 
 /// A quantity that goes up and down in steps, and its mean, in which older spans of time count less.
 #[derive(Debug, Clone, Copy, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Level {
     /// What it is now.
     pub now: f64,
@@ -32,6 +34,11 @@
         self.now + (self.mean - self.now) * (-(at.saturating_sub(self.at) as f64) / span).exp()
     }
 
+    /// The mean alone, for whoever has nothing out yet.
+    pub fn settled(&self, at: u64, span: f64) -> Level {
+        Level { now: 0.0, mean: self.mean(at, span), at }
+    }
+
     /// Counts an amount at one moment into the mean, as a rate.
     pub fn pulse(&mut self, amount: f64, at: u64, span: f64) {
         self.step(0.0, at, span);
@@ -48,6 +55,7 @@
 
 /// A quantity told from outside now and then, which counts less the longer ago that was.
 #[derive(Debug, Clone, Copy, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Told {
     value: f64,
     at: Option<u64>,
@@ -73,6 +81,7 @@
 
 /// A sum over the last span of time.
 #[derive(Debug, Clone, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Window(VecDeque<(u64, f64)>);
 
 impl Window {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,4 +22,4 @@
 
 pub use helpers::{miss_chance, mix, place, unit};
 pub use interface::*;
-pub use logic::Router;
+pub use logic::{Learned, Router};
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,7 +8,9 @@
 use crate::records::{Choice, Item};
 use std::collections::{BTreeMap, VecDeque};
 
+mod learned;
 mod view;
+pub use learned::Learned;
 
 /// µs: how long a hit record counts; about as long as a cache keeps what nobody asks for.
 const RECORD_LIFE: Micros = 12_000_000;
@@ -80,7 +82,8 @@
 const SOURCE: usize = 1;
 
 /// What is known of the indications (hit records) of one cache in one role.
-#[derive(Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 struct Indicator {
     fp: Aged,
     fn_: Aged,
@@ -606,7 +609,7 @@
         };
         let span = set.fall_span.max(1);
         let used = COLD_SHARE.0 + COLD_SHARE.1 * (1.0 - (4.0 / share).min(1.0).sqrt());
-        let room = multiple * warmth * self.flows(s) * span as f64 / share * used;
+        let room = multiple * warmth * self.flows(s) * span as f64 / share * used * set.part;
         // A share may be under one request: then a router has turns in some spans, which begin at any time.
         let [slot, first] = [self.now, s.told].map(|at| (at + self.seed % span) / span);
         let turn = if first < slot { unit(self.seed ^ mix(s.host.server ^ mix(slot))) } else { 0.0 };
--- /dev/null
+++ b/src/logic/learned.rs
@@ -0,0 +1,114 @@
+//! What a router has learned, for the next process of the same router: written down and taken over, never judged.
+//! Times are on the clock that both share.
+use super::{Indicator, Router, LOAD_SPAN};
+use crate::helpers::{Aged, Level, Told, Window};
+use crate::interface::{Micros, ObjectId, ServerId};
+use crate::records::Item;
+
+/// What was learned of one server.
+#[derive(Debug, Clone)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
+struct Kept {
+    server: ServerId,
+    /// Its start as listed: evidence of one process of a store is none of the next.
+    listed: Micros,
+    started: Option<Micros>,
+    told: Micros,
+    roles: [Indicator; 2],
+    out: Level,
+    flows: Option<f64>,
+    sent: Window,
+    rate: Level,
+    failing: f64,
+    lost: bool,
+    pace: (f64, Micros),
+    pause: Micros,
+    retry_at: Micros,
+}
+
+/// What a router has learned.
+#[derive(Debug, Clone, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
+pub struct Learned {
+    servers: Vec<Kept>,
+    items: Vec<((ObjectId, u64), Item)>,
+    purges: Vec<((u64, Option<ObjectId>), Micros)>,
+    work: Vec<Aged>,
+    penalty: Aged,
+    unfilled: f64,
+    out: Level,
+    filling: Level,
+    link: Option<f64>,
+    link_told: Told,
+    all: [Indicator; 2],
+}
+
+impl Router {
+    /// What is learned, with so many objects at most, those asked for last.
+    pub fn learned(&self, now: Micros, objects: usize) -> Learned {
+        let level = |l: &Level| l.settled(now, LOAD_SPAN);
+        let servers = self.servers.values().map(|s| Kept {
+            server: s.host.server,
+            listed: s.host.started,
+            started: s.started,
+            told: s.told,
+            roles: s.roles,
+            out: level(&s.out),
+            flows: s.flows,
+            sent: s.sent.clone(),
+            rate: s.rate,
+            failing: s.failing,
+            lost: s.lost,
+            pace: s.pace,
+            pause: s.pause,
+            retry_at: s.retry_at,
+        });
+        // The order is that of the requests; an object stands in it once for each.
+        let latest = self.order.iter().rev();
+        let current = latest.filter(|(at, key)| self.items.get(key).is_some_and(|i| i.last == *at));
+        let items = current.take(objects).filter_map(|(_, key)| Some((*key, self.items.get(key)?.clone())));
+        Learned {
+            servers: servers.collect(),
+            items: items.collect(),
+            purges: self.purges.iter().map(|(key, at)| (*key, *at)).collect(),
+            work: self.work.clone(),
+            penalty: self.penalty,
+            unfilled: self.unfilled,
+            out: level(&self.out),
+            filling: level(&self.filling),
+            link: self.link,
+            link_told: self.link_told,
+            all: self.all,
+        }
+    }
+
+    /// Takes over what another process of this router has learned, once its servers are known. `classes` tells for each
+    /// class there which it is here.
+    pub fn take_over(&mut self, learned: Learned, classes: &[Option<usize>]) {
+        for kept in learned.servers {
+            let Some(s) = self.servers.get_mut(&kept.server).filter(|s| s.host.started == kept.listed) else {
+                continue;
+            };
+            (s.started, s.told, s.roles) = (kept.started, kept.told, kept.roles);
+            (s.out, s.flows, s.sent, s.rate) = (kept.out, kept.flows, kept.sent, kept.rate);
+            (s.failing, s.lost, s.pace) = (kept.failing, kept.lost, kept.pace);
+            (s.pause, s.retry_at) = (kept.pause, kept.retry_at);
+        }
+        for (from, to) in classes.iter().enumerate() {
+            if let (Some(to), Some(work)) = (to, learned.work.get(from)) {
+                self.work[*to] = *work;
+            }
+        }
+        // The latest came first.
+        for (key, item) in learned.items.into_iter().rev() {
+            self.order.push_back((item.last, key));
+            self.items.insert(key, item);
+        }
+        for (key, at) in learned.purges {
+            self.purges.entry(key).and_modify(|known| *known = at.max(*known)).or_insert(at);
+        }
+        (self.penalty, self.unfilled) = (learned.penalty, learned.unfilled);
+        (self.out, self.filling) = (learned.out, learned.filling);
+        (self.link, self.link_told, self.all) = (learned.link, learned.link_told, learned.all);
+    }
+}
--- a/src/records.rs
+++ b/src/records.rs
@@ -16,7 +16,8 @@
 }
 
 /// What is remembered of a part of an object.
-#[derive(Default)]
+#[derive(Debug, Default, Clone)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub(crate) struct Item {
     pub group: u64,
     pub seen: u32,
