--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -27,7 +27,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "trial")]
 struct Trial {
-    /// which: membership, hierarchy
+    /// which: membership, hierarchy, upgrade
     #[argh(positional)]
     name: String,
     /// decides on times and objects (default 1)
--- a/lab/src/stand/store.rs
+++ b/lab/src/stand/store.rs
@@ -30,6 +30,8 @@
     pub gateway: u8,
     /// The source of a fill that it names.
     pub source: Option<String>,
+    /// The idempotency key of a write.
+    pub replay: Option<String>,
 }
 
 struct Shared {
@@ -130,7 +132,8 @@
             }
             let gateway = u8::from_str_radix(id.get(..2).unwrap_or(""), 16).unwrap_or(0);
             let source = resp::field(&fields, "miss").map(String::from);
-            let seen = Seen { at: now(), gateway, source };
+            let replay = resp::field(&fields, "replay").map(String::from);
+            let seen = Seen { at: now(), gateway, source, replay };
             shared.seen.lock().unwrap_or_else(PoisonError::into_inner).push(seen);
             if is(shared, Mode::Silent) {
                 continue;
--- a/lab/src/trial/hierarchy.rs
+++ b/lab/src/trial/hierarchy.rs
@@ -254,6 +254,7 @@
                     class: "history-files".into(),
                     objects: OBJECTS,
                     zipf: 0.9,
+                    writes: 0.0,
                     span: SPAN,
                     seed: seed * 31 + gateway.at as u64,
                 };
--- a/lab/src/trial/membership.rs
+++ b/lab/src/trial/membership.rs
@@ -323,6 +323,7 @@
                     class: "history-files".into(),
                     objects: 400,
                     zipf: 0.0,
+                    writes: 0.0,
                     span: SPAN,
                     seed: seed * 31 + at as u64,
                 };
