One cold budget for both processes of an upgrade, told as it is used, in place of halves

Ruled out: budgets of others (one gateway a zone share), lost answers (0), the door (0 turned back). Change: each process tells the other in every turn what it sent to cold stores; windows are handed over; both draw the same turns. Settings::part is gone.

--- a/crates/operations/src/handover.rs
+++ b/crates/operations/src/handover.rs
@@ -2,7 +2,7 @@
 //! CRC-32, then a frame in postcard (postcard and crc32fast from the registry). Anything torn, foreign or of another
 //! version is refused by name, and never half read.
 use crate::cordon::Mark;
-use larchway::{Learned, Micros};
+use larchway::{Learned, Micros, ServerId};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
@@ -37,6 +37,8 @@
     State(Box<State>),
     /// The operators' word on stores.
     Marks(Vec<Mark>),
+    /// Work (µs) sent to cold stores since the last such frame: the cold budget is one for both.
+    Sent(Vec<(ServerId, f64)>),
     /// How the process is.
     Status {
         /// Whether it takes clients in.
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -212,6 +212,16 @@
         self.router.take_over(learned, &places);
     }
 
+    /// The work sent to cold stores after this time.
+    pub fn sent_after(&self, now: Micros, at: Micros) -> Vec<(ServerId, f64)> {
+        self.router.sent_after(now, at)
+    }
+
+    /// Another process of this gateway has sent that work.
+    pub fn sent_elsewhere(&mut self, now: Micros, sent: &[(ServerId, f64)]) {
+        self.router.sent_elsewhere(now, sent);
+    }
+
     /// The stores that the module avoids now by its own choice.
     pub fn avoided(&self, now: Micros) -> impl Iterator<Item = ServerId> + '_ {
         self.router.avoided(now)
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -223,6 +223,8 @@
     /// The gateway's other processes: their sockets, and how they are.
     upgrade: Option<Upgrade>,
     company: Company,
+    /// Until when the others know what was sent to cold stores.
+    sent_told: Micros,
     cordon_due: Option<Micros>,
     /// Whether clients are left to the next process.
     leaving: bool,
@@ -324,6 +326,7 @@
             sockets: 0,
             upgrade: None,
             company: Company::default(),
+            sent_told: 0,
             cordon_due: None,
             leaving: false,
             resumed: Vec::new(),
@@ -385,8 +388,7 @@
             }
             self.tend_hierarchy(at);
         }
-        let settings = Settings { part: 1.0 / self.company.share() as f64, ..config.settings };
-        self.settings = self.core.configure(settings, config.classes);
+        self.settings = self.core.configure(config.settings, config.classes);
         self.shape = config.shape;
         // Danger: budgets of cold stores that are shared by fewer gateways than there are.
         if !self.alive.is_empty() {
@@ -493,6 +495,9 @@
                 self.due(at, due);
                 self.carry_out(at);
             }
+            if self.company.share() > 1 {
+                self.tell_sent(at);
+            }
             if self.leaving {
                 self.let_go(at);
             }
@@ -1282,6 +1287,7 @@
                 log!("another process of {name:?} begins");
                 self.company.joined(place);
                 self.share_limits();
+                self.sent_told = at;
                 let (classes, learned) = self.core.learned(at);
                 let stores = self.cordon.stores().map(|(name, fit)| (name.to_string(), fit)).collect();
                 let state = handover::State { classes, learned, stores };
@@ -1291,12 +1297,23 @@
                 self.tell_other(place, &Frame::State(Box::new(state)));
             }
             Frame::Marks(marks) => drop(self.cordon_told(at, cordon::Input::Marks(marks))),
+            Frame::Sent(sent) => self.core.sent_elsewhere(at, &sent),
             Frame::Status { serving, stopping } => self.company.told(place, serving, stopping),
             // It is asked for at the start alone.
             Frame::State(_) => {}
         }
     }
 
+    /// Tells the others what was sent to cold stores. Danger: two processes that each use the whole cold budget push a
+    /// store over.
+    fn tell_sent(&mut self, at: Micros) {
+        let sent = self.core.sent_after(at, self.sent_told);
+        self.sent_told = at;
+        if !sent.is_empty() {
+            self.tell_others(&Frame::Sent(sent));
+        }
+    }
+
     fn status(&self) -> Frame {
         Frame::Status { serving: self.listener.is_some(), stopping: self.stopping() }
     }
@@ -1344,11 +1361,6 @@
         let (sockets, memory) = (self.sockets / share, self.memory / share);
         self.most_clients = sockets * 2 / 5;
         self.most_links = (sockets / 2).min(memory / 3 / resp::LONGEST);
-        let part = 1.0 / share as f64;
-        if self.settings.part != part && !self.settings.classes.is_empty() {
-            self.settings.part = part;
-            self.count_gateways();
-        }
     }
 
     /// Leaves clients to the next process: what waits to be accepted is taken in, then nothing more comes here.
--- a/src/helpers.rs
+++ b/src/helpers.rs
@@ -93,6 +93,17 @@
         }
     }
 
+    /// The sum of what came later than this time.
+    pub fn after(&self, at: u64) -> f64 {
+        self.0.iter().rev().take_while(|(since, _)| *since > at).map(|(_, amount)| amount).sum()
+    }
+
+    /// Takes in what another window holds.
+    pub fn join(&mut self, other: Window) {
+        self.0.extend(other.0);
+        self.0.make_contiguous().sort_by_key(|(at, _)| *at);
+    }
+
     /// The sum over the span that ends at this time.
     pub fn sum(&self, at: u64, span: u64) -> f64 {
         self.0.iter().filter(|(since, _)| since + span >= at).map(|(_, amount)| amount).sum()
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -124,8 +124,6 @@
     pub purge_done: Micros,
     /// Names of the values in reports of load.
     pub report: Vec<String>,
-    /// Part of this router's cold budgets that its process may use: less than 1 while two processes are one router.
-    pub part: f64,
 }
 
 impl Class {
@@ -177,7 +175,6 @@
             parent_cold_span: 22_000_000,
             purge_done: 6_000_000,
             report: Vec::new(),
-            part: 1.0,
         }
     }
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -124,8 +124,9 @@
     out: Level,
     /// Transfers that it carries at full pace.
     flows: Option<f64>,
-    /// Work sent of late, and its usual rate.
+    /// Work sent of late, by this process and by others of the same router, and its usual rate.
     sent: Window,
+    elsewhere: Window,
     rate: Level,
     failing: f64,
     lost: bool,
@@ -609,11 +610,11 @@
         };
         let span = set.fall_span.max(1);
         let used = COLD_SHARE.0 + COLD_SHARE.1 * (1.0 - (4.0 / share).min(1.0).sqrt());
-        let room = multiple * warmth * self.flows(s) * span as f64 / share * used * set.part;
+        let room = multiple * warmth * self.flows(s) * span as f64 / share * used;
         // A share may be under one request: then a router has turns in some spans, which begin at any time.
         let [slot, first] = [self.now, s.told].map(|at| (at + self.seed % span) / span);
         let turn = if first < slot { unit(self.seed ^ mix(s.host.server ^ mix(slot))) } else { 0.0 };
-        s.sent.sum(self.now, span) + work <= room + turn * work
+        s.sent.sum(self.now, span) + s.elsewhere.sum(self.now, span) + work <= room + turn * work
     }
 
     /// May anything new go to, or be filled from, this server?
--- a/src/logic/learned.rs
+++ b/src/logic/learned.rs
@@ -18,6 +18,7 @@
     out: Level,
     flows: Option<f64>,
     sent: Window,
+    elsewhere: Window,
     rate: Level,
     failing: f64,
     lost: bool,
@@ -41,6 +42,8 @@
     link: Option<f64>,
     link_told: Told,
     all: [Indicator; 2],
+    /// Turns at cold servers are drawn from it: both processes draw the same, and the router has one turn.
+    seed: u64,
 }
 
 impl Router {
@@ -56,6 +59,7 @@
             out: level(&s.out),
             flows: s.flows,
             sent: s.sent.clone(),
+            elsewhere: s.elsewhere.clone(),
             rate: s.rate,
             failing: s.failing,
             lost: s.lost,
@@ -79,6 +83,25 @@
             link: self.link,
             link_told: self.link_told,
             all: self.all,
+            seed: self.seed,
+        }
+    }
+
+    /// The work sent after this time to servers that are cold: what other processes of this router must know.
+    pub fn sent_after(&self, now: Micros, at: Micros) -> Vec<(ServerId, f64)> {
+        let cold = self.servers.values().filter(|s| {
+            let span = self.settings.cold_span.max(self.settings.parent_cold_span);
+            s.started.is_some_and(|started| now < started + span)
+        });
+        cold.map(|s| (s.host.server, s.sent.after(at))).filter(|(_, work)| *work > 0.0).collect()
+    }
+
+    /// Another process of this router has sent that work.
+    pub fn sent_elsewhere(&mut self, now: Micros, sent: &[(ServerId, f64)]) {
+        for (server, work) in sent {
+            if let Some(s) = self.servers.get_mut(server) {
+                s.elsewhere.add(*work, now, self.settings.fall_span);
+            }
         }
     }
 
@@ -90,7 +113,10 @@
                 continue;
             };
             (s.started, s.told, s.roles) = (kept.started, kept.told, kept.roles);
-            (s.out, s.flows, s.sent, s.rate) = (kept.out, kept.flows, kept.sent, kept.rate);
+            (s.out, s.flows, s.rate) = (kept.out, kept.flows, kept.rate);
+            // A cold budget is the router's, whichever of its processes has used it.
+            s.elsewhere = kept.sent;
+            s.elsewhere.join(kept.elsewhere);
             (s.failing, s.lost, s.pace) = (kept.failing, kept.lost, kept.pace);
             (s.pause, s.retry_at) = (kept.pause, kept.retry_at);
         }
@@ -107,6 +133,7 @@
         for (key, at) in learned.purges {
             self.purges.entry(key).and_modify(|known| *known = at.max(*known)).or_insert(at);
         }
+        self.seed = learned.seed;
         (self.penalty, self.unfilled) = (learned.penalty, learned.unfilled);
         (self.out, self.filling) = (learned.out, learned.filling);
         (self.link, self.link_told, self.all) = (learned.link, learned.link_told, learned.all);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -156,7 +156,6 @@
         parent_cold_span: span(info, "upperColdMs", 22_000.0),
         purge_done: span(info, "goneEverywhereMs", 6000.0),
         report: list(part("report"), "fields").iter().map(text).collect(),
-        part: usual.part,
     };
     Ok(settings)
 }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1057,3 +1057,71 @@
     assert_eq!(later(160), 0, "none is late yet");
     assert!(later(300) > 10, "most is withheld: {}", later(300));
 }
+
+/// Requests that reach the cold cache 1 within its first two seconds, of so many processes of one router that take
+/// requests by turns; whether they tell each other what they send to it.
+fn sent_to_a_cold_cache(processes: usize, telling: bool) -> usize {
+    let at = 100_000 * MS;
+    let mut hosts = fleet();
+    hosts[0].started = at;
+    let mut rigs = vec![Rig::new(settings(), hosts.clone())];
+    while rigs.len() < processes {
+        let mut next = Rig { router: Router::new(settings(), 77), now: at, next: 1000 * rigs.len() as u64 };
+        next.tell(Event::Members(Members { scope: Scope::Full, hosts: hosts.clone() }));
+        next.router.take_over(rigs[0].router.learned(at, 10), &[Some(0)]);
+        rigs.push(next);
+    }
+    let mut sent = 0;
+    for object in 0..190 {
+        let own = object as usize % processes;
+        for rig in &mut rigs {
+            rig.wait(10);
+        }
+        let now = rigs[own].now;
+        let gets = rigs[own].ask(object);
+        sent += gets.iter().filter(|a| matches!(a, Action::Get(get) if get.server == 1)).count();
+        if gets.iter().any(|a| matches!(a, Action::Get(_))) {
+            rigs[own].answer(0, Status::Ok, Note::Hit);
+        }
+        let told = rigs[own].router.sent_after(now, now - 1);
+        for (other, rig) in rigs.iter_mut().enumerate().filter(|_| telling) {
+            if other != own {
+                rig.router.sent_elsewhere(now, &told);
+            }
+        }
+    }
+    sent
+}
+
+#[test]
+fn two_processes_of_a_router_use_one_cold_budget() {
+    let alone = sent_to_a_cold_cache(1, true);
+    let together = sent_to_a_cold_cache(2, true);
+    assert!(alone > 3, "{alone}");
+    assert!(together <= alone + 1, "{together} together, {alone} alone");
+    assert!(sent_to_a_cold_cache(2, false) > alone + 1, "untold, they send more");
+}
+
+#[test]
+fn what_a_router_has_learned_is_taken_over_by_the_next_process() {
+    let mut old = Rig::new(settings(), fleet());
+    for round in 0..30 {
+        old.serve(round % 3, if round < 3 { Note::Filled } else { Note::Hit });
+        old.wait(50);
+    }
+    old.tell(Event::Purged { age: 0, group: 9, object: Some(2) });
+    let mut next = Rig { router: Router::new(settings(), 5), now: old.now, next: 500 };
+    // A cache that has started anew meanwhile is none of those that were learned of.
+    let mut hosts = fleet();
+    hosts[1].started = old.now;
+    next.tell(Event::Members(Members { scope: Scope::Full, hosts }));
+    next.router.take_over(old.router.learned(old.now, 100), &[Some(0)]);
+    old.wait(10);
+    next.wait(10);
+    let get = |actions: Vec<Action>| get(&actions).expect("it asks");
+    // The records of hits lead both to the same cache, and the purge binds both.
+    let (before, after) = (get(old.ask(0)), get(next.ask(0)));
+    assert_eq!((before.server, before.source), (after.server, after.source));
+    assert_eq!(get(old.ask(2)).max_age, get(next.ask(2)).max_age);
+    assert!(get(next.ask(2)).max_age.is_some());
+}
