Shield the origin in the daemon: fewer fills out while it is slow, writes first

Change: 'shield' in the hierarchy's file; the core asks it when a request comes in (the module then spares the origin by its own rule: a look, a peek, or a refusal at once) and when an attempt is ordered that may ask the origin; what a cache or parent held leaves no trace; state in 'hierarchy show'. Ruled out: counting only fills known to reach the origin (their answer tells, too late).

--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -191,6 +191,7 @@
                 group: line.decimal("group")? as u64,
                 ttl: line.time("ttlMs")?,
                 size_kb: line.decimal("bytesK")?,
+                spared: false,
             }),
             "OUTCOME" => Event::Outcome(Outcome {
                 id: line.whole("handle")?,
--- a/crates/hierarchy/src/shield.rs
+++ b/crates/hierarchy/src/shield.rs
@@ -76,6 +76,8 @@
     Trouble,
     /// It was given up from this side; that says nothing of the origin.
     GivenUp,
+    /// The origin was not asked: a cache or a parent held the object. Nothing is remembered of it.
+    Unasked,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -109,7 +111,7 @@
     /// A shield that has seen nothing, of one of so many gateways.
     pub fn new(terms: Terms, gateways: u64) -> Self {
         Shield {
-            limit: terms.first,
+            limit: (terms.first / gateways.max(1) as f64).max(1.0),
             terms,
             out: BTreeMap::new(),
             writes: 0,
@@ -129,6 +131,11 @@
         self.gateways = gateways;
     }
 
+    /// Its figures.
+    pub fn terms(&self) -> Terms {
+        self.terms
+    }
+
     /// Fills that may be out at once from here.
     pub fn limit(&self) -> u32 {
         (self.limit.floor() as u32).max(1)
@@ -155,21 +162,35 @@
         self.writes = if begins { self.writes + 1 } else { self.writes.saturating_sub(1) };
     }
 
-    /// A fill of an object through a hub is wanted.
-    pub fn want(&mut self, now: Micros, hub: &str, object: u64, may_join: bool) -> Verdict {
+    /// Why a fill of an object would be turned away now, whichever hub it goes through, or that it would join one that
+    /// runs; none if it may go.
+    pub fn look(&self, now: Micros, object: u64, may_join: bool) -> Option<Verdict> {
         let terms = self.terms;
         if let Some(known) = self.objects.get(&object) {
             if let Some(at) = known.barren.filter(|at| now < at + terms.forget) {
-                self.turned_away += 1;
-                return Verdict::Barren(at + terms.forget - now);
+                return Some(Verdict::Barren(at + terms.forget - now));
             }
             if known.out > 0 && may_join {
-                return Verdict::Join;
+                return Some(Verdict::Join);
             }
             if now < known.began + terms.space {
+                return Some(Verdict::Spaced(known.began + terms.space - now));
+            }
+        }
+        let full = self.out() + self.writes >= self.limit();
+        full.then(|| Verdict::Full(self.usual().unwrap_or(100_000).max(1000)))
+    }
+
+    /// A fill of an object through a hub is wanted.
+    pub fn want(&mut self, now: Micros, hub: &str, object: u64, may_join: bool) -> Verdict {
+        let terms = self.terms;
+        match self.look(now, object, may_join) {
+            Some(Verdict::Join) => return Verdict::Join,
+            Some(verdict) => {
                 self.turned_away += 1;
-                return Verdict::Spaced(known.began + terms.space - now);
+                return verdict;
             }
+            None => {}
         }
         let limit = self.limit();
         let (all, own) = (self.out(), self.out.get(hub).copied().unwrap_or(0));
@@ -225,6 +246,12 @@
         let usual = self.usual();
         match end {
             End::GivenUp => {}
+            End::Unasked => {
+                // Its place in the order stays behind, so that what is remembered is that of the last wants.
+                if self.objects.get(&object).is_some_and(|known| known.out == 0) {
+                    self.objects.remove(&object);
+                }
+            }
             End::Trouble => self.decrease(now, took),
             End::Came | End::Nothing => {
                 if usual.is_some_and(|usual| took as f64 > usual.max(1000) as f64 * self.terms.slow) {
--- a/crates/hierarchy/tests/histories.rs
+++ b/crates/hierarchy/tests/histories.rs
@@ -103,7 +103,7 @@
 fn fill() -> impl Strategy<Value = Fill> {
     prop_oneof![
         6 => (0..3u8, 0..40u64, any::<bool>()).prop_map(|(h, o, j)| Fill::Want(h, o, j)),
-        5 => (0..64usize, 0..4u8, 1..900u32).prop_map(|(at, end, took)| Fill::End(at, end, took)),
+        5 => (0..64usize, 0..5u8, 1..900u32).prop_map(|(at, end, took)| Fill::End(at, end, took)),
         1 => any::<bool>().prop_map(Fill::Write),
         1 => (1..9u8).prop_map(Fill::Gateways),
         3 => (1..2000u32).prop_map(Fill::Pass),
@@ -301,7 +301,7 @@
                 }
                 Fill::End(at, end, took) if !out.is_empty() => {
                     let (hub, object) = out.swap_remove(at % out.len());
-                    let end = [End::Came, End::Nothing, End::Trouble, End::GivenUp][usize::from(end)];
+                    let end = [End::Came, End::Nothing, End::Trouble, End::GivenUp, End::Unasked][usize::from(end)];
                     shield.ended(now, &format!("h{hub}"), object, end, Micros::from(took) * MS);
                 }
                 Fill::End(..) => {}
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -8,6 +8,7 @@
     Action, Event, Get, Homes, Learned, Members, Micros, Note, Outcome, Request, Router, Scope, ServerId,
     Settings, State, Status,
 };
+use larchway_hierarchy::shield::{End as FillEnd, Shield, Terms as ShieldTerms, Verdict};
 use larchway_members::witness::Evidence;
 use larchway_operations::classes::Heir;
 use larchway_operations::{Book, End, Tally};
@@ -95,6 +96,21 @@
     pub carrier: Option<Key>,
     /// Whether it has left a broken connection for another.
     moved: bool,
+    fill: Option<Fill>,
+}
+
+/// What an attempt may ask of the origin.
+#[derive(Debug, Clone, PartialEq)]
+enum Fill {
+    /// An object, by way of a hub.
+    Object(String, u64),
+    /// A write, which goes before all fills.
+    Write,
+}
+
+/// An object's part, for the shield.
+fn part_of(ask: &Ask) -> u64 {
+    larchway::mix(ask.object ^ larchway::mix(ask.part + 1))
 }
 
 /// What is to be written for an attempt.
@@ -128,6 +144,12 @@
     calls: BTreeSet<String>,
     attempts: Slots<Attempt>,
     stores: BTreeMap<ServerId, (String, State)>,
+    /// The origin's shield, if there is one; the hub of each parent, and which stores fetch from the origin.
+    shield: Option<Shield>,
+    hubs: BTreeMap<ServerId, String>,
+    fetch: BTreeSet<ServerId>,
+    fetching_kinds: [Option<usize>; 2],
+    gateways: u64,
     events: VecDeque<Event>,
     actions: Vec<Action>,
     /// Whether a list of stores is known.
@@ -166,6 +188,11 @@
             calls: BTreeSet::new(),
             attempts: Slots::default(),
             stores: BTreeMap::new(),
+            shield: None,
+            hubs: BTreeMap::new(),
+            fetch: BTreeSet::new(),
+            fetching_kinds: [None; 2],
+            gateways: 1,
             events: VecDeque::new(),
             actions: Vec::new(),
             well: false,
@@ -191,15 +218,88 @@
         self.tally.declare(self.classes.current().map(|(_, name, _)| name));
         let classes = self.classes.all().map(|(_, terms)| terms.class.clone()).collect();
         let settings = Settings { classes, ..settings };
+        self.note(&settings);
         self.router.configure(settings.clone(), &heirs);
         settings
     }
 
     /// Puts settings of the same classes in force.
     pub fn adjust(&mut self, settings: Settings) {
+        self.note(&settings);
         self.router.configure(settings, &[]);
     }
 
+    fn note(&mut self, settings: &Settings) {
+        self.fetching_kinds = [settings.parent_kind, settings.origin_kind];
+        self.gateways = settings.routers;
+        if let Some(shield) = &mut self.shield {
+            shield.shared_by(settings.routers);
+        }
+    }
+
+    /// Shields the origin, or ends that; `hubs`: of each parent. What a shield has learned stays while its terms do.
+    pub fn shield_origin(&mut self, terms: Option<ShieldTerms>, hubs: BTreeMap<ServerId, String>) {
+        self.hubs = hubs;
+        if self.shield.as_ref().map(Shield::terms) != terms {
+            // Fills that are out by the old one are told to nobody: their ends find none.
+            self.attempts_mut(|a| a.fill = None);
+            let gateways = self.gateways;
+            self.shield = terms.map(|terms| Shield::new(terms, gateways));
+        }
+    }
+
+    /// The origin's shield, if there is one.
+    pub fn shield(&self) -> Option<&Shield> {
+        self.shield.as_ref()
+    }
+
+    fn attempts_mut(&mut self, mut change: impl FnMut(&mut Attempt)) {
+        let keys: Vec<Key> = self.attempts.iter().map(|(key, _)| key).collect();
+        keys.into_iter().for_each(|key| self.attempts.get_mut(key).into_iter().for_each(&mut change));
+    }
+
+    fn uncacheable(&self, class: usize) -> bool {
+        self.classes.get(class).is_some_and(|(_, terms)| terms.class.uncacheable)
+    }
+
+    /// What an attempt may ask of the origin: none where it asks nothing of it, an error where the shield turns it away.
+    fn fill(&mut self, now: Micros, request: Key, get: &Get) -> Result<Option<Fill>, ()> {
+        let fetches = get.source != get.server && !get.peek && self.fetch.contains(&get.source);
+        let Some(ask) = self.requests.get(request).map(|r| &r.ask).filter(|_| fetches) else {
+            return Ok(None);
+        };
+        let (write, part) = (self.uncacheable(ask.class), part_of(ask));
+        let Some(shield) = &mut self.shield else { return Ok(None) };
+        if write {
+            shield.write(true);
+            return Ok(Some(Fill::Write));
+        }
+        let hub = self.hubs.get(&get.source).cloned().unwrap_or_default();
+        match shield.want(now, &hub, part, get.join) {
+            Verdict::Go => Ok(Some(Fill::Object(hub, part))),
+            Verdict::Join => Ok(None),
+            Verdict::Full(_) | Verdict::Spaced(_) | Verdict::Barren(_) => Err(()),
+        }
+    }
+
+    fn filled(&mut self, now: Micros, fill: Option<Fill>, (status, note): (Status, Note), took: Micros) {
+        let (Some(fill), Some(shield)) = (fill, &mut self.shield) else { return };
+        let (hub, part) = match fill {
+            Fill::Write => return shield.write(false),
+            Fill::Object(hub, part) => (hub, part),
+        };
+        let end = match (status, note) {
+            (_, Note::OriginFailed) => FillEnd::Trouble,
+            (Status::Ok, Note::FilledByOrigin) => FillEnd::Came,
+            (Status::Ok, Note::Hit | Note::Stale | Note::Filled) => FillEnd::Unasked,
+            (Status::Miss, _) => FillEnd::Nothing,
+            // What ran out of time may have waited for the origin.
+            (Status::Timeout, _) => FillEnd::Trouble,
+            _ => FillEnd::GivenUp,
+        };
+        shield.ended(now, &hub, part, end, took);
+    }
+
     /// What is learned, for the next process of this gateway.
     pub fn learned(&self, now: Micros) -> (Vec<String>, Learned) {
         let classes = self.classes.all().map(|(name, _)| name.to_string()).collect();
@@ -258,13 +358,15 @@
         let ttl = ask.ttl.saturating_sub((ask.ttl / MARGIN.2).clamp(MARGIN.1, MARGIN.0));
         let ttl = self.last_answer.map_or(ttl, |last| ttl.min(last.saturating_sub(now)));
         let (class, object, part, group) = (ask.class, ask.object, ask.part, ask.group);
+        let spares = |s: &Shield| !matches!(s.look(now, part_of(&ask), true), None | Some(Verdict::Join));
+        let spared = self.shield.as_ref().is_some_and(spares) && !self.uncacheable(class);
         self.held += ask.body.len();
         self.tally.taken();
         self.classes.hold(class);
         let open = Open { ticket, ask, deadline: now + ttl, attempts: Vec::new(), out: 0, answered: false };
         let key = self.requests.insert(open);
         self.deadlines.set(now + ttl, Due::Request(key));
-        let request = Request { id: key.0, class, object, part, group, ttl, size_kb: 0.0 };
+        let request = Request { id: key.0, class, object, part, group, ttl, size_kb: 0.0, spared };
         self.feed(now, Event::Request(request));
         Some(key)
     }
@@ -320,13 +422,18 @@
         if whole {
             self.well = true;
             self.stores.clear();
+            self.fetch.clear();
         }
         // One that is gone is not kept: over weeks of replaced stores the table would grow without end.
         for store in stores {
             if store.host.state == State::Removed {
                 self.stores.remove(&store.host.server);
+                self.fetch.remove(&store.host.server);
                 continue;
             }
+            if self.fetching_kinds.contains(&Some(store.host.kind)) {
+                self.fetch.insert(store.host.server);
+            }
             self.stores.insert(store.host.server, (store.name.clone(), store.host.state));
         }
     }
@@ -428,6 +535,9 @@
         if let (Some(seen), Some(evidence)) = (&mut self.evidence, shown(status)) {
             seen.push((attempt.get.server, evidence));
         }
+        let latency = now.saturating_sub(attempt.at);
+        let took = if waited > 0 { waited } else { latency };
+        self.filled(now, attempt.fill, (status, note), took);
         let open = self.requests.get_mut(attempt.request)?;
         open.out -= 1;
         let served = status == Status::Ok && !open.answered;
@@ -437,7 +547,7 @@
             id: attempt.request.0,
             attempt: attempt.number,
             status,
-            latency: now.saturating_sub(attempt.at),
+            latency,
             closed: open.answered,
             note,
             waited,
@@ -488,9 +598,19 @@
         match action {
             Action::Get(get) => {
                 let request = Key(get.id);
+                let fill = self.fill(now, request, &get);
                 let Some(open) = self.requests.get_mut(request) else { return };
                 let number = open.attempts.len() as u64;
                 let stop_at = get.stop_at.map(|at| at.min(open.deadline));
+                let Ok(fill) = fill else {
+                    // Decided before the shield's last word: it never ran, and the module decides again at once.
+                    open.attempts.push(Key(u64::MAX));
+                    let (status, note) = (Status::Full, Note::NoFillSlot);
+                    let closed = open.answered;
+                    let (id, attempt, load) = (request.0, number, Vec::new());
+                    let end = Outcome { id, attempt, status, latency: 0, closed, note, waited: 0, load };
+                    return self.events.push_back(Event::Outcome(end));
+                };
                 let get = Get { stop_at, ..get };
                 let key = self.attempts.insert(Attempt {
                     request,
@@ -500,6 +620,7 @@
                     begun: false,
                     carrier: None,
                     moved: false,
+                    fill,
                 });
                 open.attempts.push(key);
                 open.out += 1;
@@ -530,6 +651,8 @@
         if let Some(at) = attempt.get.stop_at {
             self.deadlines.clear(at, Due::Attempt(key));
         }
+        let took = now.saturating_sub(attempt.at);
+        self.filled(now, attempt.fill, (Status::Cancelled, Note::None), took);
         let Some(open) = self.requests.get_mut(attempt.request) else { return };
         open.out -= 1;
         if let Some(carrier) = attempt.carrier {
@@ -794,4 +917,58 @@
             }
         }
     }
+
+    fn shielded(first: f64) -> Core {
+        let mut core = core();
+        let terms = ShieldTerms { first, least: 1.0, ..ShieldTerms::default() };
+        core.shield_origin(Some(terms), BTreeMap::from([(50, "east".to_string())]));
+        core
+    }
+
+    /// H7 of `docs/design/hierarchy.md`, and that what is turned away has its answer or a look at once.
+    #[test]
+    fn fills_beyond_the_shields_limit_become_looks_or_refusals_at_once_and_come_back_with_it() {
+        let mut core = shielded(2.0);
+        for n in 0..10 {
+            core.request(START, ticket(n), ask(0, 100 + n));
+        }
+        let refused = core.orders.iter().filter(|o| matches!(o, Order::Refused(..))).count();
+        let out = sent(&mut core);
+        let fetches = |core: &Core, key: &Key| {
+            core.pull(START, *key)
+                .is_some_and(|p| p.source.is_some_and(|s| s == "s-50" || s == "s-90") && !p.peek)
+        };
+        let fills: Vec<Key> = out.iter().copied().filter(|key| fetches(&core, key)).collect();
+        assert_eq!((fills.len(), out.len() + refused), (2, 10));
+        assert!(core.shield().is_some_and(|s| s.out() == 2 && s.out() <= s.limit()));
+        for key in fills {
+            core.answered(START + 20 * MS, key, Status::Ok, Note::FilledByOrigin, 0, Vec::new());
+        }
+        assert_eq!(core.shield().map(Shield::out), Some(0));
+        core.request(START + 30 * MS, ticket(20), ask(0, 500));
+        let again = sent(&mut core);
+        assert!(again.iter().any(|key| fetches(&core, key)), "there is room again");
+    }
+
+    #[test]
+    fn what_the_caches_hold_is_no_fill_and_a_failing_origin_is_asked_by_fewer() {
+        let mut core = shielded(4.0);
+        for n in 0..12 {
+            let at = START + n * 400 * MS;
+            core.request(at, ticket(n), ask(0, 7));
+            for key in sent(&mut core) {
+                core.answered(at + 10 * MS, key, Status::Ok, Note::Hit, 0, Vec::new());
+            }
+        }
+        let shield = core.shield().expect("a shield");
+        assert_eq!((shield.out(), shield.turned_away, shield.remembered(), shield.limit()), (0, 0, 0, 4));
+        for n in 0..6 {
+            let at = START + (10 + n) * 1000 * MS;
+            core.request(at, ticket(100 + n), ask(0, 1000 + n));
+            for key in sent(&mut core) {
+                core.answered(at + 50 * MS, key, Status::Error, Note::OriginFailed, 0, Vec::new());
+            }
+        }
+        assert_eq!(core.shield().map(Shield::limit), Some(1));
+    }
 }
--- a/gateway/src/hierarchy.rs
+++ b/gateway/src/hierarchy.rs
@@ -6,6 +6,7 @@
 use larchway_hierarchy::ledger::{Change, Fate, Ledger};
 use larchway_hierarchy::moves::{Moves, Terms};
 use larchway_hierarchy::shape::{Edit, Parent, Shape};
+use larchway_hierarchy::shield;
 use larchway_members::entry::store_id;
 use larchway_members::Entry;
 use schemars::JsonSchema;
@@ -46,6 +47,98 @@
     /// Whether moves stand still.
     #[serde(default)]
     pub paused: bool,
+    /// The shield of the origin; without it, fills are limited by the module's own rules alone.
+    pub shield: Option<ShieldFile>,
+}
+
+/// How the origin is shielded from fills. Limits are those of all gateways together.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct ShieldFile {
+    /// Fills out at once at the beginning.
+    pub first: u32,
+    /// Fills out at once at the least.
+    pub least: u32,
+    /// Fills out at once at the most.
+    pub most: u32,
+    /// Factor by which the limit falls at a sign of trouble.
+    pub decrease: f64,
+    /// An answer slower than the least of late times this is a sign of trouble.
+    pub slow: f64,
+    /// ms for which the least answer time counts.
+    pub memory_ms: u64,
+    /// Share of the limit that one hub may take while others want it too.
+    pub hub_share: f64,
+    /// ms between two fills of one object where they can't be joined.
+    pub space_ms: u64,
+    /// ms for which what the origin could not give is not asked for again.
+    pub forget_ms: u64,
+    /// Objects remembered.
+    pub objects: u32,
+}
+
+impl Default for ShieldFile {
+    fn default() -> Self {
+        let usual = shield::Terms::default();
+        ShieldFile {
+            first: usual.first as u32,
+            least: usual.least as u32,
+            most: usual.most as u32,
+            decrease: usual.decrease,
+            slow: usual.slow,
+            memory_ms: usual.memory / 1000,
+            hub_share: usual.hub_share,
+            space_ms: usual.space / 1000,
+            forget_ms: usual.forget / 1000,
+            objects: usual.objects as u32,
+        }
+    }
+}
+
+impl ShieldFile {
+    fn check(&self) -> Result<(), String> {
+        if self.least < 1 || self.first < self.least || self.most < self.first {
+            return Err(
+                "shield.least, first, most: they must be 1 or more, each no less than the one before".into(),
+            );
+        }
+        for (key, value, from, to) in [
+            ("decrease", self.decrease, 0.1, 0.99),
+            ("slow", self.slow, 1.1, 100.0),
+            ("hub_share", self.hub_share, 0.01, 1.0),
+        ] {
+            if !(from..=to).contains(&value) {
+                return Err(format!("shield.{key}: {value} is not from {from} to {to}"));
+            }
+        }
+        for (key, value, to) in [
+            ("memory_ms", self.memory_ms, 3_600_000),
+            ("space_ms", self.space_ms, 60_000),
+            ("forget_ms", self.forget_ms, 600_000),
+            ("objects", u64::from(self.objects), 1_000_000),
+        ] {
+            if !(1..=to).contains(&value) {
+                return Err(format!("shield.{key}: {value} is not from 1 to {to}"));
+            }
+        }
+        Ok(())
+    }
+
+    /// In the shield's terms.
+    pub fn terms(&self) -> shield::Terms {
+        shield::Terms {
+            first: f64::from(self.first),
+            least: f64::from(self.least),
+            most: f64::from(self.most),
+            decrease: self.decrease,
+            slow: self.slow,
+            memory: self.memory_ms * 1000,
+            hub_share: self.hub_share,
+            space: self.space_ms * 1000,
+            forget: self.forget_ms * 1000,
+            objects: self.objects as usize,
+        }
+    }
 }
 
 fn steps() -> u32 {
@@ -76,6 +169,9 @@
     if file.cold_from.is_some_and(|share| !(0.0..=1.0).contains(&share)) {
         return Err(format!("cold_from: {} is not from 0 to 1", file.cold_from.unwrap_or(0.0)));
     }
+    if let Some(shield) = &file.shield {
+        shield.check()?;
+    }
     let mut ledger = Ledger::new(file.epoch, shape);
     for (at, change) in file.changes.iter().enumerate() {
         if let Some(why) = refused(change, &ledger.take(change.clone())) {
@@ -166,6 +262,23 @@
     paused: bool,
     ends_in_ms: u64,
     parents: BTreeMap<String, Weight>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    shield: Option<ShieldReport>,
+}
+
+/// What an operator sees of the origin's shield.
+#[derive(Serialize)]
+pub struct ShieldReport {
+    /// Fills that may be out at once from here.
+    pub limit: u32,
+    /// Fills out from here.
+    pub out: u32,
+    /// Fills turned away since the start.
+    pub turned_away: u64,
+    /// Objects remembered.
+    pub remembered: usize,
+    /// The usual answer time of the origin.
+    pub usual_ms: Option<f64>,
 }
 
 #[derive(Serialize)]
@@ -272,8 +385,19 @@
         })
     }
 
+    /// The terms of the origin's shield, if there is one.
+    pub fn shield(&self) -> Option<shield::Terms> {
+        self.file.shield.as_ref().map(ShieldFile::terms)
+    }
+
+    /// The hub of each parent of the present shape.
+    pub fn hubs(&self) -> BTreeMap<ServerId, String> {
+        let parents = self.ledger.shape().parents().iter();
+        parents.map(|(name, parent)| (store_id(name), parent.hub.clone())).collect()
+    }
+
     /// For the operator.
-    pub fn report(&self, at: Micros) -> Report {
+    pub fn report(&self, at: Micros, shield: Option<ShieldReport>) -> Report {
         let now = self.moves.weights(at);
         let shape = self.ledger.shape();
         let names: BTreeSet<&String> = now.keys().chain(self.target.keys()).collect();
@@ -290,6 +414,7 @@
             paused: self.file.paused,
             ends_in_ms: self.moves.ends(at).saturating_sub(at) / 1000,
             parents: names.into_iter().map(|name| (name.clone(), weight(name))).collect(),
+            shield,
         }
     }
 }
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -5,7 +5,7 @@
 use crate::console::{self, Console};
 use crate::core::{Core, Order, Ticket};
 use crate::deadlines::Due;
-use crate::hierarchy::{Hierarchy, HierarchyFile};
+use crate::hierarchy::{Hierarchy, HierarchyFile, ShieldReport};
 use crate::log;
 use crate::membership::{Effect, Membership, Own};
 use crate::resp::{self, Link, Reply};
@@ -1229,7 +1229,14 @@
                 let answer = match (what.as_str(), &self.membership) {
                     ("members", Some(membership)) => membership.report(at),
                     ("hierarchy", _) if self.hierarchy.is_some() => {
-                        let report = self.hierarchy.as_ref().map(|h| h.report(at));
+                        let shield = self.core.shield().map(|s| ShieldReport {
+                            limit: s.limit(),
+                            out: s.out(),
+                            turned_away: s.turned_away,
+                            remembered: s.remembered(),
+                            usual_ms: s.usual().map(|us| us as f64 / 1000.0),
+                        });
+                        let report = self.hierarchy.as_ref().map(|h| h.report(at, shield));
                         serde_json::to_string(&report).unwrap_or_default()
                     }
                     _ => format!("{{\"error\":\"{} is no request\"}}", what.escape_default()),
@@ -1553,6 +1560,7 @@
         if let Some(homes) = hierarchy.tick(at) {
             self.core.homes(at, homes);
         }
+        self.core.shield_origin(hierarchy.shield(), hierarchy.hubs());
         let due = hierarchy.next_due();
         if let Some(old) = std::mem::replace(&mut self.hierarchy_due, due) {
             self.core.deadlines.clear(old, Due::Hierarchy);
--- a/lab/src/trial/hierarchy.rs
+++ b/lab/src/trial/hierarchy.rs
@@ -1,5 +1,6 @@
-//! `trial hierarchy`: moves between shapes on real sockets, in three ways: the plain hash over the list (as without a
-//! shape), a move at once, and the ramp. Scaled down: a busy minute is 26 s, four caches, three parents, one origin.
+//! `trial hierarchy`: moves between shapes on real sockets, in five ways: the plain hash over the list (as without a
+//! shape), a move at once, the ramp, and the last two with the shield of the origin. Scaled down: a busy minute is 26 s,
+//! four caches, three parents, one origin.
 use super::fleet::{settings, spawn, Gateway};
 use super::Outcome;
 use crate::clock::now;
@@ -25,7 +26,7 @@
 const OBJECTS: u64 = 1500;
 /// When the move begins, ms: the caches and parents know the popular objects by then.
 const MOVE: u64 = 8000;
-const WAYS: [&str; 3] = ["plain hash", "at once", "ramp"];
+const WAYS: [&str; 5] = ["plain hash", "at once", "ramp", "once+shield", "ramp+shield"];
 /// A cold parent's load over what it can give, at most, in any second; rules of the platform allow 2.
 const COLD_LOAD: f64 = 2.0;
 
@@ -69,6 +70,7 @@
             ],
         ),
         case("origin 3 times slower", &[(MOVE, Do::SlowOrigin(3.0)), (14_000, Do::SlowOrigin(1.0))]),
+        case("origin 5 times slower", &[(MOVE, Do::SlowOrigin(5.0)), (14_000, Do::SlowOrigin(1.0))]),
         Case {
             name: "edits in the wrong order",
             chained: true,
@@ -165,8 +167,8 @@
     /// The hierarchy's file, before or with the change.
     fn file(&self, changed: bool) -> Option<String> {
         let (steps, step_ms, keep_ms, cold_from) = match WAYS[self.way] {
-            "at once" => (1, 10, 0, 1.0),
-            "ramp" => (16, 500, 6000, 0.1),
+            "at once" | "once+shield" => (1, 10, 0, 1.0),
+            "ramp" | "ramp+shield" => (16, 500, 6000, 0.1),
             _ => return None,
         };
         let parent = |hub: &str| json!({"hub": hub, "weight": 4.0, "upstream": "origin"});
@@ -174,13 +176,16 @@
             {"add_parent": {"name": "s-b2", "parent": parent("west")}},
             {"set_branch": {"branch": "edge", "parents": ["s-b0", "s-b2"]}}]});
         let changes = if changed { vec![change] } else { Vec::new() };
-        let file = json!({
+        let mut file = json!({
             "branch": "edge", "epoch": 0, "steps": steps, "step_ms": step_ms, "keep_ms": keep_ms,
             "cold_from": cold_from, "cold_ms": COLD_SPAN / 1000,
             "parents": {"s-b0": parent("east"), "s-b1": parent("east")},
             "branches": {"edge": ["s-b0", "s-b1"]},
             "changes": changes,
         });
+        if WAYS[self.way].ends_with("shield") {
+            file["shield"] = json!({"first": 16, "least": 2});
+        }
         Some(file.to_string())
     }
 
@@ -361,6 +366,11 @@
         if ramp.origin_stopped {
             broken.push(format!("{}: the origin stopped", case.name));
         }
+        for way in [3, 4] {
+            if played[way].origin_stopped {
+                broken.push(format!("{}: the origin stopped behind its shield ({})", case.name, WAYS[way]));
+            }
+        }
         if ramp.loops[2] > 0 {
             broken.push(format!("{}: {} loops went unbroken", case.name, ramp.loops[2]));
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -196,6 +196,8 @@
     pub ttl: Micros,
     /// Its size in KB, 0 if not told.
     pub size_kb: f64,
+    /// Whether the origin is to be spared a fill for it now.
+    pub spared: bool,
 }
 
 /// What a list says of a server.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -791,7 +791,7 @@
     fn withheld(&self, open: &Open) -> bool {
         let share = (1.0 - OVERASKED[0] * (1.0 - self.unfilled)).min(OVERASKED[1]);
         let again = open.attempts.iter().any(|a| a.source_failed && !a.to.sibling);
-        share > 0.0 && (again || unit(self.seed ^ mix(open.req.id)) < share)
+        open.req.spared || share > 0.0 && (again || unit(self.seed ^ mix(open.req.id)) < share)
     }
 
     fn on_outcome(&mut self, outcome: &Outcome, actions: &mut Vec<Action>) {
