End clients' connections of an upgrade by telling first: a crossing request reset answers

Cause: let_go (net.rs) closed an idle connection; a request that crossed the close made it a reset, and the kernel threw away what it had not sent yet of answers that the gateway had written. Checked: a scenario that asks, does not read, and sends across the close fails with 'connection reset' at 4, 8 and 14 answers of 240,000 bytes. Change: the end is told first (shutdown), what comes meanwhile is read, and the connection goes when the client's side has gone, or after 1 s.

--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -1422,18 +1422,28 @@
         self.leaving = true;
     }
 
-    /// Closes clients' connections with nothing open, unsent or unread on them, so that clients turn to the next
-    /// process. Danger: what is unread when a connection is closed was sent for nothing.
+    /// Ends clients' connections with nothing open, unsent or unread on them, so that clients turn to the next
+    /// process. Danger: a request that crosses a plain close makes it a reset, and answers that are still on their way
+    /// are lost with it. So the end is told first, and what comes meanwhile is read until the client has closed too.
     fn let_go(&mut self, at: Micros) {
         let idle = |c: &Conn| {
             c.role.client()
+                && !c.ending
                 && c.role.resting()
                 && c.output.rest().is_empty()
                 && c.input.rest().is_empty()
                 && matches!(c.stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
         };
         let idle: Vec<Key> = self.conns.iter().filter(|(_, c)| idle(c)).map(|(key, _)| key).collect();
-        idle.into_iter().for_each(|key| self.close(at, key, None));
+        for key in idle {
+            let Some(conn) = self.conns.get_mut(key) else { continue };
+            conn.ending = true;
+            // A connection that is broken is found out when it is read.
+            let _ = conn.stream.shutdown(Shutdown::Write);
+            self.core.deadlines.clear(conn.due, Due::Connection(key));
+            conn.due = at + LINGER;
+            self.core.deadlines.set(conn.due, Due::Connection(key));
+        }
     }
 
     // The console.
--- a/gateway/tests/net/operations.rs
+++ b/gateway/tests/net/operations.rs
@@ -337,3 +337,31 @@
          figure in_progress 0",
     );
 }
+
+#[test]
+fn answers_on_their_way_survive_a_request_that_crosses_the_close_of_their_connection() {
+    let mut s = served();
+    s.set("row", ROW);
+    // More than the client's side takes unread, and less than the sockets hold.
+    const N: usize = 8;
+    for n in 1..=N {
+        s.run(&format!(
+            "c1 > serve {n} op=history-files ttl=6000 row=$row block=3 family=17 call=w{n}
+             store < PULL w{n}
+             store > w{n} ok remark=HIT | #240000"
+        ));
+    }
+    // All is written as far as the gateway can tell; the client has read none of it.
+    s.run(
+        "figure in_progress 0
+         start
+         old term
+         wait 200
+         c1 > serve 99 op=history-files ttl=6000 row=$row block=3 family=17 call=late
+         wait 50",
+    );
+    for _ in 1..=N {
+        s.next_seq("c1", 240_000);
+    }
+    s.run("c1 < closed\nold exit 0");
+}
