Loops: CDN-Loop on the second front, the own hop to stores that take it, suspects left out

Change: the second front reads CDN-Loop and answers 508 where a request has been here, at one place twice or too far, with the two epochs in the log; 'trails' adds the own hop for stores that take it; 'infer' leaves a parent out whose fills show a loop, never the last one; counts and suspects in 'hierarchy show'. All off without the keys. Result: scenarios on the program, a unit test of the inference through the core; what inference gains beside the module's own rules is not measured, and said so.

--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -3,11 +3,13 @@
 use crate::bulletin::{News, Store};
 use crate::config::ClassTerms;
 use crate::deadlines::{Deadlines, Due};
+use crate::hierarchy::InferFile;
 use crate::slots::{Key, Slots};
 use larchway::{
     Action, Event, Get, Homes, Learned, Members, Micros, Note, Outcome, Request, Router, Scope, ServerId,
     Settings, State, Status,
 };
+use larchway_hierarchy::loops::{self, Inference, Shown};
 use larchway_hierarchy::shield::{End as FillEnd, Shield, Terms as ShieldTerms, Verdict};
 use larchway_members::witness::Evidence;
 use larchway_operations::classes::Heir;
@@ -51,6 +53,8 @@
     pub dedupe: Option<String>,
     /// The bare tag of the client's copy.
     pub mine: Option<String>,
+    /// Where the request has been (RFC 8586), as it came; empty on wires that tell nothing.
+    pub via: String,
     /// The body.
     pub body: Vec<u8>,
 }
@@ -131,6 +135,8 @@
     pub peek: bool,
     /// Whether to renew an ageing copy behind the answer.
     pub renew: bool,
+    /// Where the request has been, this gateway among it, for stores that take it.
+    pub via: Option<String>,
 }
 
 /// The core of a gateway.
@@ -150,6 +156,12 @@
     fetch: BTreeSet<ServerId>,
     fetching_kinds: [Option<usize>; 2],
     gateways: u64,
+    /// The own name and epoch, where stores take trails.
+    pub own_hop: Option<(String, u64)>,
+    /// What fills by parents have shown.
+    watch: Option<(InferFile, BTreeMap<ServerId, Inference>)>,
+    /// Parents that have become suspect of a loop since these were last taken out.
+    pub suspects: Vec<ServerId>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
     /// Whether a list of stores is known.
@@ -193,6 +205,9 @@
             fetch: BTreeSet::new(),
             fetching_kinds: [None; 2],
             gateways: 1,
+            own_hop: None,
+            watch: None,
+            suspects: Vec::new(),
             events: VecDeque::new(),
             actions: Vec::new(),
             well: false,
@@ -248,6 +263,37 @@
         }
     }
 
+    /// Infers loops from what fills show, or ends that.
+    pub fn infer_loops(&mut self, terms: Option<InferFile>) {
+        if self.watch.as_ref().map(|w| &w.0) != terms.as_ref() {
+            self.watch = terms.map(|terms| (terms, BTreeMap::new()));
+        }
+    }
+
+    /// A fill by way of a parent has ended: a run of them that find no place or run out of time is what a loop shows.
+    fn seen_fill(&mut self, now: Micros, source: ServerId, (status, note): (Status, Note), took: Micros) {
+        let usual = self.shield.as_ref().and_then(Shield::usual).unwrap_or(100_000);
+        let Some((terms, seen)) = &mut self.watch else { return };
+        if !self.hubs.contains_key(&source) || matches!(status, Status::Cancelled | Status::Moot) {
+            return;
+        }
+        // What the cache held says nothing of the parent.
+        if status == Status::Ok && matches!(note, Note::Hit | Note::Stale) {
+            return;
+        }
+        let shown = Shown {
+            timed_out: status == Status::Timeout || note == Note::SourceLost,
+            full: note == Note::SourceRefused,
+            waited: took,
+        };
+        let parent = seen.entry(source).or_insert_with(|| Inference::new(terms.window as usize, terms.share));
+        if parent.see(now, shown, usual, terms.hold_ms * 1000) {
+            self.suspects.push(source);
+        }
+        // Parents that are gone leave nothing behind.
+        seen.retain(|id, _| self.hubs.contains_key(id));
+    }
+
     /// The origin's shield, if there is one.
     pub fn shield(&self) -> Option<&Shield> {
         self.shield.as_ref()
@@ -509,6 +555,7 @@
             join: get.join,
             peek: get.peek,
             renew: get.renew,
+            via: self.own_hop.as_ref().map(|(name, epoch)| loops::append(&open.ask.via, name, *epoch)),
         })
     }
 
@@ -538,6 +585,9 @@
         let latency = now.saturating_sub(attempt.at);
         let took = if waited > 0 { waited } else { latency };
         self.filled(now, attempt.fill, (status, note), took);
+        if attempt.get.source != attempt.get.server && !attempt.get.peek {
+            self.seen_fill(now, attempt.get.source, (status, note), took);
+        }
         let open = self.requests.get_mut(attempt.request)?;
         open.out -= 1;
         let served = status == Status::Ok && !open.answered;
@@ -971,4 +1021,27 @@
         }
         assert_eq!(core.shield().map(Shield::limit), Some(1));
     }
+
+    #[test]
+    fn a_run_of_fills_that_no_parent_brings_makes_it_suspect_and_hits_say_nothing() {
+        let mut core = core();
+        core.shield_origin(None, BTreeMap::from([(50, "east".to_string())]));
+        core.infer_loops(Some(InferFile { window: 4, share: 0.75, hold_ms: 1000 }));
+        let mut at = START;
+        let mut ask_all = |core: &mut Core, from: u64, end: (Status, Note)| {
+            for n in from..from + 12 {
+                at += 500 * MS;
+                core.request(at, ticket(n), ask(0, n));
+                for key in sent(core) {
+                    core.answered(at + 450 * MS, key, end.0, end.1, 440 * MS, Vec::new());
+                }
+                core.orders.clear();
+            }
+        };
+        ask_all(&mut core, 100, (Status::Ok, Note::Hit));
+        ask_all(&mut core, 200, (Status::Ok, Note::Filled));
+        assert!(core.suspects.is_empty());
+        ask_all(&mut core, 300, (Status::Full, Note::SourceRefused));
+        assert_eq!(core.suspects.first(), Some(&50));
+    }
 }
--- a/gateway/src/hierarchy.rs
+++ b/gateway/src/hierarchy.rs
@@ -4,6 +4,7 @@
 use crate::log;
 use larchway::{Homes, Micros, ServerId};
 use larchway_hierarchy::ledger::{Change, Fate, Ledger};
+use larchway_hierarchy::loops::{self, Found};
 use larchway_hierarchy::moves::{Moves, Terms};
 use larchway_hierarchy::shape::{Edit, Parent, Shape};
 use larchway_hierarchy::shield;
@@ -47,10 +48,48 @@
     /// Whether moves stand still.
     #[serde(default)]
     pub paused: bool,
+    /// Whether stores take the field `via`, which says where a request has been. Not on the platform.
+    #[serde(default)]
+    pub trails: bool,
+    /// How loops are inferred where no trail is carried; without it, they are not.
+    pub infer: Option<InferFile>,
     /// The shield of the origin; without it, fills are limited by the module's own rules alone.
     pub shield: Option<ShieldFile>,
 }
 
+/// How loops are inferred.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct InferFile {
+    /// Over how many fills of a parent.
+    pub window: u32,
+    /// Which share of them must have found no place or run out of time.
+    pub share: f64,
+    /// ms for which a suspect parent is left out.
+    pub hold_ms: u64,
+}
+
+impl Default for InferFile {
+    fn default() -> Self {
+        InferFile { window: 8, share: 0.75, hold_ms: 5000 }
+    }
+}
+
+impl InferFile {
+    fn check(&self) -> Result<(), String> {
+        if !(4..=1000).contains(&self.window) {
+            return Err(format!("infer.window: {} is not from 4 to 1000", self.window));
+        }
+        if !(0.5..=1.0).contains(&self.share) {
+            return Err(format!("infer.share: {} is not from 0.5 to 1", self.share));
+        }
+        if !(100..=600_000).contains(&self.hold_ms) {
+            return Err(format!("infer.hold_ms: {} is not from 100 to 600000", self.hold_ms));
+        }
+        Ok(())
+    }
+}
+
 /// How the origin is shielded from fills. Limits are those of all gateways together.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
@@ -172,6 +211,9 @@
     if let Some(shield) = &file.shield {
         shield.check()?;
     }
+    if let Some(infer) = &file.infer {
+        infer.check()?;
+    }
     let mut ledger = Ledger::new(file.epoch, shape);
     for (at, change) in file.changes.iter().enumerate() {
         if let Some(why) = refused(change, &ledger.take(change.clone())) {
@@ -250,6 +292,13 @@
     told: Option<Homes>,
     /// When the weights are to be looked at again.
     due: Option<Micros>,
+    /// The own name, as it stands in trails.
+    own: String,
+    /// Parents that are left out as part of a loop, and until when.
+    suspects: BTreeMap<ServerId, Micros>,
+    /// Requests that had been here, and parents that were found suspect, since the start.
+    loops_found: u64,
+    loops_inferred: u64,
 }
 
 /// What an operator sees.
@@ -264,6 +313,10 @@
     parents: BTreeMap<String, Weight>,
     #[serde(skip_serializing_if = "Option::is_none")]
     shield: Option<ShieldReport>,
+    /// Requests that had been here or at one place twice, and parents found suspect, since the start; those left out now.
+    loops_found: u64,
+    loops_inferred: u64,
+    suspects: Vec<String>,
 }
 
 /// What an operator sees of the origin's shield.
@@ -305,7 +358,72 @@
         let target = weights(ledger.shape(), &file.branch);
         let moves = Moves::new(at, terms(&file, cold_from, cold_span), &target);
         let due = None;
-        Ok(Hierarchy { file, ledger, moves, target, told: None, due })
+        let (own, suspects) = (String::new(), BTreeMap::new());
+        let (loops_found, loops_inferred) = (0, 0);
+        Ok(Hierarchy {
+            file,
+            ledger,
+            moves,
+            target,
+            told: None,
+            due,
+            own,
+            suspects,
+            loops_found,
+            loops_inferred,
+        })
+    }
+
+    /// Names this gateway in trails.
+    pub fn name(&mut self, name: &str) {
+        let plain = |c: char| if c.is_ascii_alphanumeric() || c == '.' { c } else { '-' };
+        self.own = name.chars().map(plain).collect();
+    }
+
+    /// The own hop, where stores take trails.
+    pub fn own_hop(&self) -> Option<(String, u64)> {
+        self.file.trails.then(|| (self.own.clone(), self.ledger.epoch()))
+    }
+
+    /// How loops are inferred.
+    pub fn infer(&self) -> Option<InferFile> {
+        self.file.infer.clone()
+    }
+
+    /// Whether a request that has been there may pass; one that has been here, or any place twice, is in a loop, and
+    /// what is no trail can't be told from one.
+    pub fn may_pass(&mut self, trail: &str) -> bool {
+        if trail.trim().is_empty() {
+            return true;
+        }
+        let found = match loops::read(trail) {
+            Ok(hops) => loops::look(&hops, &self.own, self.ledger.epoch(), self.ledger.shape().depth()),
+            Err(why) => {
+                log!("a trail cannot be read: {why:?}");
+                self.loops_found += 1;
+                return false;
+            }
+        };
+        match found {
+            Found::Clear => return true,
+            Found::Loop { name, first, second } => {
+                let epoch =
+                    |e: Option<u64>| e.map_or("an epoch untold".to_string(), |e| format!("epoch {e}"));
+                log!("a loop by way of {name}: first at {}, then at {}", epoch(first), epoch(second));
+            }
+            Found::Deep(hops) => log!("a request has come {hops} hops, more than the shape has"),
+        }
+        self.loops_found += 1;
+        false
+    }
+
+    /// A parent shows what a loop shows: it is left out for a while, unless no other is left.
+    pub fn suspect(&mut self, at: Micros, parent: ServerId) {
+        let hold = self.file.infer.as_ref().map_or(0, |infer| infer.hold_ms * 1000);
+        log!("fills by way of {parent:08x} run out of time or find no place, as in a loop: it is left out for a while");
+        self.loops_inferred += 1;
+        self.suspects.insert(parent, at + hold);
+        self.due = Some(at);
     }
 
     /// The path of the ensemble whose children are changes.
@@ -375,10 +493,16 @@
             weights.iter().map(|(name, weight)| (store_id(name), *weight)).collect()
         };
         let before = self.moves.before(at).map(&ids).unwrap_or_default();
-        let homes = Homes { weights: ids(&self.moves.weights(at)), before, asked: self.moves.asked(at) };
+        self.suspects.retain(|_, until| at < *until);
+        let mut weights = ids(&self.moves.weights(at));
+        if weights.iter().any(|(id, weight)| *weight > 0.0 && !self.suspects.contains_key(id)) {
+            weights.retain(|(id, _)| !self.suspects.contains_key(id));
+        }
+        let homes = Homes { weights, before, asked: self.moves.asked(at) };
         // While homes of before are asked, their end is looked for too.
         let asked = (!homes.before.is_empty()).then(|| at + self.file.step_ms * 1000);
-        self.due = self.moves.next_due(at).or(asked);
+        let cleared = self.suspects.values().min().copied();
+        self.due = self.moves.next_due(at).or(asked).into_iter().chain(cleared).min();
         (self.told.as_ref() != Some(&homes)).then(|| {
             self.told = Some(homes.clone());
             homes
@@ -415,6 +539,9 @@
             ends_in_ms: self.moves.ends(at).saturating_sub(at) / 1000,
             parents: names.into_iter().map(|name| (name.clone(), weight(name))).collect(),
             shield,
+            loops_found: self.loops_found,
+            loops_inferred: self.loops_inferred,
+            suspects: self.suspects.keys().map(|id| format!("{id:08x}")).collect(),
         }
     }
 }
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -400,6 +400,9 @@
                     self.hierarchy = Some(Hierarchy::new(at, file, from, span)?);
                 }
             }
+            if let Some(hierarchy) = &mut self.hierarchy {
+                hierarchy.name(&config.name);
+            }
             self.tend_hierarchy(at);
         }
         self.settings = self.core.configure(config.settings, config.classes);
@@ -1004,6 +1007,7 @@
         loop {
             self.carry_out_orders(at);
             self.tell_evidence(at);
+            self.tell_suspects(at);
             if self.resumed.is_empty() && self.core.orders.is_empty() {
                 return;
             }
@@ -1571,6 +1575,8 @@
             self.core.homes(at, homes);
         }
         self.core.shield_origin(hierarchy.shield(), hierarchy.hubs());
+        self.core.infer_loops(hierarchy.infer());
+        self.core.own_hop = hierarchy.own_hop();
         let due = hierarchy.next_due();
         if let Some(old) = std::mem::replace(&mut self.hierarchy_due, due) {
             self.core.deadlines.clear(old, Due::Hierarchy);
@@ -1587,6 +1593,23 @@
         }
     }
 
+    /// Tells the hierarchy which parents show what a loop shows.
+    fn tell_suspects(&mut self, at: Micros) {
+        if self.core.suspects.is_empty() {
+            return;
+        }
+        let suspects = std::mem::take(&mut self.core.suspects);
+        if let Some(hierarchy) = &mut self.hierarchy {
+            suspects.into_iter().for_each(|parent| hierarchy.suspect(at, parent));
+        }
+        self.tend_hierarchy(at);
+    }
+
+    /// Whether a request that has been at these places may pass (RFC 8586); without a hierarchy nothing is known of it.
+    pub fn may_pass(&mut self, trail: &str) -> bool {
+        self.hierarchy.as_mut().is_none_or(|hierarchy| hierarchy.may_pass(trail))
+    }
+
     /// Tells membership what own attempts have shown.
     fn tell_evidence(&mut self, at: Micros) {
         if let (Some(seen), Some(membership)) = (&mut self.core.evidence, &mut self.membership) {
--- a/gateway/src/resp.rs
+++ b/gateway/src/resp.rs
@@ -254,6 +254,10 @@
     if pull.within > 0 {
         add("within", &pull.within.to_string());
     }
+    if let Some(via) = &pull.via {
+        // A list of fields has no room for commas and equals signs; names are plain.
+        add("via", &via.replace("; epoch=", "_").replace(", ", "|").replace([',', '=', ' ', ';'], "-"));
+    }
     let words = [(pull.join, "share"), (pull.peek, "peek"), (pull.renew, "swr")];
     let words: Vec<&str> = words.iter().filter(|w| w.0).map(|w| w.1).collect();
     if !words.is_empty() {
@@ -318,6 +322,7 @@
             join: false,
             peek: true,
             renew: true,
+            via: None,
         };
         let fields = |told: &Pull<'_>| {
             let mut out = Vec::new();
--- a/gateway/src/signed/http.rs
+++ b/gateway/src/signed/http.rs
@@ -20,6 +20,8 @@
     pub cookie: &'a str,
     /// Tags of copies that the client holds.
     pub if_none_match: &'a str,
+    /// Where the request has been (RFC 8586), a field line each.
+    pub cdn_loop: Vec<&'a str>,
     /// Whether the client waits for leave to send its body.
     pub expects: bool,
     /// Whether the connection stays open afterwards.
@@ -68,6 +70,7 @@
         authorization: "",
         cookie: "",
         if_none_match: "",
+        cdn_loop: Vec::new(),
         expects: false,
         keep_alive: late,
         body: &[],
@@ -78,6 +81,7 @@
         match header.name.to_ascii_lowercase().as_str() {
             "authorization" => found.authorization = value,
             "cookie" => found.cookie = value,
+            "cdn-loop" => found.cdn_loop.push(value),
             "if-none-match" => found.if_none_match = value,
             "expect" => found.expects = value.eq_ignore_ascii_case("100-continue"),
             "host" => hosts += 1,
@@ -130,6 +134,7 @@
         502 => "Bad Gateway",
         503 => "Service Unavailable",
         504 => "Gateway Timeout",
+        508 => "Loop Detected",
         505 => "HTTP Version Not Supported",
         _ => "Unknown",
     }
--- a/gateway/src/signed/mod.rs
+++ b/gateway/src/signed/mod.rs
@@ -317,6 +317,11 @@
         gateway.core.turn_away(class);
         return Err((503, "too much is under way"));
     }
+    let via = request.cdn_loop.join(", ");
+    if !gateway.may_pass(&via) {
+        gateway.core.turn_away(class);
+        return Err((508, "the request has been here before"));
+    }
     // One tag can go on to the store; of several, or of any, the answer's tag is compared here.
     let one = request.if_none_match.trim_start_matches("W/").trim_matches('"');
     let plain = !one.is_empty() && one.len() <= 64 && one.bytes().all(|b| b.is_ascii_alphanumeric());
@@ -329,6 +334,7 @@
         group,
         ttl: gateway.terms.deadlines.get(class).copied().unwrap_or(3_000_000),
         mine: plain.then(|| one.to_string()),
+        via,
         ..Ask::default()
     };
     let opened = gateway.core.request(at, Ticket { client: key, seq: count }, ask);
--- a/gateway/src/thrift.rs
+++ b/gateway/src/thrift.rs
@@ -347,6 +347,7 @@
         mine: field("cached")
             .map(|t| plain("cached", t.trim_start_matches("W/").trim_matches('"')))
             .transpose()?,
+        via: String::new(),
         body: body.to_vec(),
     })
 }
--- a/gateway/tests/net/hierarchy.rs
+++ b/gateway/tests/net/hierarchy.rs
@@ -39,6 +39,67 @@
     fill(&mut s, 3, "s-b2");
 }
 
+#[test]
+fn a_trail_is_passed_on_with_the_own_hop_and_one_that_has_been_here_is_turned_away() {
+    let text = Box::leak(FILE.replace("\"steps\":2", "\"trails\":true,\"steps\":2").into_boxed_str());
+    let mut s = Scenario::new(Setup { hierarchy: Some(text), ..Setup::default() });
+    s.link("link", crate::scenario::FILES, -10, 600, false);
+    s.run(
+        "w1 > GET $link ; CDN-Loop: other; epoch=3 ; CDN-Loop: far.net
+         store < PULL * via=other_3|far.net|n1_0
+         store > * ok remark=HIT,entity=t1 | bytes
+         w1 < 200 | bytes
+         w2 > GET $link ; CDN-Loop: other, n1; epoch=7
+         w2 < 508
+         log < a loop by way of n1: first at epoch 7, then at epoch 0
+         w3 > GET $link ; CDN-Loop: a, b, a
+         w3 < 508
+         w4 > GET $link ; CDN-Loop: x; y=\"
+         w4 < 508
+         c1 > serve 1 op=bid-status call=aa ttl=2000 row=0000000000000001 block=0 family=1
+         store < PULL aa via=n1_0
+         store > aa ok remark=HIT | x
+         c1 < served 1 | x",
+    );
+}
+
+#[test]
+fn without_trails_a_request_goes_on_as_it_always_did() {
+    let mut s = Scenario::new(Setup { hierarchy: Some(FILE), ..Setup::default() });
+    s.run(
+        "c1 > serve 1 op=bid-status call=aa ttl=2000 row=0000000000000001 block=0 family=1
+         store < PULL aa via=none",
+    );
+}
+
+#[test]
+fn a_parent_that_shows_a_loop_is_left_out_for_a_while_unless_it_is_the_last() {
+    let text = FILE
+        .replace("\"edge\":[\"s-b1\"]", "\"edge\":[\"s-b1\",\"s-b2\"]")
+        .replace("\"steps\":2", "\"infer\":{\"window\":4,\"share\":0.75,\"hold_ms\":2000},\"steps\":2");
+    let file = hierarchy::read(&text).expect("well configured");
+    let mut known = hierarchy::Hierarchy::new(0, file, 0.1, 1_000_000).expect("fits");
+    let of = |homes: &larchway::Homes| homes.weights.iter().map(|w| w.0).collect::<Vec<_>>();
+    assert_eq!(of(&known.tick(10).expect("told")), [0xb1, 0xb2]);
+    known.suspect(1000, 0xb1);
+    assert_eq!(of(&known.tick(1000).expect("told")), [0xb2]);
+    known.suspect(2000, 0xb2);
+    assert_eq!(of(&known.tick(2000).expect("told")), [0xb1, 0xb2], "none would be left");
+    assert!(known.next_due().is_some_and(|due| due <= 1000 + 2_000_000));
+    assert_eq!(known.tick(1000 + 2_000_000).map(|h| of(&h)), Some(vec![0xb1]), "the first one is back");
+    for (from, to, key) in [
+        ("\"window\":4", "\"window\":1", "infer.window"),
+        ("\"share\":0.75", "\"share\":0.1", "infer.share"),
+        ("\"hold_ms\":2000", "\"hold_ms\":1", "infer.hold_ms"),
+        ("\"steps\":2", "\"shield\":{\"slow\":1},\"steps\":2", "shield.slow"),
+        ("\"steps\":2", "\"shield\":{\"first\":1},\"steps\":2", "shield.least"),
+        ("\"steps\":2", "\"shield\":{\"frist\":1},\"steps\":2", "frist"),
+    ] {
+        let said = hierarchy::read(&text.replace(from, to)).expect_err(key);
+        assert!(said.contains(key), "{said}");
+    }
+}
+
 #[test]
 fn changes_come_from_the_ensemble_in_any_order() {
     let keepers = Keepers::start(SocketAddr::from(([127, 0, 0, 1], 0)), 1).expect("starts");
