--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod members;
 pub mod peers;
 pub mod policy;
+pub mod sealed;
 pub mod snapshot;
 pub mod witness;
 
--- a/crates/members/src/snapshot.rs
+++ b/crates/members/src/snapshot.rs
@@ -1,13 +1,12 @@
-//! The last good roster in bytes: a head with a mark, a version, the length and a CRC-32, then the roster in postcard
-//! (postcard and crc32fast from the registry). Anything torn, foreign or newer is refused by name.
+//! The last good roster in bytes, sealed. Anything torn, foreign or newer is refused by name.
 use crate::entry::Entry;
+use crate::sealed::{Broken, Form, HEAD};
 use larchway::{Host, Micros, State};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
-const MARK: &[u8; 8] = b"larchmbr";
 const VERSION: u16 = 1;
-const HEAD: usize = 8 + 2 + 4 + 4;
+const FORM: Form = Form { mark: b"larchmbr", version: VERSION };
 /// Most bytes of a snapshot: 20,000 boxes take about 3 MB.
 pub const LONGEST: usize = 16 << 20;
 
@@ -118,46 +117,21 @@
             }
         });
         let written = Written { at: self.at, boxes: boxes.collect() };
-        // Postcard fails on nothing that stands in these types.
-        let body = postcard::to_stdvec(&written).unwrap_or_default();
-        let mut out = MARK.to_vec();
-        out.extend_from_slice(&VERSION.to_be_bytes());
-        out.extend_from_slice(&(body.len() as u32).to_be_bytes());
-        out.extend_from_slice(&crc32fast::hash(&body).to_be_bytes());
-        out.extend_from_slice(&body);
-        out
+        FORM.write(&written)
     }
 
     /// From bytes; refused where it is torn, foreign, newer, or older than `longest`.
     pub fn read(bytes: &[u8], now: Micros, longest: Micros) -> Result<Self, Refused> {
-        if bytes.len() < HEAD {
-            let foreign = !MARK.starts_with(&bytes[..bytes.len().min(8)]);
-            return Err(if foreign {
-                Refused::Foreign
-            } else {
-                Refused::Torn { told: HEAD, found: bytes.len() }
-            });
-        }
-        let (head, body) = bytes.split_at(HEAD);
-        if &head[..8] != MARK {
-            return Err(Refused::Foreign);
-        }
-        let number = |at: usize| u32::from_be_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]);
-        let version = u16::from_be_bytes([head[8], head[9]]);
-        if version != VERSION {
-            return Err(Refused::Version(version));
-        }
-        if number(10) as usize != body.len() {
-            return Err(Refused::Torn { told: HEAD + number(10) as usize, found: bytes.len() });
-        }
-        if number(14) != crc32fast::hash(body) {
-            return Err(Refused::Spoilt);
-        }
-        let (written, rest): (Written, &[u8]) =
-            postcard::take_from_bytes(body).map_err(|_| Refused::Spoilt)?;
-        if !rest.is_empty() {
-            return Err(Refused::Spoilt);
+        let seal = FORM.seal(bytes).map_err(|broken| match broken {
+            Broken::Foreign => Refused::Foreign,
+            Broken::Version(version) => Refused::Version(version),
+        })?;
+        let Some(seal) = seal else { return Err(Refused::Torn { told: HEAD, found: bytes.len() }) };
+        let body = &bytes[HEAD..];
+        if seal.length != body.len() {
+            return Err(Refused::Torn { told: HEAD + seal.length, found: bytes.len() });
         }
+        let written: Written = seal.open(body).ok_or(Refused::Spoilt)?;
         if written.at > now {
             return Err(Refused::Future);
         }
--- a/crates/operations/src/handover.rs
+++ b/crates/operations/src/handover.rs
@@ -1,16 +1,15 @@
-//! What two processes of one gateway tell each other during an upgrade, in bytes: a mark, a version, a length and a
-//! CRC-32, then a frame in postcard (postcard and crc32fast from the registry). Anything torn, foreign or of another
-//! version is refused by name, and never half read.
+//! What two processes of one gateway tell each other during an upgrade, in bytes under a seal. Anything torn, foreign or
+//! of another version is refused by name, and never half read.
 use crate::cordon::Mark;
 use larchway::{Learned, Micros, ServerId};
+use larchway_members::sealed::{Broken, Form, HEAD};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
-const MARK: &[u8; 8] = b"larchops";
 /// Rises with each change of a frame's form. Frames of another version are refused: a field that only one side knows
 /// would be read as something else.
 pub const VERSION: u16 = 1;
-const HEAD: usize = 8 + 2 + 4 + 4;
+const FORM: Form = Form { mark: b"larchops", version: VERSION };
 /// Most bytes of a frame: 10,000 objects with their records take about 1 MB.
 pub const LONGEST: usize = 8 << 20;
 
@@ -78,41 +77,22 @@
 impl Frame {
     /// In bytes.
     pub fn write(&self) -> Vec<u8> {
-        // Postcard fails on nothing that stands in these types.
-        let body = postcard::to_stdvec(self).unwrap_or_default();
-        let mut out = MARK.to_vec();
-        out.extend_from_slice(&VERSION.to_be_bytes());
-        out.extend_from_slice(&(body.len() as u32).to_be_bytes());
-        out.extend_from_slice(&crc32fast::hash(&body).to_be_bytes());
-        out.extend_from_slice(&body);
-        out
+        FORM.write(self)
     }
 
     /// Takes a whole frame off the front of the input: the frame and its length in bytes; none while it is not whole.
     pub fn take(input: &[u8]) -> Result<Option<(Frame, usize)>, Refused> {
-        let known = input.len().min(MARK.len());
-        if input[..known] != MARK[..known] {
-            return Err(Refused::Foreign);
+        let seal = FORM.seal(input).map_err(|broken| match broken {
+            Broken::Foreign => Refused::Foreign,
+            Broken::Version(version) => Refused::Version(version),
+        })?;
+        let Some(seal) = seal else { return Ok(None) };
+        if seal.length > LONGEST {
+            return Err(Refused::Long(seal.length));
         }
-        let Some(head) = input.get(..HEAD) else { return Ok(None) };
-        let version = u16::from_be_bytes([head[8], head[9]]);
-        if version != VERSION {
-            return Err(Refused::Version(version));
-        }
-        let number = |at: usize| u32::from_be_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]);
-        let length = number(10) as usize;
-        if length > LONGEST {
-            return Err(Refused::Long(length));
-        }
-        let Some(body) = input.get(HEAD..HEAD + length) else { return Ok(None) };
-        if number(14) != crc32fast::hash(body) {
-            return Err(Refused::Spoilt);
-        }
-        let (frame, rest) = postcard::take_from_bytes::<Frame>(body).map_err(|_| Refused::Spoilt)?;
-        if !rest.is_empty() {
-            return Err(Refused::Spoilt);
-        }
-        Ok(Some((frame, HEAD + length)))
+        let end = HEAD + seal.length;
+        let Some(body) = input.get(HEAD..end) else { return Ok(None) };
+        Ok(Some((seal.open(body).ok_or(Refused::Spoilt)?, end)))
     }
 
     /// Reads a file that holds one frame and nothing else.
