Say once what ended a request, moves a deadline, and keeps a file

Cause, on reading the whole change again: the core marked and counted the end of a request in four places (gone, due, answered, finish); net.rs moved a kept deadline in four copies; upgrade.rs wrote membership's file reading and replacing again; the shield checked its limit twice; every turn of the loop allocated two lists to put the console first, also where there is none; each fill's end walked all watched parents. Change: Core::end, Deadlines::shift, gateway/src/kept.rs, Shield::look alone for the limit, a chain without allocation, watched parents pruned where hubs change; Console::address, which nobody asked, is gone. Behaviour stays, no test changed.

--- a/crates/hierarchy/src/shield.rs
+++ b/crates/hierarchy/src/shield.rs
@@ -178,7 +178,12 @@
             }
         }
         let full = self.out() + self.writes >= self.limit();
-        full.then(|| Verdict::Full(self.usual().unwrap_or(100_000).max(1000)))
+        // Writes go first: what they take, fills have not.
+        full.then(|| self.full())
+    }
+
+    fn full(&self) -> Verdict {
+        Verdict::Full(self.usual().unwrap_or(100_000).max(1000))
     }
 
     /// A fill of an object through a hub is wanted.
@@ -193,15 +198,13 @@
             None => {}
         }
         let limit = self.limit();
-        let (all, own) = (self.out(), self.out.get(hub).copied().unwrap_or(0));
-        let wait = self.usual().unwrap_or(100_000).max(1000);
+        let own = self.out.get(hub).copied().unwrap_or(0);
         // A hub alone may take it all; beside others it leaves them room.
         let others = self.out.iter().any(|(name, n)| name != hub && *n > 0);
         let most = if others { ((f64::from(limit) * terms.hub_share).ceil() as u32).max(1) } else { limit };
-        // Writes go first: what they take, fills have not.
-        if all + self.writes >= limit || own >= most {
+        if own >= most {
             self.turned_away += 1;
-            return Verdict::Full(wait);
+            return self.full();
         }
         *self.out.entry(hub.to_string()).or_default() += 1;
         if !self.objects.contains_key(&object) {
--- a/crates/operations/src/classes.rs
+++ b/crates/operations/src/classes.rs
@@ -94,15 +94,15 @@
         self.slots.get(at).map(|s| (s.name.as_str(), &s.spec))
     }
 
-    /// All slots in order.
-    pub fn all(&self) -> impl Iterator<Item = (&str, &T)> {
-        self.slots.iter().map(|s| (s.name.as_str(), &s.spec))
+    /// All slots in order, each with whether new requests get it.
+    pub fn all(&self) -> impl Iterator<Item = (&str, &T, bool)> {
+        self.slots.iter().map(|s| (s.name.as_str(), &s.spec, s.current))
     }
 
     /// The classes in force, by slot.
     pub fn current(&self) -> impl Iterator<Item = (usize, &str, &T)> {
-        let slots = self.slots.iter().enumerate().filter(|(_, s)| s.current);
-        slots.map(|(at, s)| (at, s.name.as_str(), &s.spec))
+        let slots = self.all().enumerate().filter(|(_, (.., current))| *current);
+        slots.map(|(at, (name, spec, _))| (at, name, spec))
     }
 
     /// A request takes hold of its class.
--- a/gateway/src/console.rs
+++ b/gateway/src/console.rs
@@ -3,7 +3,7 @@
 use larchway::Micros;
 use larchway_operations::cordon::Verdict;
 use std::io::{ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
 
 /// Callers at once, at most.
 pub const MOST: usize = 16;
@@ -204,19 +204,13 @@
 pub struct Console {
     /// Where callers come in.
     pub listener: TcpListener,
-    address: SocketAddr,
     clients: Vec<Option<Client>>,
 }
 
 impl Console {
     /// Takes a listener in, which is not to block, with so many places for callers.
-    pub fn new(listener: TcpListener, address: SocketAddr, places: usize) -> Self {
-        Console { listener, address, clients: (0..places.clamp(2, MOST)).map(|_| None).collect() }
-    }
-
-    /// Where it listens, as configured.
-    pub fn address(&self) -> SocketAddr {
-        self.address
+    pub fn new(listener: TcpListener, places: usize) -> Self {
+        Console { listener, clients: (0..places.clamp(2, MOST)).map(|_| None).collect() }
     }
 
     /// Takes a caller in: its place, its stream to be polled, and whoever had to leave for it. Danger: callers that
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -231,7 +231,7 @@
             })
             .collect();
         self.tally.declare(self.classes.current().map(|(_, name, _)| name));
-        let classes = self.classes.all().map(|(_, terms)| terms.class.clone()).collect();
+        let classes = self.classes.all().map(|(_, terms, _)| terms.class.clone()).collect();
         let settings = Settings { classes, ..settings };
         self.note(&settings);
         self.router.configure(settings.clone(), &heirs);
@@ -255,9 +255,13 @@
     /// Shields the origin, or ends that; `hubs`: of each parent. What a shield has learned stays while its terms do.
     pub fn shield_origin(&mut self, terms: Option<ShieldTerms>, hubs: BTreeMap<ServerId, String>) {
         self.hubs = hubs;
+        if let Some((_, seen)) = &mut self.watch {
+            // Parents that are gone leave nothing behind.
+            seen.retain(|id, _| self.hubs.contains_key(id));
+        }
         if self.shield.as_ref().map(Shield::terms) != terms {
             // Fills that are out by the old one are told to nobody: their ends find none.
-            self.attempts_mut(|a| a.fill = None);
+            self.attempts.values_mut().for_each(|a| a.fill = None);
             let gateways = self.gateways;
             self.shield = terms.map(|terms| Shield::new(terms, gateways));
         }
@@ -290,8 +294,6 @@
         if parent.see(now, shown, usual, terms.hold_ms * 1000) {
             self.suspects.push(source);
         }
-        // Parents that are gone leave nothing behind.
-        seen.retain(|id, _| self.hubs.contains_key(id));
     }
 
     /// The origin's shield, if there is one.
@@ -299,11 +301,6 @@
         self.shield.as_ref()
     }
 
-    fn attempts_mut(&mut self, mut change: impl FnMut(&mut Attempt)) {
-        let keys: Vec<Key> = self.attempts.iter().map(|(key, _)| key).collect();
-        keys.into_iter().for_each(|key| self.attempts.get_mut(key).into_iter().for_each(&mut change));
-    }
-
     fn uncacheable(&self, class: usize) -> bool {
         self.classes.get(class).is_some_and(|(_, terms)| terms.class.uncacheable)
     }
@@ -348,7 +345,7 @@
 
     /// What is learned, for the next process of this gateway.
     pub fn learned(&self, now: Micros) -> (Vec<String>, Learned) {
-        let classes = self.classes.all().map(|(name, _)| name.to_string()).collect();
+        let classes = self.classes.all().map(|(name, ..)| name.to_string()).collect();
         (classes, self.router.learned(now, HANDED))
     }
 
@@ -379,6 +376,15 @@
         self.ended(class, End::Dropped);
     }
 
+    /// Ends a request for its client, once, and counts how: the ticket, unless it has ended before.
+    fn end(&mut self, request: Key, end: End) -> Option<Ticket> {
+        let open = self.requests.get_mut(request).filter(|r| !r.answered)?;
+        open.answered = true;
+        let (ticket, class) = (open.ticket, open.ask.class);
+        self.ended(class, end);
+        Some(ticket)
+    }
+
     fn ended(&mut self, class: usize, end: End) {
         if let Some((name, _)) = self.classes.get(class) {
             self.tally.ended(name, end);
@@ -424,11 +430,9 @@
 
     /// The client has left: nothing is owed any more.
     pub fn gone(&mut self, now: Micros, request: Key) {
-        let Some(open) = self.requests.get_mut(request).filter(|r| !r.answered) else { return };
-        open.answered = true;
-        let class = open.ask.class;
-        self.ended(class, End::BadGateway);
-        self.feed(now, Event::Gone(request.0));
+        if self.end(request, End::BadGateway).is_some() {
+            self.feed(now, Event::Gone(request.0));
+        }
     }
 
     /// News of stores or a purge. An attempt that still waits for its connection was decided before it: one
@@ -495,11 +499,8 @@
                     self.withdraw(now, attempt, Status::Timeout);
                 }
                 // Guards the promise of one final answer even where the module has none to give.
-                if let Some(open) = self.requests.get_mut(key).filter(|r| !r.answered) {
-                    open.answered = true;
-                    let class = open.ask.class;
-                    self.orders.push_back(Order::Failed(open.ticket, true));
-                    self.ended(class, End::BadGateway);
+                if let Some(ticket) = self.end(key, End::BadGateway) {
+                    self.orders.push_back(Order::Failed(ticket, true));
                     self.feed(now, Event::Gone(key.0));
                 }
             }
@@ -588,27 +589,22 @@
         if attempt.get.source != attempt.get.server && !attempt.get.peek {
             self.seen_fill(now, attempt.get.source, (status, note), took);
         }
-        let open = self.requests.get_mut(attempt.request)?;
-        open.out -= 1;
-        let served = status == Status::Ok && !open.answered;
-        open.answered |= served;
-        let (ticket, class) = (open.ticket, open.ask.class);
+        self.requests.get_mut(attempt.request)?.out -= 1;
+        let served = if status == Status::Ok { self.end(attempt.request, End::Passed) } else { None };
+        let closed = self.requests.get(attempt.request)?.answered;
         let outcome = Outcome {
             id: attempt.request.0,
             attempt: attempt.number,
             status,
             latency,
-            closed: open.answered,
+            closed,
             note,
             waited,
             load,
         };
-        if served {
-            self.ended(class, End::Passed);
-        }
         self.feed(now, Event::Outcome(outcome));
         self.sweep(attempt.request);
-        served.then_some(ticket)
+        served
     }
 
     /// Ends an attempt from this side; one that was never written never ran.
@@ -679,10 +675,12 @@
                 }
                 self.orders.push_back(Order::Send(key));
             }
-            Action::Refuse { id, retry_after } => self.finish(Key(id), |t| Order::Refused(t, retry_after)),
+            Action::Refuse { id, retry_after } => {
+                self.finish(Key(id), End::Dropped, |t| Order::Refused(t, retry_after));
+            }
             Action::Fail(id) => {
                 let late = self.requests.get(Key(id)).is_some_and(|r| now >= r.deadline);
-                self.finish(Key(id), |t| Order::Failed(t, late));
+                self.finish(Key(id), End::BadGateway, |t| Order::Failed(t, late));
             }
             Action::Cancel { id, attempt } => {
                 let open = self.requests.get(Key(id));
@@ -721,14 +719,9 @@
         self.sweep(attempt.request);
     }
 
-    fn finish(&mut self, key: Key, order: impl FnOnce(Ticket) -> Order) {
-        let Some(open) = self.requests.get_mut(key).filter(|r| !r.answered) else { return };
-        open.answered = true;
-        let class = open.ask.class;
-        let order = order(open.ticket);
-        let refused = matches!(order, Order::Refused(..));
-        self.orders.push_back(order);
-        self.ended(class, if refused { End::Dropped } else { End::BadGateway });
+    fn finish(&mut self, key: Key, end: End, order: impl FnOnce(Ticket) -> Order) {
+        let Some(ticket) = self.end(key, end) else { return };
+        self.orders.push_back(order(ticket));
         self.sweep(key);
     }
 }
--- a/gateway/src/deadlines.rs
+++ b/gateway/src/deadlines.rs
@@ -43,6 +43,19 @@
         self.0.remove(&(at, due));
     }
 
+    /// Moves a deadline that there may be; where it stays, nothing is done.
+    pub fn shift(&mut self, from: &mut Option<Micros>, to: Option<Micros>, due: Due) {
+        if *from == to {
+            return;
+        }
+        if let Some(old) = std::mem::replace(from, to) {
+            self.clear(old, due);
+        }
+        if let Some(at) = to {
+            self.set(at, due);
+        }
+    }
+
     /// The earliest deadline.
     pub fn next(&self) -> Option<Micros> {
         self.0.first().map(|(at, _)| *at)
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod core;
 pub mod deadlines;
 pub mod hierarchy;
+pub mod kept;
 pub mod log;
 pub mod membership;
 pub mod net;
--- a/gateway/src/membership.rs
+++ b/gateway/src/membership.rs
@@ -2,6 +2,7 @@
 //! (`larchway-members`). Knows no socket: what the loop is to do comes back as [`Effect`]s.
 use crate::bulletin::{News, Store};
 use crate::config::{Ensemble, Terms};
+use crate::kept;
 use crate::log;
 use larchway::{Micros, ServerId};
 use larchway_keeper::agent::{self, Agent, Fact, Registration};
@@ -404,50 +405,36 @@
 
     fn file(&self) -> Option<PathBuf> {
         let folder = self.config.state.as_ref()?;
-        // A name may hold anything; a file's may not.
-        let plain = |c: char| if c.is_ascii_alphanumeric() || "._-".contains(c) { c } else { '_' };
-        let name: String = self.own.name.chars().map(plain).collect();
-        Some(folder.join(format!("members-{name}.roster")))
+        Some(folder.join(format!("members-{}.roster", kept::plain(&self.own.name))))
     }
 
     fn load(&self, at: Micros) -> Option<Snapshot> {
         let path = self.file()?;
-        let refused = |why: String| log!("{} is not used: {why}", path.display());
-        let bytes = match std::fs::metadata(&path) {
-            Err(e) if e.kind() == std::io::ErrorKind::NotFound => return None,
-            Err(e) => {
-                return {
-                    refused(e.to_string());
-                    None
-                }
-            }
-            Ok(meta) if meta.len() > larchway_members::snapshot::LONGEST as u64 => {
-                refused(format!("it has {} bytes", meta.len()));
-                return None;
-            }
-            Ok(_) => std::fs::read(&path).map_err(|e| refused(e.to_string())).ok()?,
-        };
-        match Snapshot::read(&bytes, at, self.config.state_age) {
-            Ok(snapshot) => {
+        let bytes = kept::read(&path, larchway_members::snapshot::LONGEST);
+        let snapshot = bytes.and_then(|bytes| {
+            let read = |b: Vec<u8>| Snapshot::read(&b, at, self.config.state_age).map_err(|e| e.to_string());
+            bytes.map(read).transpose()
+        });
+        match snapshot {
+            Ok(None) => None,
+            Ok(Some(snapshot)) => {
                 let age = at.saturating_sub(snapshot.at) / 1000;
                 log!("begins from a roster of {} boxes, {age} ms old", snapshot.boxes.len());
                 Some(snapshot)
             }
             Err(why) => {
-                refused(why.to_string());
+                log!("{} is not used: {why}", path.display());
                 None
             }
         }
     }
 
-    /// Written aside and renamed: a reader finds the old one or the new one, whole.
     fn save(&mut self, at: Micros) {
         self.unsaved = None;
         let Some(path) = self.file() else { return };
         let aside = path.with_extension("new");
         let bytes = self.members.snapshot(at).write();
-        let written = std::fs::write(&aside, bytes).and_then(|()| std::fs::rename(&aside, &path));
-        if let Err(e) = written {
+        if let Err(e) = kept::replace(&path, &aside, &bytes) {
             log!("{} cannot be written: {e}", path.display());
         }
     }
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -412,9 +412,7 @@
             self.count_gateways();
         }
         self.terms = config.terms;
-        let current: BTreeSet<usize> = self.core.classes.current().map(|(at, _, _)| at).collect();
-        let classes = self.core.classes.all().enumerate();
-        self.terms.name(&mut classes.map(|(at, (name, terms))| (name, terms, current.contains(&at))));
+        self.terms.name(&mut self.core.classes.all());
         if self.console_at != config.console {
             self.console_at = config.console;
             self.console = None;
@@ -531,9 +529,9 @@
             }
             let turn = now();
             // Operators wait a second at most, however much else there is to do.
-            let (first, rest): (Vec<&Event>, Vec<&Event>) =
-                events.iter().partition(|e| (CONSOLE_CLIENTS..=CONSOLE).contains(&e.key));
-            for event in first.into_iter().chain(rest) {
+            let of_console = |e: &&Event| (CONSOLE_CLIENTS..=CONSOLE).contains(&e.key);
+            let rest = events.iter().filter(|e| !of_console(e));
+            for event in events.iter().filter(of_console).chain(rest) {
                 let at = now();
                 self.longest_turn = self.longest_turn.max(at - turn);
                 if at > turn + LONGEST_TURN {
@@ -1418,9 +1416,9 @@
 
     /// Leaves clients to the next process: what waits to be accepted is taken in, then nothing more comes here.
     fn leave(&mut self, at: Micros) {
-        for (which, key) in [(PLATFORM, 0), (SECOND, 1)] {
+        for which in [PLATFORM, SECOND] {
             self.accept(at, which);
-            let listener = if key == 0 { self.listener.take() } else { self.second.take() };
+            let listener = if which == PLATFORM { self.listener.take() } else { self.second.take() };
             listener.into_iter().for_each(|old| drop(self.poller.delete(&old)));
         }
         self.leaving = true;
@@ -1461,7 +1459,7 @@
                     if let Ok(here) = listener.local_addr() {
                         log!("operators may call at {here}");
                     }
-                    self.console = Some(Console::new(listener, address, self.sockets / 24));
+                    self.console = Some(Console::new(listener, self.sockets / 24));
                 }
                 Err(why) => {
                     log!("console: {why}");
@@ -1488,14 +1486,7 @@
     fn set_console(&mut self, due: Option<Micros>) {
         let callers = self.console.as_ref().and_then(Console::next_due);
         let due = due.into_iter().chain(callers).min();
-        if due != self.console_due {
-            if let Some(old) = std::mem::replace(&mut self.console_due, due) {
-                self.core.deadlines.clear(old, Due::Console);
-            }
-            if let Some(due) = due {
-                self.core.deadlines.set(due, Due::Console);
-            }
-        }
+        self.core.deadlines.shift(&mut self.console_due, due, Due::Console);
     }
 
     fn admit_caller(&mut self, at: Micros) {
@@ -1577,13 +1568,7 @@
         self.core.shield_origin(hierarchy.shield(), hierarchy.hubs());
         self.core.infer_loops(hierarchy.infer());
         self.core.own_hop = hierarchy.own_hop();
-        let due = hierarchy.next_due();
-        if let Some(old) = std::mem::replace(&mut self.hierarchy_due, due) {
-            self.core.deadlines.clear(old, Due::Hierarchy);
-        }
-        if let Some(due) = due {
-            self.core.deadlines.set(due, Due::Hierarchy);
-        }
+        self.core.deadlines.shift(&mut self.hierarchy_due, hierarchy.next_due(), Due::Hierarchy);
     }
 
     fn bulletin_heard(&mut self, at: Micros, contact: bool) {
@@ -1666,14 +1651,7 @@
             self.flush(at, key);
         }
         let due = self.membership.as_ref().and_then(Membership::next_due);
-        if due != self.membership_due {
-            if let Some(old) = std::mem::replace(&mut self.membership_due, due) {
-                self.core.deadlines.clear(old, Due::Membership);
-            }
-            if let Some(due) = due {
-                self.core.deadlines.set(due, Due::Membership);
-            }
-        }
+        self.core.deadlines.shift(&mut self.membership_due, due, Due::Membership);
     }
 
     /// Shares the budgets of cold stores by the gateways that are alive; zones that no node tells of keep theirs.
@@ -1731,15 +1709,7 @@
                 cordon::Output::Verdict(told) => verdict = Some(told),
             }
         }
-        let due = self.cordon.next_due();
-        if due != self.cordon_due {
-            if let Some(old) = std::mem::replace(&mut self.cordon_due, due) {
-                self.core.deadlines.clear(old, Due::Cordon);
-            }
-            if let Some(due) = due {
-                self.core.deadlines.set(due, Due::Cordon);
-            }
-        }
+        self.core.deadlines.shift(&mut self.cordon_due, self.cordon.next_due(), Due::Cordon);
         verdict
     }
 
--- a/gateway/src/slots.rs
+++ b/gateway/src/slots.rs
@@ -81,6 +81,11 @@
         self.len == 0
     }
 
+    /// All entries, to be changed.
+    pub fn values_mut(&mut self) -> impl Iterator<Item = &mut T> {
+        self.slots.iter_mut().filter_map(|(_, entry)| entry.as_mut())
+    }
+
     /// All entries with their keys.
     pub fn iter(&self) -> impl Iterator<Item = (Key, &T)> {
         let key = |index: usize, generation: u32| Key(u64::from(generation) << 32 | index as u64);
--- a/gateway/src/upgrade.rs
+++ b/gateway/src/upgrade.rs
@@ -1,6 +1,7 @@
 //! The processes of one gateway during an upgrade: they find each other by Unix sockets in the folder that both have,
 //! and tell each other what the next one needs. A connection that ends is a process that has ended. Knows the folder,
 //! the sockets and the form of the frames; what they mean comes from the loop.
+use crate::kept;
 use crate::log;
 use larchway_operations::cordon::Mark;
 use larchway_operations::handover::{Frame, LONGEST};
@@ -52,12 +53,6 @@
     pub told: Vec<(usize, Frame)>,
 }
 
-/// A name may hold anything; a file's may not.
-fn plain(name: &str) -> String {
-    let plain = |c: char| if c.is_ascii_alphanumeric() || "._-".contains(c) { c } else { '_' };
-    name.chars().map(plain).collect()
-}
-
 /// Asks another process for what it knows; the frames that came with it.
 fn ask(path: &Path, name: &str) -> io::Result<(Peer, Vec<Frame>)> {
     let mut stream = UnixStream::connect(path)?;
@@ -85,13 +80,13 @@
 impl Upgrade {
     /// Finds the gateway's other processes, and listens for those to come.
     pub fn begin(folder: &Path, name: &str) -> Result<Begun, String> {
-        let name_there = format!("larchway-{}.", plain(name));
+        let name_there = format!("larchway-{}.", kept::plain(name));
         let own = folder.join(format!("{name_there}{}.sock", std::process::id()));
         if own.as_os_str().len() > LONGEST_PATH {
             return Err(format!("{} is too long a path for a socket", own.display()));
         }
         let marks = folder.join(format!("{name_there}stores"));
-        let kept = kept(&marks);
+        let kept = kept_marks(&marks);
         let mut peers: [Option<Peer>; MOST] = Default::default();
         let mut told = Vec::new();
         let mut found: Vec<PathBuf> = std::fs::read_dir(folder)
@@ -223,34 +218,25 @@
         self.peers[place].take().map(|p| Told::Gone(p.stream))
     }
 
-    /// Keeps the operators' word for the processes to come: written aside and renamed, so that a reader finds the old
-    /// one or the new one, whole.
+    /// Keeps the operators' word for the processes to come.
     pub fn keep(&self, marks: Vec<Mark>) {
         let aside = self.own.with_extension("new");
         let bytes = Frame::Marks(marks).write();
-        let written = std::fs::write(&aside, bytes).and_then(|()| std::fs::rename(&aside, &self.marks));
-        if let Err(e) = written {
+        if let Err(e) = kept::replace(&self.marks, &aside, &bytes) {
             log!("{} cannot be written: {e}", self.marks.display());
         }
     }
 }
 
-fn kept(path: &Path) -> Vec<Mark> {
-    let refused = |why: String| {
-        log!("{} is not used: {why}", path.display());
-        Vec::new()
-    };
-    let bytes = match std::fs::metadata(path) {
-        Err(e) if e.kind() == ErrorKind::NotFound => return Vec::new(),
-        Err(e) => return refused(e.to_string()),
-        Ok(meta) if meta.len() > LONGEST as u64 => return refused(format!("it has {} bytes", meta.len())),
-        Ok(_) => std::fs::read(path),
-    };
-    match bytes.map_err(|e| e.to_string()).and_then(|b| Frame::read(&b).map_err(|e| e.to_string())) {
-        Ok(Frame::Marks(marks)) => marks,
-        Ok(_) => refused("it is another frame".into()),
-        Err(why) => refused(why),
+fn kept_marks(path: &Path) -> Vec<Mark> {
+    let bytes = kept::read(path, LONGEST);
+    match bytes.and_then(|b| b.map(|b| Frame::read(&b)).transpose().map_err(|e| e.to_string())) {
+        Ok(None) => return Vec::new(),
+        Ok(Some(Frame::Marks(marks))) => return marks,
+        Ok(Some(_)) => log!("{} is not used: it is another frame", path.display()),
+        Err(why) => log!("{} is not used: {why}", path.display()),
     }
+    Vec::new()
 }
 
 impl Drop for Upgrade {
