Pass the size that clients tell in heap on to the module, as the simulator does

So on sockets the module guessed sending times and aims (500 ms plus twice the sending time) from time alone, as on the first site, whose clients tell nothing.

Change: thrift.rs reads heap as a plain decimal from 0 (an error names heap otherwise, and the connection goes on), Ask carries it, Core::request gives it to the module. Absent is 0, not told, as before.

Tests: a scenario that turns down a heap that cannot be read and serves one that can (fails on the program as it was), and a table of sizes.

--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -57,6 +57,8 @@
     pub via: String,
     /// The body.
     pub body: Vec<u8>,
+    /// The part's size in KB as the client told it; 0 where it was not told.
+    pub size_kb: f64,
 }
 
 /// What the sockets have to do.
@@ -409,7 +411,7 @@
         }
         let ttl = ask.ttl.saturating_sub((ask.ttl / MARGIN.2).clamp(MARGIN.1, MARGIN.0));
         let ttl = self.last_answer.map_or(ttl, |last| ttl.min(last.saturating_sub(now)));
-        let (class, object, part, group) = (ask.class, ask.object, ask.part, ask.group);
+        let (class, object, part, group, size_kb) = (ask.class, ask.object, ask.part, ask.group, ask.size_kb);
         let spares = |s: &Shield| !matches!(s.look(now, part_of(&ask), true), None | Some(Verdict::Join));
         let spared = self.shield.as_ref().is_some_and(spares) && !self.uncacheable(class);
         self.held += ask.body.len();
@@ -418,7 +420,7 @@
         let open = Open { ticket, ask, deadline: now + ttl, attempts: Vec::new(), out: 0, answered: false };
         let key = self.requests.insert(open);
         self.deadlines.set(now + ttl, Due::Request(key));
-        let request = Request { id: key.0, class, object, part, group, ttl, size_kb: 0.0, spared };
+        let request = Request { id: key.0, class, object, part, group, ttl, size_kb, spared };
         self.feed(now, Event::Request(request));
         Some(key)
     }
--- a/gateway/src/thrift.rs
+++ b/gateway/src/thrift.rs
@@ -11,6 +11,8 @@
 pub const LONGEST: usize = 128 * 1024;
 /// Longest body of a write.
 const LONGEST_BODY: usize = 48_000;
+/// Largest size of a part that a request may tell, in KB: far above any object, below what breaks arithmetic.
+const MOST_KB: f64 = 1e9;
 /// Highest part of an object.
 const LAST_PART: u64 = 1_000_000;
 /// Longest wait in milliseconds, where the settings tell none.
@@ -332,6 +334,7 @@
         return Err(format!("ttl {ttl} with a body of {} bytes", body.len()));
     }
     let dedupe = field("dedupe").map(|d| plain("dedupe", d)).transpose()?;
+    let size_kb = field("heap").map(size).transpose()?.unwrap_or(0.0);
     if dedupe.is_none() && terms.keyed.get(class) == Some(&true) {
         return Err("dedupe is missing".into());
     }
@@ -349,9 +352,17 @@
             .transpose()?,
         via: String::new(),
         body: body.to_vec(),
+        size_kb,
     })
 }
 
+/// The size of a part in KB as the module counts it (`heap`): a plain decimal from 0, within what a part can be.
+fn size(text: &str) -> Result<f64, String> {
+    let plain = !text.is_empty() && text.len() <= 24 && text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    let number = text.parse::<f64>().ok().filter(|n| plain && n.is_finite() && *n <= MOST_KB);
+    number.ok_or_else(|| format!("heap cannot be {text:?}"))
+}
+
 /// Writes the final answer of a request.
 pub fn finish(out: &mut Vec<u8>, seq: i32, done: &Final<'_>) {
     match done {
@@ -446,6 +457,15 @@
         assert!(call(&[12, 0, 9].repeat(5000)).is_err());
     }
 
+    #[test]
+    fn a_size_is_read_as_a_plain_decimal_or_named_as_the_fault() {
+        assert_eq!(size("412.5"), Ok(412.5));
+        assert_eq!(size("0"), Ok(0.0));
+        for bad in ["", "-1", "nan", "inf", "1e5", "4 12", "soon", "1000000001", "0x10"] {
+            assert_eq!(size(bad), Err(format!("heap cannot be {bad:?}")), "{bad}");
+        }
+    }
+
     #[test]
     fn a_busy_answer_tells_when_to_come_back_only_if_that_is_known() {
         let mut out = Vec::new();
--- a/gateway/tests/net/platform.rs
+++ b/gateway/tests/net/platform.rs
@@ -191,6 +191,22 @@
     assert!(s.var("age").parse::<u64>().expect("a number") < 5000);
 }
 
+#[test]
+fn a_size_that_cannot_be_read_is_turned_down_by_name_and_one_that_can_goes_on() {
+    // Deployments whose clients tell a part's size (`heap`) give the module what the simulator gives it.
+    usual().run(
+        "c1 > serve 1 $ask call=aa heap=soon
+         c1 < exception 1
+         log < heap cannot be
+         c1 > serve 2 $ask call=bb heap=-3
+         c1 < exception 2
+         c1 > serve 3 $ask call=cc heap=412.5
+         store < PULL cc profile=history-files thing=$row nth=3
+         store > cc ok entity=t1,remark=HIT | part
+         c1 < served 3 | part",
+    );
+}
+
 #[test]
 fn a_malformed_connection_is_closed_and_the_others_are_not() {
     usual().run(
