Take a probe answered no as an answer, and play scenarios under a second kind of settings

Change: resp.rs reads yes and no alike. The scenario harness takes the module's settings from Setup, and SECOND is shaped like the second site: side_effect writes, 500 ms of pushback at most, passing by, siblings of a location, sizes told.

--- a/gateway/src/resp.rs
+++ b/gateway/src/resp.rs
@@ -132,7 +132,8 @@
         "refused" => Some(Status::Full),
         "error" => Some(Status::Error),
         "stale" => Some(Status::Moot),
-        "yes" => None,
+        // A probe's answer (ECHO or METER), which ends no attempt; `no` is an answer like `yes`, not a fault.
+        "yes" | "no" => None,
         other => return Err(format!("the word {other:?}")),
     };
     let body = words.get(3).copied().unwrap_or(&[]);
@@ -335,6 +336,16 @@
         assert_eq!(fields(&told), None);
     }
 
+    #[test]
+    fn a_probe_answered_no_ends_nothing_and_spoils_nothing() {
+        for word in [&b"yes"[..], b"no"] {
+            let mut text = Vec::new();
+            write_words(&mut text, &[b"p1", word, b"report=inflight:7;util:0.61"]);
+            let (got, length) = reply(&text).expect("readable").expect("whole");
+            assert_eq!((got.status, got.report, length), (None, Some("inflight:7;util:0.61"), text.len()));
+        }
+    }
+
     #[test]
     fn a_report_is_read_by_the_names_of_the_settings_whatever_its_order() {
         let names = ["util", "x1", "x0"].map(String::from);
--- a/gateway/tests/net/platform.rs
+++ b/gateway/tests/net/platform.rs
@@ -1,5 +1,5 @@
 //! The platform's front, stores and the bulletin.
-use crate::scenario::{entry, unix_ms, usual, Scenario, Setup, ROW};
+use crate::scenario::{entry, unix_ms, usual, Scenario, Setup, ROW, SECOND};
 
 #[test]
 fn bytes_pass_whole_and_unchanged_and_answers_may_change_places() {
@@ -193,7 +193,8 @@
 
 #[test]
 fn a_size_that_cannot_be_read_is_turned_down_by_name_and_one_that_can_goes_on() {
-    // Deployments whose clients tell a part's size (`heap`) give the module what the simulator gives it.
+    // Deployments whose clients tell a part's size (`heap`) give the module what the simulator gives it
+    // (docs/design/deployments.md, invariants 1 and 2).
     usual().run(
         "c1 > serve 1 $ask call=aa heap=soon
          c1 < exception 1
@@ -387,6 +388,21 @@
     );
 }
 
+#[test]
+fn a_probe_answered_no_spoils_nothing_on_its_connection() {
+    // The second deployment's stores may answer a probe with `no`: a word of the protocol, not a fault
+    // (docs/design/deployments.md, invariant 3).
+    usual().run(
+        "c1 > serve 1 $ask call=a
+         store < PULL a
+         store raw a *3\\r\\n$2\\r\\np1\\r\\n$2\\r\\nno\\r\\n$1\\r\\n-\\r\\n
+         store raw a *3\\r\\n$2\\r\\np2\\r\\n$3\\r\\nyes\\r\\n$27\\r\\nreport=inflight:7;util:0.61\\r\\n
+         store > a ok remark=HIT | good
+         c1 < served 1 | good
+         never PULL a",
+    );
+}
+
 #[test]
 fn what_comes_beside_a_good_answer_is_skipped() {
     usual().run(
@@ -446,3 +462,49 @@
          c2 < closed",
     );
 }
+
+/// A gateway with the second deployment's kind of settings.
+fn second() -> Scenario {
+    let mut scenario = Scenario::new(Setup { settings: SECOND, ..Setup::default() });
+    scenario.set("row", ROW).set("ask", &format!("op=guide-video ttl=5000 row={ROW} family=17"));
+    scenario
+}
+
+#[test]
+fn parts_of_a_video_that_tell_their_size_are_served_one_after_another() {
+    second().run(
+        "c1 > serve 1 $ask call=aa block=0 heap=412.5
+         store < PULL aa profile=guide-video thing=$row nth=0
+         store > aa ok entity=t0,remark=MISS | #2000
+         c1 < served 1 | #2000
+         c1 > serve 2 $ask call=bb block=1 heap=97
+         store < PULL bb profile=guide-video thing=$row nth=1
+         store > bb ok entity=t1,remark=HIT | #500
+         c1 < served 2 | #500
+         c1 > serve 3 $ask call=cc block=2 heap=1,5
+         c1 < exception 3",
+    );
+}
+
+#[test]
+fn a_write_that_may_have_run_is_never_sent_twice() {
+    // `side_effect`: once a byte of it is out and the store's connection ends, the client is told it failed
+    // (docs/design/deployments.md, invariant 6).
+    second().run(
+        "c1 > serve 1 op=submit-reading call=aa ttl=3000 row=$row block=0 family=1 | a reading
+         store < PULL aa profile=submit-reading replay=none | a reading
+         store reset aa
+         c1 < failed 1
+         never PULL aa",
+    );
+}
+
+#[test]
+fn refusals_advise_no_longer_than_the_settings_allow() {
+    second().run(
+        "c1 > serve 1 $ask call=aa block=0
+         store < PULL aa
+         store > aa error remark=ORIGIN_ERR
+         c1 < busy 1 pushback 500",
+    );
+}
--- a/gateway/tests/net/scenario/mod.rs
+++ b/gateway/tests/net/scenario/mod.rs
@@ -89,6 +89,8 @@
     pub hierarchy: Option<&'static str>,
     /// Whether operators may call.
     pub console: bool,
+    /// The module's settings.
+    pub settings: &'static str,
 }
 
 impl Default for Setup {
@@ -101,6 +103,7 @@
             extra: String::new(),
             hierarchy: None,
             console: false,
+            settings: SETTINGS,
         }
     }
 }
@@ -119,6 +122,18 @@
  {"deadlineMs":3000,"effect":"token","group":"all","name":"bid-submit","targetMs":800,"windowMs":3000}],
  "weightKind":"rough","zones":["east","edge"]}"#;
 
+/// Settings shaped like the second deployment's: clients tell sizes, writes must never run twice, advice of at most
+/// 500 ms, parents may serve clients themselves, siblings of one location fill, purges within 500 ms.
+pub const SECOND: &str = r#"{"balancers":1,"familyInfo":{"canJoin":false,"goneEverywhereMs":6000.0,"graceForMs":[0,0,0],
+ "lifetimeByClassMs":[0,12000,0],"mayPassBy":true,"neverKept":[false,false,true],"noteLevel":"all","oneFlowKbPerS":7300,
+ "peersFill":"location","shieldKind":1,"storeKind":2,"upperColdMs":22000,"zoneBalancers":[0,1]},
+ "limits":{"cancel":true,"connIdleMs":30000,"connectTimeoutMs":400,"maxAttempts":8,"maxRetryAfterMs":500,"mayDuplicate":true,"retryAfter":true},
+ "locality":1,"membershipMode":"push","models":["standard","parent","origin"],
+ "services":[{"aimStretch":2,"deadlineMs":5000,"effect":"pure","name":"guide-video","targetMs":500},
+ {"aimStretch":2,"deadlineMs":2500,"effect":"pure","name":"meter-photo","targetMs":250},
+ {"deadlineMs":3000,"effect":"side_effect","name":"submit-reading","targetMs":700}],
+ "weightKind":"nominal","zones":["east","edge"]}"#;
+
 static NUMBER: AtomicUsize = AtomicUsize::new(0);
 
 /// Writes a file of the test's own and returns its path.
@@ -301,13 +316,20 @@
         let known = if setup.known { &list[..] } else { "" };
         let config = format!(
             r#"{{"seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":64,"sockets":{}}},"bulletin":"{feed}",
-            "known":{{"no":{},"items":[{known}]}},"settings":{SETTINGS}}}"#,
+            "known":{{"no":{},"items":[{known}]}},"settings":{}}}"#,
             setup.sockets,
-            u8::from(setup.known)
+            u8::from(setup.known),
+            setup.settings
         );
         vars.insert("list".into(), list);
         vars.insert("feed".into(), feed.to_string());
-        let signed = (file("signed.json", FRONT), FRONT.to_string());
+        // The second front names a class of the settings in force.
+        let front = if setup.settings == SETTINGS {
+            FRONT.into()
+        } else {
+            FRONT.replace("history-files", "guide-video")
+        };
+        let signed = (file("signed.json", &front), front);
         let config = (file("config.json", &config), config);
         let mut command = Command::new(env!("CARGO_BIN_EXE_larchway"));
         command.args(["serve", "--signed", &signed.0]);
