Keep copies of the gateway's own in memory and answer from them

Change: crates/copies (no I/O) keeps what resp::drive hands it, and Core::request asks it before the module. No copy answers after word of a purge, past its fresh time, while the bulletin is silent, or when the gateway's link is busy. What clients' connections hold goes off its room. GET /ops/copies shows it. Tests: random histories against a naive look, scenarios under the second kind of settings (purge, drain, silence, both fronts, reload), and the requests' count with copies.

Policy unchanged.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -4,6 +4,7 @@
 use crate::signed::{token::Parties, Keys, Secret};
 use larchway::settings::{as_f64, as_u64, get, read_value};
 use larchway::{Class, Micros, Settings};
+use larchway_copies::CopiesFile;
 use larchway_members::{format::Defaults, Policy};
 use miniserde::json::{self, Value};
 use schemars::JsonSchema;
@@ -30,6 +31,8 @@
     pub sockets: usize,
     /// Where the bulletin is, if there is one.
     pub bulletin: Option<SocketAddr>,
+    /// Bytes a second of one transfer of a copy of the gateway's own, and of all; 0 where that is not told.
+    pub uplink: (f64, f64),
     /// Number of the last event known.
     pub known: u64,
     /// The events known at the start.
@@ -93,6 +96,8 @@
     pub ensemble: Option<String>,
     /// That of the hierarchy; without it, all listed parents share all objects.
     pub hierarchy: Option<String>,
+    /// That of the gateway's own copies; without it, none are kept.
+    pub copies: Option<String>,
 }
 
 /// All configuration, read in one go.
@@ -106,6 +111,8 @@
     pub fleet: Option<Ensemble>,
     /// The hierarchy, if a shape is given.
     pub hierarchy: Option<HierarchyFile>,
+    /// The gateway's own copies, if any are kept.
+    pub copies: Option<CopiesFile>,
 }
 
 impl Files {
@@ -115,6 +122,7 @@
         let front = self.signed.as_deref().map(front_file).transpose()?;
         let fleet = self.ensemble.as_deref().map(ensemble_file).transpose()?;
         let hierarchy = self.hierarchy.as_deref().map(hierarchy::file).transpose()?;
+        let copies = self.copies.as_deref().map(copies_file).transpose()?;
         if let (Some(file), None) = (hierarchy.as_ref().filter(|h| h.path.is_some()), &fleet) {
             return Err(format!(
                 "path: {:?} needs the file of the ensemble",
@@ -125,7 +133,7 @@
         if let Some(class) = front.iter().flat_map(|f| &f.classes).find(unknown) {
             return Err(format!("classes: {class:?} is not among settings.services"));
         }
-        Ok(Loaded { config, front, fleet, hierarchy })
+        Ok(Loaded { config, front, fleet, hierarchy, copies })
     }
 }
 
@@ -423,6 +431,11 @@
         Some(c) => Some(c.parse().map_err(|_| format!("EDGE_CONSOLE: {c:?} is not an address with a port"))?),
         None => address(&all, "console")?,
     };
+    // Not told, or null: without bound. What is told and no number would pass for that.
+    let pace = |key: &str| match get(&all, key) {
+        None | Some(Value::Null) => Ok(0.0),
+        Some(_) => above_0(&all, key),
+    };
     let known = get(&all, "known").unwrap_or(&none);
     let items = list(known, "items").map_err(|e| format!("known.{e}"))?;
     let item = |v: &Value| bulletin::item(v, &terms).map_err(|e| format!("known.items: {e}"));
@@ -433,6 +446,7 @@
         memory: limit("memory_mb", 192, 32)? as usize * 1_000_000,
         sockets: limit("sockets", 1024, 64)? as usize,
         bulletin: address(&all, "bulletin")?,
+        uplink: (pace("flow_bytes_per_s")?, pace("link_bytes_per_s")?),
         known: whole(known, "no", 0, 0).map_err(|e| format!("known.{e}"))?,
         items: items.iter().map(item).collect::<Result<_, _>>()?,
         settings: read,
@@ -444,6 +458,18 @@
     })
 }
 
+/// Reads the file of the gateway's own copies.
+pub fn copies_file(path: &str) -> Result<CopiesFile, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read {path}: {e}"))?;
+    let file = operator_file::<CopiesFile>(&text).and_then(|file| file.check().map(|()| file));
+    file.map_err(|e| format!("{path}: {e}"))
+}
+
+/// The schema of that file.
+pub fn copies_schema() -> String {
+    serde_json::to_string_pretty(&schemars::schema_for!(CopiesFile)).unwrap_or_default()
+}
+
 /// What the second front is told by its file under `deploy/`.
 #[derive(Debug)]
 pub struct Front {
--- a/gateway/src/console.rs
+++ b/gateway/src/console.rs
@@ -22,6 +22,8 @@
     Readiness,
     /// The figures.
     Stats,
+    /// The gateway's own copies.
+    Copies,
     /// A store out or back.
     Store {
         /// Its id.
@@ -111,7 +113,7 @@
     let target = request.path.unwrap_or("");
     let path = target.split('?').next().unwrap_or("");
     let (takes, down) = match path {
-        "/ops/readiness" | "/ops/stats" => ("GET", false),
+        "/ops/readiness" | "/ops/stats" | "/ops/copies" => ("GET", false),
         "/ops/stores/down" => ("PUT", true),
         "/ops/stores/up" => ("PUT", false),
         _ => return Err(Reply::new(404, format!("there is no {}\n", path.escape_default()))),
@@ -147,9 +149,11 @@
         }
         return match body.len().cmp(&length) {
             std::cmp::Ordering::Less => short("the body"),
-            std::cmp::Ordering::Equal => {
-                Ok(Some(if path == "/ops/stats" { Call::Stats } else { Call::Readiness }))
-            }
+            std::cmp::Ordering::Equal => Ok(Some(match path {
+                "/ops/stats" => Call::Stats,
+                "/ops/copies" => Call::Copies,
+                _ => Call::Readiness,
+            })),
             std::cmp::Ordering::Greater => {
                 Err(Reply::new(400, "there is more than one call on the connection\n"))
             }
@@ -354,6 +358,7 @@
         let get = |path: &str| call(format!("GET {path} HTTP/1.1\r\nHost: a\r\n\r\n").as_bytes(), false);
         assert_eq!(get("/ops/readiness"), Ok(Some(Call::Readiness)));
         assert_eq!(get("/ops/stats"), Ok(Some(Call::Stats)));
+        assert_eq!(get("/ops/copies"), Ok(Some(Call::Copies)));
         let long = "x".repeat(HEAD);
         let many = "A: b\r\n".repeat(40);
         let path = "/ops/stores/down";
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -9,6 +9,7 @@
     Action, Event, Get, Homes, Learned, Members, Micros, Note, Outcome, Request, Router, Scope, ServerId,
     Settings, State, Status,
 };
+use larchway_copies::{Copies, Copy, Found, Id, Want};
 use larchway_hierarchy::loops::{self, Inference, Shown};
 use larchway_hierarchy::shield::{End as FillEnd, Shield, Terms as ShieldTerms, Verdict};
 use larchway_members::witness::Evidence;
@@ -75,6 +76,8 @@
         /// The id it was sent under.
         call: String,
     },
+    /// Final answer: served by a copy of the gateway's own.
+    Held(Ticket, Found),
     /// Final answer: refused; come back after so long.
     Refused(Ticket, Micros),
     /// Final answer: failed; whether since its time was up.
@@ -166,6 +169,10 @@
     pub suspects: Vec<ServerId>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
+    /// Copies of the gateway's own, if it keeps any.
+    pub copies: Option<Copies>,
+    /// For how long a store may still hold what was purged.
+    purge_done: Micros,
     /// Whether a list of stores is known.
     pub well: bool,
     /// When all must be answered that comes from now on; none: in its own time.
@@ -212,6 +219,8 @@
             suspects: Vec::new(),
             events: VecDeque::new(),
             actions: Vec::new(),
+            copies: None,
+            purge_done: 0,
             well: false,
             last_answer: None,
             orders: VecDeque::new(),
@@ -225,6 +234,12 @@
     /// Returns the settings with the classes in their slots.
     pub fn configure(&mut self, settings: Settings, classes: Vec<(String, ClassTerms)>) -> Settings {
         let heirs = self.classes.replace(classes);
+        // Danger: a slot that has another class now would serve the old one's copies.
+        if let Some(copies) = &mut self.copies {
+            heirs.iter().for_each(|heir| match heir {
+                Heir::New(to) | Heir::Of { to, .. } => copies.forget_class(*to),
+            });
+        }
         let heirs: Vec<_> = heirs
             .into_iter()
             .map(|heir| match heir {
@@ -249,6 +264,7 @@
     fn note(&mut self, settings: &Settings) {
         self.fetching_kinds = [settings.parent_kind, settings.origin_kind];
         self.gateways = settings.routers;
+        self.purge_done = settings.purge_done;
         if let Some(shield) = &mut self.shield {
             shield.shared_by(settings.routers);
         }
@@ -406,11 +422,18 @@
     /// Takes a request in; its final answer comes as an order or by [`Core::outcome`]. One under the id of a
     /// request that has not ended is not taken: stores could not tell the two apart.
     pub fn request(&mut self, now: Micros, ticket: Ticket, ask: Ask) -> Option<Key> {
-        if !self.calls.insert(ask.call.clone()) {
+        if self.calls.contains(&ask.call) {
             return None;
         }
         let ttl = ask.ttl.saturating_sub((ask.ttl / MARGIN.2).clamp(MARGIN.1, MARGIN.0));
         let ttl = self.last_answer.map_or(ttl, |last| ttl.min(last.saturating_sub(now)));
+        if let Some(found) = self.own_copy(now, &ask, ttl) {
+            self.tally.taken();
+            self.ended(ask.class, End::Passed);
+            self.orders.push_back(Order::Held(ticket, found));
+            return Some(Key(u64::MAX));
+        }
+        self.calls.insert(ask.call.clone());
         let (class, object, part, group, size_kb) = (ask.class, ask.object, ask.part, ask.group, ask.size_kb);
         let spares = |s: &Shield| !matches!(s.look(now, part_of(&ask), true), None | Some(Verdict::Join));
         let spared = self.shield.as_ref().is_some_and(spares) && !self.uncacheable(class);
@@ -425,6 +448,26 @@
         Some(key)
     }
 
+    /// The gateway's own copy that answers a request, if there is one. Writes and what is never kept have none.
+    fn own_copy(&mut self, now: Micros, ask: &Ask, ttl: Micros) -> Option<Found> {
+        let class = &self.classes.get(ask.class)?.1.class;
+        let (copies, cacheable) = (self.copies.as_mut()?, !class.uncacheable);
+        let id = Id { object: ask.object, part: ask.part, class: ask.class };
+        let want = Want { fresh: class.fresh, aim: class.aim, ttl, mine: ask.mine.as_deref() };
+        cacheable.then(|| copies.find(now, id, want)).flatten()
+    }
+
+    /// Keeps the bytes that an attempt was served, told to be given out at a time, if copies are kept.
+    pub fn keep_copy(&mut self, now: Micros, key: Key, issued: Micros, tag: Option<&str>, bytes: &[u8]) {
+        let request = self.attempts.get(key).and_then(|a| self.requests.get(a.request));
+        let (Some(copies), Some(ask)) = (&mut self.copies, request.map(|r| &r.ask)) else { return };
+        if self.classes.get(ask.class).is_some_and(|(_, terms)| !terms.class.uncacheable) {
+            let id = Id { object: ask.object, part: ask.part, class: ask.class };
+            let copy = Copy { tag: tag.map(str::to_string), issued, bytes: bytes.into() };
+            copies.keep(now, id, ask.group, copy);
+        }
+    }
+
     /// The shares of objects' homes among parents have changed.
     pub fn homes(&mut self, now: Micros, homes: Homes) {
         self.feed(now, Event::Homes(Some(homes)));
@@ -448,6 +491,10 @@
                 Event::Members(Members { scope, hosts: stores.iter().map(|s| s.host.clone()).collect() })
             }
             News::Recall { object, group, issued } => {
+                // An attempt that is out was decided before: what it brings may be that old for as long as it lasts.
+                let longest = self.classes.all().map(|(_, terms, _)| terms.deadline).max().unwrap_or(0);
+                let keep = 2 * self.purge_done + longest;
+                self.copies.iter_mut().for_each(|c| c.purge(now, object, group, issued, keep));
                 Event::Purged { age: now.saturating_sub(issued), group, object }
             }
             News::Other => return,
@@ -907,6 +954,12 @@
                 larchway::mix(larchway::mix(seed + 1) ^ larchway::mix(drawn)) % most
             };
             let mut core = core();
+            // Half of the histories with copies of the gateway's own (invariant 6 of `docs/design/copies.md`).
+            let mut copies = Copies::new(larchway_copies::CopiesFile::default(), (0.0, 0.0));
+            copies.fit(1_000_000, 0);
+            copies.told_by_bulletin(false);
+            core.copies = (seed % 2 == 1).then_some(copies);
+            let mut held = 0;
             let (mut at, mut taken, mut left) = (START, 0u64, 0u64);
             let mut counted = [0u64; 3];
             let mut requests: Vec<Key> = Vec::new();
@@ -915,7 +968,9 @@
                 at += draw(40) * MS;
                 match draw(10) {
                     0..=3 => {
-                        let ask = Ask { ttl: (1 + draw(900)) * MS, ..ask(draw(2) as usize, 1000 + step) };
+                        let call = format!("{step:x}");
+                        let ttl = (1 + draw(900)) * MS;
+                        let ask = Ask { ttl, call, ..ask(draw(2) as usize, 1000 + draw(30)) };
                         taken += 1;
                         requests.extend(core.request(at, ticket(step), ask));
                     }
@@ -923,6 +978,9 @@
                         let key = attempts.swap_remove(draw(attempts.len() as u64) as usize);
                         let all = [Status::Ok, Status::Error, Status::Full, Status::Reset, Status::Miss];
                         let status = all[draw(5) as usize];
+                        if status == Status::Ok {
+                            core.keep_copy(at, key, at, None, b"bytes");
+                        }
                         if core.outcome(at, key, status, Note::None).is_some() {
                             counted[0] += 1;
                         }
@@ -946,6 +1004,10 @@
                 for order in std::mem::take(&mut core.orders) {
                     match order {
                         Order::Send(key) => attempts.push(key),
+                        Order::Held(..) => {
+                            counted[0] += 1;
+                            held += 1;
+                        }
                         Order::Refused(..) => counted[1] += 1,
                         Order::Failed(..) => counted[2] += 1,
                         Order::Kill { .. } => {}
@@ -960,6 +1022,7 @@
                 assert_eq!(core.tally.all_taken(), taken);
                 assert_eq!(taken, found.iter().sum::<u64>() + core.tally.in_progress());
             }
+            assert_eq!(held > 0, core.copies.is_some(), "seed {seed}");
         }
     }
 
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -83,7 +83,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "schema")]
 struct Schema {
-    /// which file: ensemble or hierarchy
+    /// which file: ensemble, hierarchy or copies
     #[argh(positional)]
     file: String,
 }
@@ -101,6 +101,9 @@
     /// file of the hierarchy; without it, all listed parents share all objects
     #[argh(option)]
     hierarchy: Option<String>,
+    /// file of the gateway's own copies; without it, none are kept
+    #[argh(option)]
+    copies: Option<String>,
 }
 
 /// Print the version.
@@ -121,6 +124,9 @@
     /// file of the hierarchy
     #[argh(option)]
     hierarchy: Option<String>,
+    /// file of the gateway's own copies
+    #[argh(option)]
+    copies: Option<String>,
 }
 
 /// Issue a signed URL or a token for one object.
@@ -155,6 +161,7 @@
         signed: args.signed.clone(),
         ensemble: args.ensemble.clone(),
         hierarchy: args.hierarchy.clone(),
+        copies: args.copies.clone(),
     };
     Gateway::new(files)?.run()
 }
@@ -164,6 +171,7 @@
         signed: args.signed.clone(),
         ensemble: args.ensemble.clone(),
         hierarchy: args.hierarchy.clone(),
+        copies: args.copies.clone(),
     };
     println!("{} is well configured", files.read()?.config.name);
     Ok(())
@@ -235,7 +243,11 @@
                 println!("{}", hierarchy::schema());
                 Ok(())
             }
-            other => Err(format!("there is no schema of {other:?}, only of ensemble and hierarchy")),
+            "copies" => {
+                println!("{}", config::copies_schema());
+                Ok(())
+            }
+            other => Err(format!("there is no schema of {other:?}, only of ensemble, hierarchy and copies")),
         },
     };
     match done {
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -14,6 +14,7 @@
 use crate::thrift::{self, Calls};
 use crate::upgrade::{self, Upgrade};
 use larchway::{Micros, Note, ServerId, Settings, State, Status};
+use larchway_copies::{Copies, CopiesFile};
 use larchway_operations::cordon::{self, Cordon, Verdict};
 use larchway_operations::handover::{self, Company, Frame};
 use larchway_operations::tally::Gauges;
@@ -311,7 +312,7 @@
 impl Gateway {
     /// Listens where the configuration says and takes in what it knows.
     pub fn new(files: Files) -> Result<Self, String> {
-        let Loaded { config, front, fleet, hierarchy } = files.read()?;
+        let Loaded { config, front, fleet, hierarchy, copies } = files.read()?;
         let poller = Poller::new().map_err(|e| format!("cannot poll: {e}"))?;
         let stop_told = told_by(&poller, &[SIGTERM, SIGINT], SIGNAL)?;
         let reload_told = told_by(&poller, &[SIGHUP], RELOAD)?;
@@ -368,6 +369,7 @@
         let name = config.name.clone();
         // What the other process knows comes before the first decision, and clients come when all is known.
         let told = scratch.map(|folder| gateway.find_others(at, &folder, &name)).unwrap_or_default();
+        gateway.keep_copies(&config, copies);
         gateway.take_in(at, config, fleet, hierarchy)?;
         gateway.told_first(now(), told);
         gateway.listener = Some(polled(&gateway.poller, gateway.listens, PLATFORM, shared)?);
@@ -452,7 +454,7 @@
 
     /// Puts a configuration in the place of the one in force; what can fail comes first.
     fn replace(&mut self, at: Micros, loaded: Loaded) -> Result<(), String> {
-        let Loaded { config, front, fleet, hierarchy } = loaded;
+        let Loaded { config, front, fleet, hierarchy, copies } = loaded;
         config.shape.replaces(&self.shape)?;
         config.terms.extends(&self.terms)?;
         let moved = config.listen != self.listens;
@@ -481,9 +483,23 @@
         if rebound {
             self.log_listening();
         }
+        self.keep_copies(&config, copies);
         self.take_in(at, config, fleet, hierarchy)
     }
 
+    /// Keeps copies of the gateway's own as its file says, or none; those held stay. They answer nothing until the
+    /// bulletin has been heard.
+    fn keep_copies(&mut self, config: &Config, terms: Option<CopiesFile>) {
+        match (&mut self.core.copies, terms) {
+            (copies, None) => *copies = None,
+            (Some(copies), Some(terms)) => copies.configure(terms, config.uplink),
+            (copies, Some(terms)) => *copies = Some(Copies::new(terms, config.uplink)),
+        }
+        if let Some(copies) = &mut self.core.copies {
+            copies.told_by_bulletin(config.bulletin.is_some());
+        }
+    }
+
     /// A number that is new with every call, and with every start.
     pub fn random(&mut self) -> u64 {
         self.drawn += 1;
@@ -1020,6 +1036,10 @@
                 Order::Kill { carrier, attempt, call } => {
                     resp::kill(self, at, carrier, attempt, &call);
                 }
+                Order::Held(ticket, found) => {
+                    let reply = Reply::held(found.copy.tag.as_deref(), &found.copy.bytes, found.same);
+                    self.answer(at, ticket, &Final::Served(&reply));
+                }
                 Order::Refused(ticket, pushback) => self.answer(at, ticket, &Final::Refused(pushback)),
                 Order::Failed(ticket, late) => self.answer(at, ticket, &Final::Failed { late }),
             }
@@ -1067,6 +1087,9 @@
     /// Keeps what all clients' connections hold within its bound. Danger: some hundred readers of 1 MB a second, or
     /// senders of half a message, together take more than there is, each with little.
     fn bound_held(&mut self, at: Micros) {
+        // Readers that are slow to take their answers go before copies that might be asked for.
+        let memory = self.memory / self.company.share();
+        self.core.copies.iter_mut().for_each(|copies| copies.fit(memory, self.held));
         while self.held > self.most_held {
             let most = self.conns.iter().max_by_key(|(_, c)| c.holds).map(|(key, c)| (key, c.holds));
             let Some((key, holds @ 1..)) = most else { return };
@@ -1410,6 +1433,7 @@
         let share = self.company.share();
         let (sockets, memory) = (self.sockets / share, self.memory / share);
         self.most_held = memory / CLIENTS_HOLD.2;
+        self.core.copies.iter_mut().for_each(|copies| copies.fit(memory, self.held));
         self.most_clients = sockets * 2 / 5;
         self.most_links = (sockets / 2).min(memory / 3 / resp::LONGEST);
     }
@@ -1538,6 +1562,13 @@
             }
             console::Call::Readiness => console::Reply::new(503, "no list of stores is known yet\n"),
             console::Call::Stats => console::Reply::new(200, self.core.tally.report(self.gauges(at))),
+            console::Call::Copies => match &self.core.copies {
+                Some(copies) => {
+                    let report = serde_json::to_string(&copies.report(at)).unwrap_or_default();
+                    console::Reply::new(200, report + "\n")
+                }
+                None => console::Reply::new(404, "no copies are kept here\n"),
+            },
             console::Call::Store { who, down } => {
                 let input = cordon::Input::Call { who: who.clone(), down };
                 let verdict = self.cordon_told(at, input).unwrap_or(Verdict::Unknown);
@@ -1572,6 +1603,7 @@
     }
 
     fn bulletin_heard(&mut self, at: Micros, contact: bool) {
+        self.core.copies.iter_mut().for_each(|c| if contact { c.heard(at) } else { c.lost() });
         if let Some(membership) = self.membership.as_mut().filter(|m| m.merges()) {
             let effects = membership.bulletin(at, contact);
             self.perform(at, effects);
@@ -1777,6 +1809,8 @@
         if let Some(old) = self.feed.conn.take() {
             self.close(at, old, None);
         }
+        // What another address has to tell is not known yet.
+        self.core.copies.iter_mut().for_each(Copies::lost);
         self.feed.backoff = BACKOFF.0;
         self.set_feed(at);
     }
--- a/gateway/src/resp.rs
+++ b/gateway/src/resp.rs
@@ -35,10 +35,20 @@
     pub waited: Micros,
     /// The tag of the bytes.
     pub entity: Option<&'a str>,
+    /// When the origin gave this copy out, on the Unix clock; 0 where that is not told.
+    pub issued: Micros,
     /// The bytes.
     pub body: &'a [u8],
 }
 
+impl<'a> Reply<'a> {
+    /// What a copy of the gateway's own says in place of a store.
+    pub fn held(entity: Option<&'a str>, body: &'a [u8], same: bool) -> Self {
+        let (id, status, note, report) = ("", Some(Status::Ok), Note::Hit, None);
+        Reply { id, status, same, note, report, waited: 0, entity, issued: 0, body }
+    }
+}
+
 /// One line `Xnnn\r\n`: its number and the place after it.
 fn line(input: &[u8], at: usize, mark: u8) -> Result<Option<(usize, usize)>, String> {
     let rest = &input[at.min(input.len())..];
@@ -148,8 +158,11 @@
     }
     let note = note(field(fields, "remark"));
     let (entity, report) = (field(fields, "entity"), field(fields, "report"));
-    let waited = field(fields, "delay").and_then(|ms| ms.parse().ok()).map_or(0, larchway::settings::micros);
-    Ok(Some((Reply { id, status, same: word == "current", note, report, waited, entity, body }, length)))
+    let span =
+        |name: &str| field(fields, name).and_then(|ms| ms.parse().ok()).map_or(0, larchway::settings::micros);
+    let (waited, issued) = (span("delay"), span("issued"));
+    let same = word == "current";
+    Ok(Some((Reply { id, status, same, note, report, waited, entity, issued, body }, length)))
 }
 
 /// The values of a report `inflight:7;util:0.61` in the order of these names; one that is missing or no number is
@@ -228,6 +241,9 @@
     }
     let Some(Conn { role: Role::Store(link), .. }) = gateway.conn(key) else { return Ok(0) };
     link.end(place);
+    if reply.status == Some(Status::Ok) && !reply.same {
+        gateway.core.keep_copy(at, attempt, reply.issued, reply.entity, reply.body);
+    }
     let load = reply.report.map_or(Vec::new(), |report| loads(report, &gateway.terms.report));
     if let Some(ticket) = gateway.core.answered(at, attempt, status, reply.note, reply.waited, load) {
         gateway.answer(at, ticket, &Final::Served(&reply));
--- a/gateway/tests/net/main.rs
+++ b/gateway/tests/net/main.rs
@@ -1,5 +1,6 @@
 //! Scenarios against the program itself, with stand-ins on loopback for all that it talks to.
 mod command;
+mod copies;
 mod ensemble;
 mod hierarchy;
 mod membership;
--- a/gateway/tests/net/scenario/mod.rs
+++ b/gateway/tests/net/scenario/mod.rs
@@ -8,7 +8,7 @@
 //! store raw aa *4\r\n           bytes as they stand, on the connection of that request
 //! c1 < served 1 | body                               the client's next answer
 //! w1 > GET /path ; Cookie: a=b | body                a client of the second front; w1 < 200 ETag="t1" | body
-//! bulletin > {"no":2,...}      bulletin < call last=1      bulletin mute
+//! bulletin > {"no":2,...}      bulletin < call last=1      bulletin mute    bulletin speak
 //! put config TEXT      the file holds this alone; the next edit begins from what it was
 //! edit config A => B           A in that file (or `signed`, `ensemble`) becomes B;    bulletin move    to another address, $feed
 //! o1 > PUT /ops/stores/down | {"who":"s-a1"}         an operator calls; o1 < 200.   figure passed.files 3   is reported soon
@@ -63,6 +63,8 @@
     bulletin: Arc<Mutex<Option<TcpStream>>>,
     muted: Arc<AtomicBool>,
     vars: HashMap<String, String>,
+    /// Requests made by [`Scenario::until_held`].
+    made: usize,
 }
 
 pub const ROW: &str = "7f3a9c21e0b4d655";
@@ -87,6 +89,8 @@
     pub extra: String,
     /// The hierarchy's file.
     pub hierarchy: Option<&'static str>,
+    /// The file of the gateway's own copies.
+    pub copies: Option<&'static str>,
     /// Whether operators may call.
     pub console: bool,
     /// The module's settings.
@@ -102,6 +106,7 @@
             ensemble: None,
             extra: String::new(),
             hierarchy: None,
+            copies: None,
             console: false,
             settings: SETTINGS,
         }
@@ -349,6 +354,11 @@
             command.args(["--hierarchy", &path]);
             files.insert("hierarchy".into(), (path, text.to_string()));
         }
+        if let Some(text) = setup.copies {
+            let path = file("copies.json", text);
+            command.args(["--copies", &path]);
+            files.insert("copies".into(), (path, text.to_string()));
+        }
         command.env("EDGE_LISTEN", "127.0.0.1:0").stderr(Stdio::piped());
         if setup.console {
             let folder = file("folder", "");
@@ -377,6 +387,7 @@
             bulletin,
             muted,
             vars,
+            made: 0,
         }
     }
 
@@ -467,6 +478,7 @@
                 assert!(self.find("store", rest).is_none(), "{line}");
             }
             ["bulletin", "mute"] => self.muted.store(true, Ordering::Relaxed),
+            ["bulletin", "speak"] => self.muted.store(false, Ordering::Relaxed),
             ["bulletin", "close"] => {
                 if let Some(stream) = self.bulletin.lock().expect("a lock").take() {
                     stream.shutdown(Shutdown::Both).expect("closes");
@@ -721,6 +733,50 @@
         false
     }
 
+    /// Asks until the gateway answers by itself; what it asks a store for meanwhile is answered with the same. The
+    /// words of the answer, and its body. `ask` and `answer` are as in a script, without numbers and ids.
+    pub fn until_held(&mut self, client: &str, ask: &str, answer: &str) -> (String, Vec<u8>) {
+        for _ in 0..40 {
+            self.made += 1;
+            let (seq, call) = (9000 + self.made, format!("h{}", self.made));
+            self.run(&format!("{client} > serve {seq} {ask} call={call}"));
+            let end = Instant::now() + PATIENCE;
+            loop {
+                self.backlog.extend(self.heard.recv_timeout(Duration::from_millis(5)));
+                if self.find("store", &["PULL", &call]).is_some() {
+                    self.run(&format!("store < PULL {call}\nstore > {call} {answer}"));
+                    self.frame(client);
+                    break;
+                }
+                let stream = &self.client(client).0;
+                stream.set_read_timeout(Some(Duration::from_millis(1))).expect("sets");
+                let come = stream.peek(&mut [0]).is_ok();
+                stream.set_read_timeout(Some(PATIENCE)).expect("sets");
+                if come {
+                    return describe(&self.frame(client));
+                }
+                assert!(Instant::now() < end, "{ask}: no answer");
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        panic!("{ask}: never answered without a store");
+    }
+
+    /// What the console reports of the gateway's own copies, once it holds such words.
+    pub fn copies_report(&mut self, words: &str) -> String {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            self.clients.remove("o-copies");
+            self.run("o-copies > GET /ops/copies\no-copies < 200");
+            let told = self.vars["body"].clone();
+            if told.contains(words) {
+                return told;
+            }
+            assert!(Instant::now() < end, "{words} is not in {told}");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
     /// What the console reports.
     pub fn stats(&mut self) -> String {
         self.clients.remove("o-stats");
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -116,7 +116,8 @@
         Command::Ensemble(args) => run_ensemble(args).map(|()| true),
         Command::Daemon(args) => {
             let hierarchy = args.hierarchy.clone();
-            let files = Files { signed: args.signed.clone(), ensemble: args.ensemble.clone(), hierarchy };
+            let (signed, ensemble) = (args.signed.clone(), args.ensemble.clone());
+            let files = Files { signed, ensemble, hierarchy, copies: None };
             Gateway::new(files).and_then(|mut gateway| gateway.run()).map(|()| true)
         }
     };
