Share what stores report of their load among gateways, and let stores shed by it

Need: of hundreds of gateways each sees too little to tell which cache the hash gives more than its like.

Change: crates/spread (no I/O) keeps an aged mean of each store's reported load, tells two random peers twice a second in at most 256 bytes, and says what share of its objects each store sheds. gateway/src/peers.rs is the driver; it does not know net::Gateway. GET /ops/spread shows the view.

--- /dev/null
+++ b/crates/spread/src/lib.rs
@@ -0,0 +1,317 @@
+//! Load spread over a fleet in which each gateway sees little of it (`docs/design/spread.md`): what stores report of
+//! their load, passed on from gateway to gateway, and what follows for the homes of objects. No I/O; the clock is an
+//! argument.
+pub mod wire;
+
+use larchway::{mix, unit, Micros, ServerId};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use wire::{Summary, Told};
+
+/// Most stores of a location that are looked at; the rest shed nothing.
+pub const MOST: usize = 4096;
+/// µs after which what was heard counts for a third: several reports of a store, though each gateway gets few.
+const SPAN: f64 = 6_000_000.0;
+/// Reports that a view is worth at most. Danger: gateways that pass the same report round take it for many.
+const WORTH: f64 = 30.0;
+/// Worth of a view below which it is not acted on.
+const LEAST: f64 = 0.25;
+/// Load over the mean that is even enough: noise of reports is not answered.
+const EVEN: f64 = 1.02;
+/// Part of the excess that is shed more each second; what is shed shows in reports only seconds later, so a larger one
+/// swings.
+const GAIN: f64 = 0.2;
+/// Most of its objects that a store sheds: what must go beyond is not this part's to decide.
+const SHED_MOST: f64 = 0.6;
+/// Mean load under which unevenness harms nobody.
+const QUIET: f64 = 0.02;
+
+/// The file of the load's spread under `deploy/`. Its schema is printed by `larchway schema spread`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct SpreadFile {
+    /// The field of stores' reports that tells their load, from 0 to about 1.
+    #[serde(default = "field")]
+    pub field: String,
+    /// ms between two rounds of datagrams and of decisions, from 100 to 10000.
+    #[serde(default = "period_ms")]
+    pub period_ms: u64,
+    /// Peers told in a round, from 0 to 8; 0: none is told, and only own reports count.
+    #[serde(default = "fanout")]
+    pub fanout: u8,
+}
+
+fn field() -> String {
+    "util".into()
+}
+
+fn period_ms() -> u64 {
+    500
+}
+
+fn fanout() -> u8 {
+    2
+}
+
+impl Default for SpreadFile {
+    fn default() -> Self {
+        SpreadFile { field: field(), period_ms: period_ms(), fanout: fanout() }
+    }
+}
+
+impl SpreadFile {
+    /// Whether its values can be used; names the one that cannot.
+    pub fn check(&self) -> Result<(), String> {
+        if self.field.is_empty() {
+            return Err("field: it is empty".into());
+        }
+        if !(100..=10_000).contains(&self.period_ms) {
+            return Err(format!("period_ms: {} is not from 100 to 10000", self.period_ms));
+        }
+        if self.fanout > 8 {
+            return Err(format!("fanout: {} is not from 0 to 8", self.fanout));
+        }
+        Ok(())
+    }
+}
+
+/// What has come.
+#[derive(Debug)]
+pub enum Input<'a> {
+    /// The stores of the own location that are up now.
+    Stores(Vec<ServerId>),
+    /// A store reported its load with an answer.
+    Report(ServerId, f64),
+    /// A peer's datagram.
+    Datagram(&'a [u8]),
+    /// It is time.
+    Tick,
+}
+
+/// What is to be done.
+#[derive(Debug, PartialEq)]
+pub enum Output {
+    /// Send this to the peer at that place.
+    Send(usize, Vec<u8>),
+    /// These shares of their objects are shed by these stores; all others shed none.
+    Shed(Vec<(ServerId, f64)>),
+}
+
+/// A store as the fleet sees it.
+#[derive(Debug, Clone, Copy, Default)]
+struct View {
+    /// Load as reported, aged mean.
+    load: f64,
+    /// Reports that it is worth, at `at`.
+    worth: f64,
+    at: Micros,
+    shed: f64,
+}
+
+impl View {
+    /// What it is worth now.
+    fn worth(&self, now: Micros) -> f64 {
+        self.worth * (-(now.saturating_sub(self.at) as f64) / SPAN).exp()
+    }
+    fn hear(&mut self, now: Micros, load: f64) {
+        let kept = self.worth(now);
+        self.load = (self.load * kept + load) / (kept + 1.0);
+        (self.worth, self.at) = ((kept + 1.0).min(WORTH), now);
+    }
+    /// Takes in what a peer makes of it. Both may stem from the same reports, so the worth is not the sum. Danger: as the
+    /// larger of the two it never ages, and old news goes round for ever (the loads swung by a tenth).
+    fn join(&mut self, now: Micros, load: f64, worth: f64) {
+        let kept = self.worth(now);
+        self.load = (self.load * kept + load * worth) / (kept + worth);
+        (self.worth, self.at) = ((kept + worth) / 2.0, now);
+    }
+}
+
+/// What operators are told of a store.
+#[derive(Debug, Clone, Serialize)]
+pub struct Shown {
+    /// Its number.
+    pub store: ServerId,
+    /// Its load as the fleet sees it.
+    pub load: f64,
+    /// Reports that this is worth by now.
+    pub worth: f64,
+    /// The share of its objects that it sheds here.
+    pub shed: f64,
+}
+
+/// What operators are told.
+#[derive(Debug, Clone, Serialize)]
+pub struct Report {
+    /// The mean load of those heard of.
+    pub mean: f64,
+    /// Datagrams sent, taken in, and turned down since they concern another list or cannot be read.
+    pub sent: u64,
+    /// See `sent`.
+    pub heard: u64,
+    /// See `sent`.
+    pub turned_down: u64,
+    /// The stores of the location.
+    pub stores: Vec<Shown>,
+}
+
+/// The fleet's view, at one gateway.
+#[derive(Debug)]
+pub struct Spread {
+    terms: SpreadFile,
+    /// The stores of the location that are up, at most [`MOST`].
+    views: BTreeMap<ServerId, View>,
+    /// Names the list, so that views of another one are not taken for this one's.
+    list: u32,
+    zone: u8,
+    me: usize,
+    peers: usize,
+    seed: u64,
+    drawn: u64,
+    due: Micros,
+    round: u64,
+    shedding: bool,
+    sent: u64,
+    heard: u64,
+    turned_down: u64,
+}
+
+impl Spread {
+    /// A view of nothing: of a gateway at this place among so many of its tier, in this zone.
+    pub fn new(now: Micros, terms: SpreadFile, zone: usize, (me, peers): (usize, usize), seed: u64) -> Self {
+        // Rounds of gateways that start together must not fall together.
+        let due = now + mix(seed) % (terms.period_ms * 1000);
+        Spread {
+            terms,
+            views: BTreeMap::new(),
+            list: 0,
+            zone: zone as u8,
+            me,
+            peers,
+            seed,
+            drawn: 0,
+            due,
+            round: 0,
+            shedding: false,
+            sent: 0,
+            heard: 0,
+            turned_down: 0,
+        }
+    }
+
+    /// Takes other terms; what is known stays.
+    pub fn configure(&mut self, terms: SpreadFile, (me, peers): (usize, usize)) {
+        (self.terms, self.me, self.peers) = (terms, me, peers);
+    }
+
+    /// The field of reports that tells the load.
+    pub fn field(&self) -> &str {
+        &self.terms.field
+    }
+
+    /// When it is to be told that it is time.
+    pub fn next_due(&self) -> Micros {
+        self.due
+    }
+
+    /// Takes in what has come and appends what is to be done.
+    pub fn handle(&mut self, now: Micros, input: Input<'_>, out: &mut Vec<Output>) {
+        match input {
+            Input::Stores(stores) => self.listed(stores),
+            Input::Report(store, load) => {
+                if let Some(view) = self.views.get_mut(&store).filter(|_| (0.0..=100.0).contains(&load)) {
+                    view.hear(now, load);
+                }
+            }
+            Input::Datagram(bytes) => match Summary::read(bytes) {
+                Some(told) if told.zone == self.zone && told.list == self.list => {
+                    self.heard += 1;
+                    let ids: Vec<ServerId> = self.views.keys().copied().collect();
+                    for (place, told) in told.entries() {
+                        let view = ids.get(place).and_then(|id| self.views.get_mut(id));
+                        if let (Some(view), true) = (view, told.worth >= LEAST) {
+                            view.join(now, told.load, told.worth.min(WORTH));
+                        }
+                    }
+                }
+                _ => self.turned_down += 1,
+            },
+            Input::Tick if now >= self.due => {
+                self.due = now + self.terms.period_ms * 1000;
+                self.decide(now, out);
+                self.tell(now, out);
+            }
+            Input::Tick => {}
+        }
+    }
+
+    fn listed(&mut self, mut stores: Vec<ServerId>) {
+        stores.sort_unstable();
+        stores.truncate(MOST);
+        // A store that is new, or back, begins with nothing known and nothing shed.
+        let old = std::mem::take(&mut self.views);
+        self.views = stores.iter().map(|id| (*id, old.get(id).copied().unwrap_or_default())).collect();
+        self.list = stores.iter().fold(stores.len() as u64, |list, id| mix(list ^ mix(*id))) as u32;
+    }
+
+    /// Has each store that carries more than its like shed more, and the others take objects back.
+    fn decide(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let known = |v: &View| v.worth(now) >= LEAST;
+        let (sum, n) =
+            self.views.values().filter(|v| known(v)).fold((0.0, 0), |(s, n), v| (s + v.load, n + 1));
+        let mean = sum / f64::from(n.max(1));
+        let seconds = self.terms.period_ms as f64 / 1000.0;
+        // Danger: with half of the stores unheard, the mean is of the others alone.
+        let enough = 2 * n as usize > self.views.len() && n > 1 && mean >= QUIET;
+        for view in self.views.values_mut() {
+            let more = match enough && known(view) {
+                // Both ways by the same rule, so that what is shed settles where the load is even.
+                true => (view.load / mean - EVEN).clamp(-0.5, 1.0) * GAIN * seconds,
+                // Danger: a store that nobody hears of stays shed on old news. It takes its objects back.
+                false => -GAIN * seconds,
+            };
+            view.shed = (view.shed + more * (1.0 - view.shed)).clamp(0.0, SHED_MOST);
+        }
+        let shed: Vec<_> =
+            self.views.iter().filter(|(_, v)| v.shed > 0.0).map(|(id, v)| (*id, v.shed)).collect();
+        if self.shedding || !shed.is_empty() {
+            self.shedding = !shed.is_empty();
+            out.push(Output::Shed(shed));
+        }
+    }
+
+    /// Passes on what is known to some peers, part by part where a datagram does not hold all.
+    fn tell(&mut self, now: Micros, out: &mut Vec<Output>) {
+        if self.views.is_empty() || self.peers < 2 {
+            return;
+        }
+        let parts = self.views.len().div_ceil(wire::ENTRIES);
+        let first = (self.round as usize % parts) * wire::ENTRIES;
+        self.round += 1;
+        let part = self.views.values().skip(first).take(wire::ENTRIES);
+        let told = part.map(|v| Told { load: v.load, worth: v.worth(now) }).collect();
+        let summary = Summary { zone: self.zone, list: self.list, first: first as u16, told };
+        let bytes = summary.write();
+        for _ in 0..self.terms.fanout {
+            self.drawn += 1;
+            let other = (unit(mix(self.seed) ^ mix(self.drawn)) * (self.peers - 1) as f64) as usize;
+            let other = other.min(self.peers - 2);
+            self.sent += 1;
+            out.push(Output::Send(other + usize::from(other >= self.me), bytes.clone()));
+        }
+    }
+
+    /// What operators are told.
+    pub fn report(&self, now: Micros) -> Report {
+        let stores: Vec<Shown> = self
+            .views
+            .iter()
+            .map(|(id, v)| Shown { store: *id, load: v.load, worth: v.worth(now), shed: v.shed })
+            .collect();
+        let known = stores.iter().filter(|s| s.worth >= LEAST);
+        let (sum, n) = known.fold((0.0, 0.0), |(sum, n), s| (sum + s.load, n + 1.0));
+        let (sent, heard, turned_down) = (self.sent, self.heard, self.turned_down);
+        Report { mean: sum / f64::max(n, 1.0), sent, heard, turned_down, stores }
+    }
+}
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -1,11 +1,13 @@
 //! The only place that reads, checks and defaults configuration. Errors name the faulty key.
 use crate::bulletin::{self, Item};
 use crate::hierarchy::{self, HierarchyFile};
+use crate::peers::Addresses;
 use crate::signed::{token::Parties, Keys, Secret};
-use larchway::settings::{as_f64, as_u64, get, read_value};
+use larchway::settings::{as_bool, as_f64, as_u64, get, read_value};
 use larchway::{Class, Micros, Settings};
 use larchway_copies::CopiesFile;
 use larchway_members::{format::Defaults, Policy};
+use larchway_spread::SpreadFile;
 use miniserde::json::{self, Value};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -33,6 +35,8 @@
     pub bulletin: Option<SocketAddr>,
     /// Bytes a second of one transfer of a copy of the gateway's own, and of all; 0 where that is not told.
     pub uplink: (f64, f64),
+    /// Where gateways of the tier hear each other; no address of its own where datagrams are not allowed.
+    pub peers: Addresses,
     /// Number of the last event known.
     pub known: u64,
     /// The events known at the start.
@@ -98,6 +102,8 @@
     pub hierarchy: Option<String>,
     /// That of the gateway's own copies; without it, none are kept.
     pub copies: Option<String>,
+    /// That of the load's spread; without it, each gateway acts on what it sees alone.
+    pub spread: Option<String>,
 }
 
 /// All configuration, read in one go.
@@ -113,6 +119,8 @@
     pub hierarchy: Option<HierarchyFile>,
     /// The gateway's own copies, if any are kept.
     pub copies: Option<CopiesFile>,
+    /// The load's spread, if the fleet's view is kept.
+    pub spread: Option<SpreadFile>,
 }
 
 impl Files {
@@ -123,6 +131,10 @@
         let fleet = self.ensemble.as_deref().map(ensemble_file).transpose()?;
         let hierarchy = self.hierarchy.as_deref().map(hierarchy::file).transpose()?;
         let copies = self.copies.as_deref().map(copies_file).transpose()?;
+        let spread = self.spread.as_deref().map(spread_file).transpose()?;
+        if let Some(file) = spread.as_ref().filter(|f| !config.terms.report.contains(&f.field)) {
+            return Err(format!("field: {:?} is not among settings.report.fields", file.field));
+        }
         if let (Some(file), None) = (hierarchy.as_ref().filter(|h| h.path.is_some()), &fleet) {
             return Err(format!(
                 "path: {:?} needs the file of the ensemble",
@@ -133,7 +145,7 @@
         if let Some(class) = front.iter().flat_map(|f| &f.classes).find(unknown) {
             return Err(format!("classes: {class:?} is not among settings.services"));
         }
-        Ok(Loaded { config, front, fleet, hierarchy, copies })
+        Ok(Loaded { config, front, fleet, hierarchy, copies, spread })
     }
 }
 
@@ -437,6 +449,14 @@
         Some(_) => above_0(&all, key),
     };
     let known = get(&all, "known").unwrap_or(&none);
+    let allowed = get(get(settings, "limits").unwrap_or(&none), "peers").and_then(as_bool).unwrap_or(false);
+    let peer = |t: String| t.parse().map_err(|_| format!("peers: {t:?} is not an address with a port"));
+    let all_peers = texts(&all, "peers")?.into_iter().map(peer).collect::<Result<_, _>>()?;
+    let peers = Addresses {
+        own: address(&all, "peer_listen")?.filter(|_| allowed),
+        all: all_peers,
+        me: whole(settings, "me", 0, 0).map_err(|e| format!("settings.{e}"))? as usize,
+    };
     let items = list(known, "items").map_err(|e| format!("known.{e}"))?;
     let item = |v: &Value| bulletin::item(v, &terms).map_err(|e| format!("known.items: {e}"));
     Ok(Config {
@@ -447,6 +467,7 @@
         sockets: limit("sockets", 1024, 64)? as usize,
         bulletin: address(&all, "bulletin")?,
         uplink: (pace("flow_bytes_per_s")?, pace("link_bytes_per_s")?),
+        peers,
         known: whole(known, "no", 0, 0).map_err(|e| format!("known.{e}"))?,
         items: items.iter().map(item).collect::<Result<_, _>>()?,
         settings: read,
@@ -465,7 +486,19 @@
     file.map_err(|e| format!("{path}: {e}"))
 }
 
+/// Reads the file of the load's spread.
+pub fn spread_file(path: &str) -> Result<SpreadFile, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read {path}: {e}"))?;
+    let file = operator_file::<SpreadFile>(&text).and_then(|file| file.check().map(|()| file));
+    file.map_err(|e| format!("{path}: {e}"))
+}
+
 /// The schema of that file.
+pub fn spread_schema() -> String {
+    serde_json::to_string_pretty(&schemars::schema_for!(SpreadFile)).unwrap_or_default()
+}
+
+/// The schema of the copies' file.
 pub fn copies_schema() -> String {
     serde_json::to_string_pretty(&schemars::schema_for!(CopiesFile)).unwrap_or_default()
 }
--- a/gateway/src/console.rs
+++ b/gateway/src/console.rs
@@ -24,6 +24,8 @@
     Stats,
     /// The gateway's own copies.
     Copies,
+    /// The stores' load as the fleet sees it.
+    Spread,
     /// A store out or back.
     Store {
         /// Its id.
@@ -113,7 +115,7 @@
     let target = request.path.unwrap_or("");
     let path = target.split('?').next().unwrap_or("");
     let (takes, down) = match path {
-        "/ops/readiness" | "/ops/stats" | "/ops/copies" => ("GET", false),
+        "/ops/readiness" | "/ops/stats" | "/ops/copies" | "/ops/spread" => ("GET", false),
         "/ops/stores/down" => ("PUT", true),
         "/ops/stores/up" => ("PUT", false),
         _ => return Err(Reply::new(404, format!("there is no {}\n", path.escape_default()))),
@@ -152,6 +154,7 @@
             std::cmp::Ordering::Equal => Ok(Some(match path {
                 "/ops/stats" => Call::Stats,
                 "/ops/copies" => Call::Copies,
+                "/ops/spread" => Call::Spread,
                 _ => Call::Readiness,
             })),
             std::cmp::Ordering::Greater => {
@@ -359,6 +362,7 @@
         assert_eq!(get("/ops/readiness"), Ok(Some(Call::Readiness)));
         assert_eq!(get("/ops/stats"), Ok(Some(Call::Stats)));
         assert_eq!(get("/ops/copies"), Ok(Some(Call::Copies)));
+        assert_eq!(get("/ops/spread"), Ok(Some(Call::Spread)));
         let long = "x".repeat(HEAD);
         let many = "A: b\r\n".repeat(40);
         let path = "/ops/stores/down";
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -183,6 +183,11 @@
     pub deadlines: Deadlines,
     /// Bytes of request bodies held.
     pub held: usize,
+    /// The place of the load in stores' reports, where the fleet's view is kept, and what was reported since this was
+    /// last taken out.
+    pub load_field: Option<usize>,
+    /// See `load_field`.
+    pub reports: Vec<(ServerId, f64)>,
     /// What ended attempts showed of their stores, where somebody wants to know; taken out after each event.
     pub evidence: Option<Vec<(ServerId, Evidence)>>,
 }
@@ -226,6 +231,8 @@
             orders: VecDeque::new(),
             deadlines: Deadlines::default(),
             held: 0,
+            load_field: None,
+            reports: Vec::new(),
             evidence: None,
         }
     }
@@ -473,6 +480,11 @@
         self.feed(now, Event::Homes(Some(homes)));
     }
 
+    /// The fleet's view says what stores shed.
+    pub fn shed(&mut self, now: Micros, shares: Vec<(ServerId, f64)>) {
+        self.feed(now, Event::Shed(shares));
+    }
+
     /// The client has left: nothing is owed any more.
     pub fn gone(&mut self, now: Micros, request: Key) {
         if self.end(request, End::BadGateway).is_some() {
@@ -632,6 +644,9 @@
         if let (Some(seen), Some(evidence)) = (&mut self.evidence, shown(status)) {
             seen.push((attempt.get.server, evidence));
         }
+        if let Some(told) = self.load_field.and_then(|at| load.get(at)) {
+            self.reports.push((attempt.get.server, *told));
+        }
         let latency = now.saturating_sub(attempt.at);
         let took = if waited > 0 { waited } else { latency };
         self.filled(now, attempt.fill, (status, note), took);
--- a/gateway/src/deadlines.rs
+++ b/gateway/src/deadlines.rs
@@ -24,6 +24,8 @@
     Console,
     /// What another process said of stores lapses.
     Cordon,
+    /// The fleet's view of the stores' load: decide, and tell peers.
+    Peers,
     /// The time to go on accepting after SIGTERM is over.
     Stop,
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod log;
 pub mod membership;
 pub mod net;
+pub mod peers;
 pub mod resp;
 pub mod signed;
 pub mod slots;
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -83,7 +83,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "schema")]
 struct Schema {
-    /// which file: ensemble, hierarchy or copies
+    /// which file: ensemble, hierarchy, copies or spread
     #[argh(positional)]
     file: String,
 }
@@ -104,6 +104,9 @@
     /// file of the gateway's own copies; without it, none are kept
     #[argh(option)]
     copies: Option<String>,
+    /// file of the load's spread; without it, each gateway acts on what it sees alone
+    #[argh(option)]
+    spread: Option<String>,
 }
 
 /// Print the version.
@@ -127,6 +130,9 @@
     /// file of the gateway's own copies
     #[argh(option)]
     copies: Option<String>,
+    /// file of the load's spread
+    #[argh(option)]
+    spread: Option<String>,
 }
 
 /// Issue a signed URL or a token for one object.
@@ -162,6 +168,7 @@
         ensemble: args.ensemble.clone(),
         hierarchy: args.hierarchy.clone(),
         copies: args.copies.clone(),
+        spread: args.spread.clone(),
     };
     Gateway::new(files)?.run()
 }
@@ -172,6 +179,7 @@
         ensemble: args.ensemble.clone(),
         hierarchy: args.hierarchy.clone(),
         copies: args.copies.clone(),
+        spread: args.spread.clone(),
     };
     println!("{} is well configured", files.read()?.config.name);
     Ok(())
@@ -247,7 +255,13 @@
                 println!("{}", config::copies_schema());
                 Ok(())
             }
-            other => Err(format!("there is no schema of {other:?}, only of ensemble, hierarchy and copies")),
+            "spread" => {
+                println!("{}", config::spread_schema());
+                Ok(())
+            }
+            other => Err(format!(
+                "there is no schema of {other:?}, only of ensemble, hierarchy, copies and spread"
+            )),
         },
     };
     match done {
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -8,6 +8,7 @@
 use crate::hierarchy::{Hierarchy, HierarchyFile, ShieldReport};
 use crate::log;
 use crate::membership::{Effect, Membership, Own};
+use crate::peers::Peers;
 use crate::resp::{self, Link, Reply};
 use crate::signed::{self, Session};
 use crate::slots::{Key, Slots};
@@ -18,6 +19,7 @@
 use larchway_operations::cordon::{self, Cordon, Verdict};
 use larchway_operations::handover::{self, Company, Frame};
 use larchway_operations::tally::Gauges;
+use larchway_spread::SpreadFile;
 use polling::{Event, PollMode, Poller};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use socket2::{Domain, Protocol, Socket, Type};
@@ -42,6 +44,8 @@
 const UPGRADE: usize = CONSOLE_CLIENTS - 1;
 /// The keys of the gateway's other processes, one a place.
 const PEERS: usize = UPGRADE - upgrade::MOST;
+/// The datagrams of the gateways of the tier.
+const DATAGRAMS: usize = PEERS - 1;
 /// µs after which a turn of the loop is cut, so that callers of the console are not kept waiting: what is left is
 /// polled again.
 const LONGEST_TURN: Micros = 20_000;
@@ -218,6 +222,9 @@
     /// The hierarchy, if a shape is given, and when it is to be looked at.
     hierarchy: Option<Hierarchy>,
     hierarchy_due: Option<Micros>,
+    /// The other gateways of the tier, if the fleet's view is kept, and when it is to be looked at.
+    peers: Option<Peers>,
+    peers_due: Option<Micros>,
     settings: Settings,
     shape: Shape,
     /// Where operators call, as configured; the console itself; and when it is to be looked at.
@@ -312,7 +319,7 @@
 impl Gateway {
     /// Listens where the configuration says and takes in what it knows.
     pub fn new(files: Files) -> Result<Self, String> {
-        let Loaded { config, front, fleet, hierarchy, copies } = files.read()?;
+        let Loaded { config, front, fleet, hierarchy, copies, spread } = files.read()?;
         let poller = Poller::new().map_err(|e| format!("cannot poll: {e}"))?;
         let stop_told = told_by(&poller, &[SIGTERM, SIGINT], SIGNAL)?;
         let reload_told = told_by(&poller, &[SIGHUP], RELOAD)?;
@@ -329,6 +336,8 @@
             admin: None,
             hierarchy: None,
             hierarchy_due: None,
+            peers: None,
+            peers_due: None,
             settings: Settings::default(),
             shape: Shape::default(),
             console_at: None,
@@ -370,6 +379,7 @@
         // What the other process knows comes before the first decision, and clients come when all is known.
         let told = scratch.map(|folder| gateway.find_others(at, &folder, &name)).unwrap_or_default();
         gateway.keep_copies(&config, copies);
+        gateway.keep_spread(at, &config, spread);
         gateway.take_in(at, config, fleet, hierarchy)?;
         gateway.told_first(now(), told);
         gateway.listener = Some(polled(&gateway.poller, gateway.listens, PLATFORM, shared)?);
@@ -454,7 +464,7 @@
 
     /// Puts a configuration in the place of the one in force; what can fail comes first.
     fn replace(&mut self, at: Micros, loaded: Loaded) -> Result<(), String> {
-        let Loaded { config, front, fleet, hierarchy, copies } = loaded;
+        let Loaded { config, front, fleet, hierarchy, copies, spread } = loaded;
         config.shape.replaces(&self.shape)?;
         config.terms.extends(&self.terms)?;
         let moved = config.listen != self.listens;
@@ -484,6 +494,7 @@
             self.log_listening();
         }
         self.keep_copies(&config, copies);
+        self.keep_spread(at, &config, spread);
         self.take_in(at, config, fleet, hierarchy)
     }
 
@@ -500,6 +511,66 @@
         }
     }
 
+    /// Keeps the fleet's view of the stores' load as its file says, or none.
+    fn keep_spread(&mut self, at: Micros, config: &Config, terms: Option<SpreadFile>) {
+        let Some(terms) = terms else {
+            self.core.load_field = None;
+            if self.peers.take().is_some() {
+                self.core.shed(at, Vec::new());
+            }
+            return self.set_peers();
+        };
+        self.core.load_field = config.terms.report.iter().position(|name| *name == terms.field);
+        let moved = match &mut self.peers {
+            Some(peers) => peers.configure(terms, config.peers.clone()),
+            None => {
+                let zone = config.settings.zone;
+                self.peers = Some(Peers::new(at, terms, config.peers.clone(), zone, config.seed));
+                true
+            }
+        };
+        // A socket that is dropped is no longer polled.
+        if let Some(socket) = self.peers.as_ref().and_then(Peers::socket).filter(|_| moved) {
+            let added = self.poller.add_with_mode(socket, Event::readable(DATAGRAMS), PollMode::Level);
+            added.unwrap_or_else(|e| log!("peer_listen: cannot poll: {e}"));
+        }
+        self.tell_stores(at);
+        self.set_peers();
+    }
+
+    /// Tells the fleet's view which stores of the own location are up.
+    fn tell_stores(&mut self, at: Micros) {
+        if let Some(peers) = &mut self.peers {
+            let caches = |p: &&Pool| {
+                let host = &p.store.host;
+                let kinds = [self.settings.parent_kind, self.settings.origin_kind];
+                host.state == State::Up && host.zone == self.own_zone && !kinds.contains(&Some(host.kind))
+            };
+            peers.stores(at, self.pools.values().filter(caches).map(|p| p.store.host.server).collect());
+        }
+    }
+
+    /// Sets when the fleet's view is to be looked at.
+    fn set_peers(&mut self) {
+        let due = self.peers.as_ref().map(Peers::next_due);
+        self.core.deadlines.shift(&mut self.peers_due, due, Due::Peers);
+    }
+
+    fn tend_peers(&mut self, at: Micros) {
+        self.peers_due = None;
+        if let Some(shares) = self.peers.as_mut().and_then(|peers| peers.tick(at)) {
+            self.core.shed(at, shares);
+        }
+        self.set_peers();
+    }
+
+    /// Tells the fleet's view what stores have reported.
+    fn tell_reports(&mut self, at: Micros) {
+        for (store, load) in std::mem::take(&mut self.core.reports) {
+            self.peers.iter_mut().for_each(|peers| peers.reported(at, store, load));
+        }
+    }
+
     /// A number that is new with every call, and with every start.
     pub fn random(&mut self) -> u64 {
         self.drawn += 1;
@@ -558,6 +629,7 @@
                     key if (CONSOLE_CLIENTS..CONSOLE).contains(&key) => {
                         self.serve_caller(at, key - CONSOLE_CLIENTS);
                     }
+                    DATAGRAMS => self.peers.iter_mut().for_each(|peers| peers.hear(at)),
                     UPGRADE => self.admit_process(at),
                     key if (PEERS..UPGRADE).contains(&key) => self.hear_process(at, key - PEERS),
                     PLATFORM | SECOND => self.accept(at, event.key),
@@ -612,6 +684,7 @@
             Due::Connection(key) => self.look(at, key),
             Due::Bulletin => self.tend_feed(at),
             Due::Membership => self.tend_membership(at),
+            Due::Peers => self.tend_peers(at),
             Due::Console => {
                 self.console_due = None;
                 self.tend_console(at);
@@ -1022,6 +1095,7 @@
             self.carry_out_orders(at);
             self.tell_evidence(at);
             self.tell_suspects(at);
+            self.tell_reports(at);
             if self.resumed.is_empty() && self.core.orders.is_empty() {
                 return;
             }
@@ -1569,6 +1643,13 @@
                 }
                 None => console::Reply::new(404, "no copies are kept here\n"),
             },
+            console::Call::Spread => match &self.peers {
+                Some(peers) => {
+                    let report = serde_json::to_string(&peers.report(at)).unwrap_or_default();
+                    console::Reply::new(200, report + "\n")
+                }
+                None => console::Reply::new(404, "the fleet's view is not kept here\n"),
+            },
             console::Call::Store { who, down } => {
                 let input = cordon::Input::Call { who: who.clone(), down };
                 let verdict = self.cordon_told(at, input).unwrap_or(Verdict::Unknown);
@@ -1781,6 +1862,7 @@
         }
         let gone = |(id, p): (&ServerId, &Pool)| (p.store.host.state == State::Removed).then_some(*id);
         self.pools.iter().filter_map(gone).collect::<Vec<_>>().into_iter().for_each(|id| self.retire(id));
+        self.tell_stores(at);
     }
 
     /// Forgets a store that is gone, once its last connection is.
--- a/gateway/tests/net/copies.rs
+++ b/gateway/tests/net/copies.rs
@@ -8,7 +8,7 @@
         Scenario::new(Setup { settings: SECOND, copies: Some("{}"), console: true, ..Setup::default() });
     s.set("row", ROW).set("ask", &format!("op=guide-video ttl=5000 row={ROW} family=17 block=0"));
     // Copies answer from when the bulletin has been heard.
-    s.copies_report("\"trusted\":true");
+    s.report("/ops/copies", "\"trusted\":true");
     s
 }
 
@@ -24,7 +24,7 @@
     let (words, body) = s.until_held("c1", &format!("{ask} cached=t0"), answer);
     assert!(!words.contains("keep") && body.len() == 5000, "{words}");
     // Invariant 6: each is counted once, as served.
-    let told = s.copies_report("\"copies\":1,");
+    let told = s.report("/ops/copies", "\"copies\":1,");
     let served: u64 =
         told.split("\"served\":").nth(1).and_then(|t| t.split(',').next()?.parse().ok()).expect("a count");
     assert!(served >= 3, "{told}");
@@ -44,7 +44,7 @@
          store < PULL bb
          bulletin > {\"no\":2,\"recall\":{\"item\":\"$row\",\"issued\":$now}}",
     );
-    s.copies_report("\"purged\":1");
+    s.report("/ops/copies", "\"purged\":1");
     s.run(
         "store > bb ok entity=t1,remark=MISS,issued=5000 | old
          c2 < served 1 | old
@@ -61,7 +61,7 @@
     assert_eq!(body, b"new");
     // A group's purge drops what is of it.
     s.run("bulletin > {\"no\":3,\"recall\":{\"lot\":17,\"issued\":$now}}");
-    s.copies_report("\"copies\":0,");
+    s.report("/ops/copies", "\"copies\":0,");
     s.run("c2 > serve 4 $ask call=ee\nstore < PULL ee");
 }
 
@@ -95,7 +95,7 @@
     let answer = "ok entity=t1,remark=MISS,issued=$now | x";
     s.until_held("c1", &ask, answer);
     s.run("bulletin mute");
-    s.copies_report("\"trusted\":false");
+    s.report("/ops/copies", "\"trusted\":false");
     s.run(
         "c2 > serve 1 $ask call=aa
          store < PULL aa
@@ -103,7 +103,7 @@
          c2 < served 1 | x",
     );
     s.run("bulletin speak");
-    s.copies_report("\"trusted\":true");
+    s.report("/ops/copies", "\"trusted\":true");
     s.until_held("c1", &ask, answer);
 }
 
@@ -128,9 +128,9 @@
     s.until_held("c1", &ask, answer);
     let room =
         |told: &str| told.split("\"room\":").nth(1).and_then(|t| t.split(',').next()?.parse::<u64>().ok());
-    let before = room(&s.copies_report("\"copies\":1,")).expect("a number");
+    let before = room(&s.report("/ops/copies", "\"copies\":1,")).expect("a number");
     s.run("put copies {\"memory_percent\":1}\nhup\nlog < read again");
-    let after = room(&s.copies_report("\"copies\":1,")).expect("a number");
+    let after = room(&s.report("/ops/copies", "\"copies\":1,")).expect("a number");
     assert_eq!((before, after), (16_000_000, 640_000));
 }
 
--- a/gateway/tests/net/main.rs
+++ b/gateway/tests/net/main.rs
@@ -8,3 +8,4 @@
 mod platform;
 mod scenario;
 mod signed;
+mod spread;
--- a/gateway/tests/net/scenario/mod.rs
+++ b/gateway/tests/net/scenario/mod.rs
@@ -91,6 +91,8 @@
     pub hierarchy: Option<&'static str>,
     /// The file of the gateway's own copies.
     pub copies: Option<&'static str>,
+    /// The file of the load's spread.
+    pub spread: Option<&'static str>,
     /// Whether operators may call.
     pub console: bool,
     /// The module's settings.
@@ -107,6 +109,7 @@
             extra: String::new(),
             hierarchy: None,
             copies: None,
+            spread: None,
             console: false,
             settings: SETTINGS,
         }
@@ -354,10 +357,11 @@
             command.args(["--hierarchy", &path]);
             files.insert("hierarchy".into(), (path, text.to_string()));
         }
-        if let Some(text) = setup.copies {
-            let path = file("copies.json", text);
-            command.args(["--copies", &path]);
-            files.insert("copies".into(), (path, text.to_string()));
+        for (name, text) in [("copies", setup.copies), ("spread", setup.spread)] {
+            let Some(text) = text else { continue };
+            let path = file(&format!("{name}.json"), text);
+            command.args([&format!("--{name}"), &path]);
+            files.insert(name.into(), (path, text.to_string()));
         }
         command.env("EDGE_LISTEN", "127.0.0.1:0").stderr(Stdio::piped());
         if setup.console {
@@ -762,12 +766,12 @@
         panic!("{ask}: never answered without a store");
     }
 
-    /// What the console reports of the gateway's own copies, once it holds such words.
-    pub fn copies_report(&mut self, words: &str) -> String {
+    /// What the console reports at a path, once it holds such words.
+    pub fn report(&mut self, path: &str, words: &str) -> String {
         let end = Instant::now() + PATIENCE;
         loop {
-            self.clients.remove("o-copies");
-            self.run("o-copies > GET /ops/copies\no-copies < 200");
+            self.clients.remove("o-report");
+            self.run(&format!("o-report > GET {path}\no-report < 200"));
             let told = self.vars["body"].clone();
             if told.contains(words) {
                 return told;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -27,7 +27,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "trial")]
 struct Trial {
-    /// which: membership, hierarchy, upgrade
+    /// which: membership, hierarchy, upgrade, spread
     #[argh(positional)]
     name: String,
     /// decides on times and objects (default 1)
@@ -70,6 +70,9 @@
     /// file of the hierarchy
     #[argh(option)]
     hierarchy: Option<String>,
+    /// file of the load's spread
+    #[argh(option)]
+    spread: Option<String>,
 }
 
 fn run_trial(args: &Trial) -> Result<bool, String> {
@@ -117,7 +120,7 @@
         Command::Daemon(args) => {
             let hierarchy = args.hierarchy.clone();
             let (signed, ensemble) = (args.signed.clone(), args.ensemble.clone());
-            let files = Files { signed, ensemble, hierarchy, copies: None };
+            let files = Files { signed, ensemble, hierarchy, copies: None, spread: args.spread.clone() };
             Gateway::new(files).and_then(|mut gateway| gateway.run()).map(|()| true)
         }
     };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -355,6 +355,8 @@
     },
     /// The shares of homes have changed; none: no shape is given.
     Homes(Option<Homes>),
+    /// By server, the share of its objects that goes to their next homes from now on; those left out keep all theirs.
+    Shed(Vec<(ServerId, f64)>),
 }
 
 /// Shares of the objects' homes among parents, where a shape of the hierarchy is given. Without it all listed parents
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -259,6 +259,8 @@
     wake: bool,
     watching: bool,
     homes: Option<Homes>,
+    /// By server, the share of its objects that goes to their next homes, each router's own choice of them.
+    shed: BTreeMap<ServerId, f64>,
     /// By role, FP, FN and q of all caches taken together.
     all: [Indicator; 2],
 }
@@ -320,6 +322,7 @@
             Event::Gone(id) => self.close(id, actions),
             Event::Timer(_) => self.on_timer(actions),
             Event::Homes(homes) => self.homes = homes,
+            Event::Shed(shares) => self.shed = shares.into_iter().collect(),
             Event::Purged { age, group, object } => self.on_purge(now.saturating_sub(age), group, object),
         }
         if !self.wake && !self.open.is_empty() {
@@ -690,10 +693,8 @@
         let ranked = self.by_hash(key, own);
         let able = |s: &&Server| self.usable(s, mean) && !avoid(s) && bound(s);
         let fit: Vec<&Server> = ranked.iter().copied().filter(able).collect();
-        let parent = match class.uncacheable {
-            true => self.origin(mean).map(|s| s.host.server).or_else(|| self.parent_for(open, mean)),
-            false => self.parent_for(open, mean),
-        };
+        let origin = class.uncacheable.then(|| self.origin(mean)).flatten().map(|s| s.host.server);
+        let parent = origin.or_else(|| self.parent_for(open, mean));
         let penalty = self.penalty.or(FIRST_PENALTY);
         let expected = work + penalty;
         let plain = |edge, source| Choice { edge, source, expected, link: true, ..Choice::default() };
@@ -706,7 +707,9 @@
         }
         let quiet = fit.iter().map(|s| self.stretch(s)).fold(f64::MAX, f64::min);
         let crowded = |s: &Server| self.stretch(s) > CROWDED.max(2.0 * quiet);
-        let default = fit.iter().copied().find(|s| !crowded(s)).unwrap_or(fit[0]);
+        // Danger: of many routers each sees too little to tell which cache the hash gives more than its like.
+        let sheds = |id: ServerId| unit(key ^ mix(id ^ self.seed)) < self.shed.get(&id).map_or(0.0, |s| *s);
+        let default = fit.iter().copied().find(|s| !crowded(s) && !sheds(s.host.server)).unwrap_or(fit[0]);
         if class.uncacheable {
             return Some(plain(default.host.server, parent?));
         }
@@ -717,16 +720,15 @@
         let mut best = (f64::MAX, Choice::default(), 1.0);
         for &edge in &fit {
             let positive = self.recorded(req, edge.host.server);
-            if edge.host.server != default.host.server && !positive {
+            if edge.host.server != default.host.server && (!positive || sheds(edge.host.server)) {
                 continue;
             }
             let rho = miss_chance(self.shares(edge, EDGE), positive);
             let at = self.cost(edge, EDGE, work);
             let expected = work + at + if positive { 0.0 } else { penalty };
             let id = edge.host.server;
-            for other in siblings.iter().copied().map(Some).chain([None]) {
+            for other in siblings.iter().copied().filter(|s| s.host.server != id).map(Some).chain([None]) {
                 let (more, lacks, source, known) = match other {
-                    Some(s) if s.host.server == id => continue,
                     Some(s) => {
                         let known = self.recorded(req, s.host.server);
                         let lacks = miss_chance(self.shares(s, SOURCE), known);
@@ -813,13 +815,12 @@
         if open.streaming || open.out() > 0 {
             return;
         }
-        let over = self.now >= open.arrived + open.req.ttl;
         // Danger: each retry is one more call on an origin that is down for being asked too much.
         if outcome.note == Note::OriginFailed {
             return self.give_up(id, PAUSE.1, actions);
         }
         // Moot before the end: unsent, since its store was withdrawn or a purge was told while it waited.
-        if over {
+        if self.now >= open.arrived + open.req.ttl {
             actions.push(Action::Fail(id));
             return self.close(id, actions);
         }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1125,3 +1125,34 @@
     assert_eq!(get(old.ask(2)).max_age, get(next.ask(2)).max_age);
     assert!(get(next.ask(2)).max_age.is_some());
 }
+
+/// Invariant 2 of `docs/design/spread.md`.
+#[test]
+fn a_cache_sheds_the_share_that_it_is_told_also_of_what_it_was_seen_to_hold_and_takes_it_back() {
+    let mut rig = Rig::new(settings(), fleet());
+    let homes = |rig: &mut Rig| -> Vec<ServerId> {
+        (0..400)
+            .map(|object| {
+                rig.wait(20);
+                rig.serve(object, Note::Hit).server
+            })
+            .collect()
+    };
+    let before = homes(&mut rig);
+    let of = |homes: &[ServerId], id| homes.iter().filter(|s| **s == id).count();
+    let (first, second) = (of(&before, 1), of(&before, 2));
+    assert!(first > 150 && second > 150);
+    rig.tell(Event::Shed(vec![(1, 0.5)]));
+    let shed = homes(&mut rig);
+    let left = of(&shed, 1) as f64 / first as f64;
+    assert!((0.4..0.6).contains(&left), "{left}");
+    // What the other has stays there.
+    assert!(before.iter().zip(&shed).all(|(old, new)| *old == 1 || *new == 2));
+    rig.tell(Event::Shed(Vec::new()));
+    rig.wait(30_000);
+    assert_eq!(homes(&mut rig), before);
+    // With nowhere to go, it keeps them.
+    rig.list(Scope::Changes, vec![Host { state: State::Draining, ..host(2, 1, 0) }]);
+    rig.tell(Event::Shed(vec![(1, 0.6)]));
+    assert!(homes(&mut rig).iter().all(|s| *s == 1));
+}
