Add trial spread: hundreds of gateways under faults, with the fleet's view and without

Need: the issue asks for the spread to be shown with 200 or more real processes, side by side with the plain hash and the program as it was, under lost and late datagrams, kills, a silent store and a cold one that joins.

--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -33,6 +33,8 @@
     pub span: Micros,
     /// Decides on times and objects.
     pub seed: u64,
+    /// Connections that it is spread over, and µs between two looks at them: with hundreds of gateways, few and long.
+    pub lines: (usize, u64),
 }
 
 /// What became of it.
@@ -165,7 +167,9 @@
 }
 
 /// A gateway's connection takes 32 requests at once; so many connections are spread over.
-const CONNECTIONS: usize = 8;
+pub const CONNECTIONS: usize = 8;
+/// µs between two looks at them, where few gateways are asked.
+pub const OFTEN: u64 = 300;
 
 /// µs for which a request that crosses the end of its connection is sent once more.
 const CROSSING: Micros = 50_000;
@@ -218,7 +222,7 @@
     let zipf =
         (load.zipf > 0.0).then(|| rand_distr::Zipf::new(load.objects as f64, load.zipf).ok()).flatten();
     let mut lines = Vec::new();
-    for _ in 0..CONNECTIONS {
+    for _ in 0..load.lines.0 {
         lines.push(Line::open(address)?);
     }
     let start = now();
@@ -312,6 +316,6 @@
             tally.lost += left as u64;
             return Ok(tally);
         }
-        std::thread::sleep(Duration::from_micros(300));
+        std::thread::sleep(Duration::from_micros(load.lines.1));
     }
 }
--- a/lab/src/stand/store.rs
+++ b/lab/src/stand/store.rs
@@ -3,10 +3,11 @@
 use crate::clock::now;
 use larchway_gateway::resp;
 use larchway_keeper::Micros;
+use std::collections::VecDeque;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU8, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicU64, AtomicU8, Ordering};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
 /// How it is.
@@ -37,10 +38,39 @@
 struct Shared {
     mode: AtomicU8,
     seen: Mutex<Vec<Seen>>,
-    /// Held while a request is worked on: the box's capacity.
-    work: Mutex<()>,
+    /// How many requests are worked on: the box's capacity.
+    work: Mutex<usize>,
+    done: Condvar,
+    workers: usize,
     service: Duration,
     body: Vec<u8>,
+    /// Requests by spans of [`REPORTED`] µs, the newest last, and by how many of these reports are late.
+    spans: Mutex<VecDeque<(Micros, u64)>>,
+    late: AtomicU64,
+}
+
+/// µs of the spans over which a box's load is reported, and how many spans are kept.
+const REPORTED: Micros = 500_000;
+const SPANS: usize = 16;
+
+impl Shared {
+    /// Counts a request, and returns the share of the workers that were busy in the last whole span as it is told now.
+    fn util(&self, at: Micros) -> f64 {
+        let mut spans = self.spans.lock().unwrap_or_else(PoisonError::into_inner);
+        let span = at / REPORTED;
+        if spans.back().is_none_or(|(last, _)| *last < span) {
+            spans.push_back((span, 0));
+        }
+        if let Some(last) = spans.back_mut() {
+            last.1 += 1;
+        }
+        while spans.len() > SPANS {
+            spans.pop_front();
+        }
+        let told = span.saturating_sub(1 + self.late.load(Ordering::Relaxed));
+        let of = spans.iter().find(|(s, _)| *s == told).map_or(0, |(_, n)| *n);
+        of as f64 * self.service.as_micros() as f64 / (REPORTED as f64 * self.workers as f64)
+    }
 }
 
 /// A box.
@@ -53,14 +83,23 @@
 impl Store {
     /// Starts one that takes so long for a request, one at a time.
     pub fn start(service: Duration, body: usize) -> std::io::Result<Self> {
+        Store::wide(service, body, 1)
+    }
+
+    /// The same with so many at a time.
+    pub fn wide(service: Duration, body: usize, workers: usize) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             mode: AtomicU8::new(Mode::Up as u8),
             seen: Mutex::new(Vec::new()),
-            work: Mutex::new(()),
+            work: Mutex::new(0),
+            done: Condvar::new(),
+            workers,
             service,
             body: vec![b'x'; body],
+            spans: Mutex::default(),
+            late: AtomicU64::new(0),
         });
         let own = shared.clone();
         std::thread::spawn(move || listen(listener, address, &own));
@@ -72,6 +111,11 @@
         self.shared.mode.store(mode as u8, Ordering::Relaxed);
     }
 
+    /// Makes its reports of its load late by so many half seconds.
+    pub fn report_late(&self, spans: u64) {
+        self.shared.late.store(spans, Ordering::Relaxed);
+    }
+
     /// What has come in so far.
     pub fn seen(&self) -> Vec<Seen> {
         self.shared.seen.lock().unwrap_or_else(PoisonError::into_inner).clone()
@@ -134,20 +178,26 @@
             let source = resp::field(&fields, "miss").map(String::from);
             let replay = resp::field(&fields, "replay").map(String::from);
             let seen = Seen { at: now(), gateway, source, replay };
+            let util = shared.util(seen.at);
             shared.seen.lock().unwrap_or_else(PoisonError::into_inner).push(seen);
             if is(shared, Mode::Silent) {
                 continue;
             }
             {
-                let _one = shared.work.lock().unwrap_or_else(PoisonError::into_inner);
-                std::thread::sleep(shared.service);
+                let busy = shared.work.lock().unwrap_or_else(PoisonError::into_inner);
+                let full = |busy: &mut usize| *busy >= shared.workers;
+                let mut busy = shared.done.wait_while(busy, full).unwrap_or_else(PoisonError::into_inner);
+                *busy += 1;
             }
+            std::thread::sleep(shared.service);
+            *shared.work.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
+            shared.done.notify_one();
             if is(shared, Mode::Silent) {
                 continue;
             }
             let mut out = Vec::new();
             let issued = now() / 1000;
-            let told = format!("entity=t1,issued={issued},remark=HIT");
+            let told = format!("entity=t1,issued={issued},remark=HIT,report=util:{util:.3}");
             resp::write_words(&mut out, &[id.as_bytes(), b"ok", told.as_bytes(), &shared.body]);
             if stream.write_all(&out).is_err() {
                 return;
--- a/lab/src/trial/fleet.rs
+++ b/lab/src/trial/fleet.rs
@@ -68,6 +68,12 @@
 }
 
 impl Gateway {
+    /// Kills it as an outright kill does.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
     /// Has it read its files again.
     pub fn hup(&self) -> Result<(), String> {
         let line = format!("kill -HUP {}", self.child.id());
@@ -90,7 +96,9 @@
         std::fs::write(path, text).map_err(|e| format!("cannot write {}: {e}", path.display()))
     };
     write(&path("config.json"), config)?;
-    let own = std::env::current_exe().map_err(|e| format!("the own program: {e}"))?;
+    // A test is another program than the laboratory, and names it.
+    let own = std::env::var_os("LARCHWAY_LAB").map(PathBuf::from);
+    let own = own.map_or_else(std::env::current_exe, Ok).map_err(|e| format!("the own program: {e}"))?;
     let mut command = Command::new(own);
     command.arg("daemon");
     for (flag, text) in files {
--- a/lab/src/trial/hierarchy.rs
+++ b/lab/src/trial/hierarchy.rs
@@ -262,6 +262,7 @@
                     writes: 0.0,
                     span: SPAN,
                     seed: seed * 31 + gateway.at as u64,
+                    lines: (load::CONNECTIONS, load::OFTEN),
                 };
                 let front = gateway.front;
                 scope.spawn(move || load::play(front, &load))
--- a/lab/src/trial/mod.rs
+++ b/lab/src/trial/mod.rs
@@ -2,6 +2,7 @@
 pub mod fleet;
 pub mod hierarchy;
 pub mod membership;
+pub mod spread;
 pub mod upgrade;
 
 use serde_json::Value;
@@ -17,7 +18,7 @@
 }
 
 /// The trials by name.
-pub const NAMES: [&str; 3] = ["membership", "hierarchy", "upgrade"];
+pub const NAMES: [&str; 4] = ["membership", "hierarchy", "upgrade", "spread"];
 
 /// Plays a trial.
 pub fn play(name: &str, seed: u64, only: Option<&str>) -> Result<Outcome, String> {
@@ -25,6 +26,7 @@
         "membership" => membership::play(seed, only),
         "hierarchy" => hierarchy::play(seed, only),
         "upgrade" => upgrade::play(seed, only),
+        "spread" => spread::play(seed, only),
         other => Err(format!("there is no trial {other:?}; there are: {}", NAMES.join(", "))),
     }
 }
--- a/lab/src/trial/upgrade.rs
+++ b/lab/src/trial/upgrade.rs
@@ -236,6 +236,7 @@
         writes: 0.1,
         span,
         seed: seed * 31,
+        lines: (load::CONNECTIONS, load::OFTEN),
     };
     let (watch, over) = (Watch::default(), Arc::new(AtomicBool::new(false)));
     watch.set(vec![process.child.id()]);
