Probe seldom heard stores with one budget for all gateways of a location together

Change: each gateway probes by chance with its part of `probes_per_s`, only stores whose answers and peers tell too little, and only where the settings allow probes; METER goes over a connection that is there, and its answer's report counts like one that comes with an answer. The trial writes each second's largest over mean, variation and idle stores.

Found by the budget's test: 300 gateways sent 203 probes in place of 100. Seed and count were mixed alike, so where the two were equal nothing was left and the draw was always the least (Spread::tell and ::probe). They are drawn apart now.

Measured: at 2 a second for a store, 1, 20 and 300 gateways send 60 to 130 in 50 s, none to a store that answers. A scenario: METER is sent only once the settings allow it, `yes` counts, `no` spoils nothing.

--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -24,6 +24,8 @@
 const GAIN: f64 = 0.2;
 /// Most of its objects that a store sheds: what must go beyond is not this part's to decide.
 const SHED_MOST: f64 = 0.6;
+/// Worth from which a store need not be probed: answers and peers tell enough.
+const HEARD: f64 = 3.0;
 /// Mean load under which unevenness harms nobody.
 const QUIET: f64 = 0.02;
 
@@ -40,6 +42,10 @@
     /// Peers told in a round, from 0 to 8; 0: none is told, and only own reports count.
     #[serde(default = "fanout")]
     pub fanout: u8,
+    /// Probes of one store a second by all gateways of the location together, from 0 (none) to 100, for stores that are
+    /// not heard of often enough without. A probe costs the store work.
+    #[serde(default)]
+    pub probes_per_s: f64,
 }
 
 fn field() -> String {
@@ -56,7 +62,7 @@
 
 impl Default for SpreadFile {
     fn default() -> Self {
-        SpreadFile { field: field(), period_ms: period_ms(), fanout: fanout() }
+        SpreadFile { field: field(), period_ms: period_ms(), fanout: fanout(), probes_per_s: 0.0 }
     }
 }
 
@@ -72,6 +78,9 @@
         if self.fanout > 8 {
             return Err(format!("fanout: {} is not from 0 to 8", self.fanout));
         }
+        if !(0.0..=100.0).contains(&self.probes_per_s) {
+            return Err(format!("probes_per_s: {} is not from 0 to 100", self.probes_per_s));
+        }
         Ok(())
     }
 }
@@ -79,8 +88,8 @@
 /// What has come.
 #[derive(Debug)]
 pub enum Input<'a> {
-    /// The stores of the own location that are up now.
-    Stores(Vec<ServerId>),
+    /// The stores of the own location that are up now, and the gateways of the location, which share the probes.
+    Stores(Vec<ServerId>, u64),
     /// A store reported its load with an answer.
     Report(ServerId, f64),
     /// A peer's datagram.
@@ -94,6 +103,8 @@
 pub enum Output {
     /// Send this to the peer at that place.
     Send(usize, Vec<u8>),
+    /// Probe this store.
+    Probe(ServerId),
     /// These shares of their objects are shed by these stores; all others shed none.
     Shed(Vec<(ServerId, f64)>),
 }
@@ -167,6 +178,7 @@
     zone: u8,
     me: usize,
     peers: usize,
+    sharers: u64,
     seed: u64,
     drawn: u64,
     due: Micros,
@@ -189,6 +201,7 @@
             zone: zone as u8,
             me,
             peers,
+            sharers: 1,
             seed,
             drawn: 0,
             due,
@@ -218,7 +231,10 @@
     /// Takes in what has come and appends what is to be done.
     pub fn handle(&mut self, now: Micros, input: Input<'_>, out: &mut Vec<Output>) {
         match input {
-            Input::Stores(stores) => self.listed(stores),
+            Input::Stores(stores, sharers) => {
+                self.sharers = sharers.max(1);
+                self.listed(stores);
+            }
             Input::Report(store, load) => {
                 if let Some(view) = self.views.get_mut(&store).filter(|_| (0.0..=100.0).contains(&load)) {
                     view.hear(now, load);
@@ -241,11 +257,18 @@
                 self.due = now + self.terms.period_ms * 1000;
                 self.decide(now, out);
                 self.tell(now, out);
+                self.probe(now, out);
             }
             Input::Tick => {}
         }
     }
 
+    /// A number above 0 and up to 1. Not of the seed and the count mixed alike: where they are equal, nothing is left.
+    fn draw(&mut self) -> f64 {
+        self.drawn += 1;
+        unit(mix(self.seed) ^ self.drawn.wrapping_mul(0x9e37_79b9_7f4a_7c15))
+    }
+
     fn listed(&mut self, mut stores: Vec<ServerId>) {
         stores.sort_unstable();
         stores.truncate(MOST);
@@ -294,14 +317,29 @@
         let summary = Summary { zone: self.zone, list: self.list, first: first as u16, told };
         let bytes = summary.write();
         for _ in 0..self.terms.fanout {
-            self.drawn += 1;
-            let other = (unit(mix(self.seed) ^ mix(self.drawn)) * (self.peers - 1) as f64) as usize;
+            let other = (self.draw() * (self.peers - 1) as f64) as usize;
             let other = other.min(self.peers - 2);
             self.sent += 1;
             out.push(Output::Send(other + usize::from(other >= self.me), bytes.clone()));
         }
     }
 
+    /// Probes what is seldom heard of. Each gateway has its part of a store's probes, by chance, so that the whole
+    /// fleet keeps to them though none knows of the others'; what one hears it passes on. Danger: hundreds that each
+    /// probe by themselves are a load of their own.
+    fn probe(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let part = self.terms.probes_per_s * self.terms.period_ms as f64 / 1000.0 / self.sharers as f64;
+        if part <= 0.0 {
+            return;
+        }
+        let seldom = |(store, v): (&ServerId, &View)| (v.worth(now) < HEARD).then_some(*store);
+        for store in self.views.iter().filter_map(seldom).collect::<Vec<_>>() {
+            if self.draw() <= part {
+                out.push(Output::Probe(store));
+            }
+        }
+    }
+
     /// What operators are told.
     pub fn report(&self, now: Micros) -> Report {
         let stores: Vec<Shown> = self
--- a/crates/spread/tests/histories.rs
+++ b/crates/spread/tests/histories.rs
@@ -32,14 +32,14 @@
 
     #[test]
     fn whatever_is_told_shares_stay_bounded_and_datagrams_short(steps in steps()) {
-        let mut spread = Spread::new(MS, SpreadFile::default(), 1, (2, 5), 7);
+        let mut spread = Spread::new(MS, SpreadFile { probes_per_s: 9.0, ..SpreadFile::default() }, 1, (2, 5), 7);
         let (mut now, mut listed, mut last) = (MS, Vec::new(), Vec::new());
         for step in steps {
             let mut out = Vec::new();
             match step {
                 Step::Stores(stores) => {
                     listed = stores.clone();
-                    spread.handle(now, Input::Stores(stores), &mut out);
+                    spread.handle(now, Input::Stores(stores, 5), &mut out);
                 }
                 Step::Report(store, load) => spread.handle(now, Input::Report(store, load), &mut out),
                 Step::Told(bytes) => spread.handle(now, Input::Datagram(&bytes), &mut out),
@@ -64,6 +64,9 @@
                         prop_assert!(peer < 5 && peer != 2, "invariant 1: it tells itself");
                         last = bytes;
                     }
+                    Output::Probe(store) => {
+                        prop_assert!(listed.contains(&store), "invariant 6: a store that is not listed");
+                    }
                     Output::Shed(shares) => for (store, share) in shares {
                         prop_assert!(listed.contains(&store), "invariant 2: a store that is not listed");
                         prop_assert!(share > 0.0 && share <= 0.6, "invariant 2: {share}");
@@ -83,7 +86,7 @@
     let mut fleet: Vec<Spread> = (0..gateways)
         .map(|me| {
             let mut spread = Spread::new(0, SpreadFile::default(), 0, (me, gateways), 77 + me as u64);
-            spread.handle(0, Input::Stores(stores.clone()), &mut Vec::new());
+            spread.handle(0, Input::Stores(stores.clone(), gateways as u64), &mut Vec::new());
             spread
         })
         .collect();
@@ -114,7 +117,7 @@
                     Output::Send(peer, bytes) if draw() >= lost => {
                         fleet[peer].handle(now, Input::Datagram(&bytes), &mut Vec::new());
                     }
-                    Output::Send(..) => {}
+                    Output::Send(..) | Output::Probe(_) => {}
                     Output::Shed(shares) => {
                         shed[g] = vec![0.0; 12];
                         shares.into_iter().for_each(|(store, share)| shed[g][store as usize - 1000] = share);
@@ -140,9 +143,9 @@
 #[test]
 fn words_of_another_list_are_turned_down_and_a_store_that_nobody_hears_of_takes_its_objects_back() {
     let mut spread = Spread::new(0, SpreadFile::default(), 0, (0, 2), 1);
-    spread.handle(0, Input::Stores(vec![1, 2, 3]), &mut Vec::new());
+    spread.handle(0, Input::Stores(vec![1, 2, 3], 2), &mut Vec::new());
     let mut other = Spread::new(0, SpreadFile::default(), 0, (1, 2), 2);
-    other.handle(0, Input::Stores(vec![1, 2, 4]), &mut Vec::new());
+    other.handle(0, Input::Stores(vec![1, 2, 4], 2), &mut Vec::new());
     let mut shed = 0.0;
     for now in (1..140).map(|n| n * 500 * MS) {
         let mut out = Vec::new();
@@ -170,3 +173,28 @@
     let report = spread.report(70_000 * MS);
     assert!(report.heard == 0 && report.turned_down > 50);
 }
+
+/// Invariant 6: the budget of probes is the fleet's, whatever its size, and goes to what is not heard of.
+#[test]
+fn probes_of_a_store_keep_to_one_budget_for_any_number_of_gateways() {
+    for gateways in [1usize, 20, 300] {
+        let terms = SpreadFile { probes_per_s: 2.0, ..SpreadFile::default() };
+        let mut probes = [0u64; 2];
+        for me in 0..gateways {
+            let mut spread = Spread::new(0, terms.clone(), 0, (me, gateways), 5 + me as u64);
+            spread.handle(0, Input::Stores(vec![1, 2], gateways as u64), &mut Vec::new());
+            for now in (0..100).map(|n| n * 500 * MS) {
+                let mut out = Vec::new();
+                (0..4).for_each(|_| spread.handle(now, Input::Report(2, 0.5), &mut out));
+                spread.handle(now, Input::Tick, &mut out);
+                for output in out {
+                    if let Output::Probe(store) = output {
+                        probes[store as usize - 1] += 1;
+                    }
+                }
+            }
+        }
+        assert!((60..=130).contains(&probes[0]), "{gateways}: {probes:?} in 50 s at 2 a second");
+        assert_eq!(probes[1], 0, "{gateways}: one that answers is not probed");
+    }
+}
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -89,6 +89,8 @@
     pub connect_timeout: Micros,
     /// Stores close a connection that is idle for so long.
     pub idle: Micros,
+    /// Whether stores may be probed.
+    pub probes: bool,
 }
 
 /// The files besides the one that the environment names.
@@ -277,6 +279,7 @@
         kinds: texts(settings, "models").map_err(nested)?,
         connect_timeout: span("connectTimeoutMs", 400.0)?,
         idle: span("connIdleMs", 30_000.0)?,
+        probes: get(limits, "probes").and_then(as_bool).unwrap_or(false),
         ..Terms::default()
     })
 }
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -626,6 +626,13 @@
         self.answered(now, key, status, note, 0, Vec::new())
     }
 
+    /// A store has reported its load, by the names of the settings.
+    pub fn reported(&mut self, store: ServerId, load: &[f64]) {
+        if let Some(told) = self.load_field.and_then(|at| load.get(at)) {
+            self.reports.push((store, *told));
+        }
+    }
+
     /// An attempt has ended; `waited` is the wait for the source, as told. If that is the final answer, whoever waits
     /// for the bytes is returned.
     pub fn answered(
@@ -644,9 +651,7 @@
         if let (Some(seen), Some(evidence)) = (&mut self.evidence, shown(status)) {
             seen.push((attempt.get.server, evidence));
         }
-        if let Some(told) = self.load_field.and_then(|at| load.get(at)) {
-            self.reports.push((attempt.get.server, *told));
-        }
+        self.reported(attempt.get.server, &load);
         let latency = now.saturating_sub(attempt.at);
         let took = if waited > 0 { waited } else { latency };
         self.filled(now, attempt.fill, (status, note), took);
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -546,7 +546,9 @@
                 let kinds = [self.settings.parent_kind, self.settings.origin_kind];
                 host.state == State::Up && host.zone == self.own_zone && !kinds.contains(&Some(host.kind))
             };
-            peers.stores(at, self.pools.values().filter(caches).map(|p| p.store.host.server).collect());
+            let stores = self.pools.values().filter(caches).map(|p| p.store.host.server).collect();
+            let sharers = self.settings.zone_routers.get(self.own_zone).copied();
+            peers.stores(at, stores, sharers.unwrap_or(self.settings.routers));
         }
     }
 
@@ -558,12 +560,33 @@
 
     fn tend_peers(&mut self, at: Micros) {
         self.peers_due = None;
-        if let Some(shares) = self.peers.as_mut().and_then(|peers| peers.tick(at)) {
+        let (shed, probes) = self.peers.as_mut().map(|peers| peers.tick(at)).unwrap_or_default();
+        if let Some(shares) = shed {
             self.core.shed(at, shares);
         }
+        if self.terms.probes {
+            probes.into_iter().for_each(|store| self.probe(at, store));
+        }
         self.set_peers();
     }
 
+    /// Asks a store for its report on a connection that is free for it; where there is none, another gateway asks.
+    fn probe(&mut self, at: Micros, store: ServerId) {
+        let links = self.pools.get(&store).map(|p| p.links.clone()).unwrap_or_default();
+        let free = |key: &Key| {
+            let conn = self.conns.get(*key);
+            conn.is_some_and(|c| {
+                c.up && c.output.rest().is_empty() && matches!(&c.role, Role::Store(link) if !link.doubtful)
+            })
+        };
+        let Some(key) = links.into_iter().find(free) else { return };
+        let tag = format!("{:016x}", self.random());
+        if let Some(conn) = self.conns.get_mut(key) {
+            resp::write_words(&mut conn.output.bytes, &[b"METER", tag.as_bytes()]);
+        }
+        self.flush(at, key);
+    }
+
     /// Tells the fleet's view what stores have reported.
     fn tell_reports(&mut self, at: Micros) {
         for (store, load) in std::mem::take(&mut self.core.reports) {
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -78,9 +78,9 @@
         self.spread.next_due()
     }
 
-    /// The stores of the own location that are up now.
-    pub fn stores(&mut self, now: Micros, stores: Vec<ServerId>) {
-        self.spread.handle(now, Input::Stores(stores), &mut Vec::new());
+    /// The stores of the own location that are up now, and how many gateways share their probes.
+    pub fn stores(&mut self, now: Micros, stores: Vec<ServerId>, sharers: u64) {
+        self.spread.handle(now, Input::Stores(stores, sharers), &mut Vec::new());
     }
 
     /// A store reported its load.
@@ -103,11 +103,11 @@
         }
     }
 
-    /// Lets the view decide and tell; returns what stores shed, if that is told anew.
-    pub fn tick(&mut self, now: Micros) -> Option<Vec<(ServerId, f64)>> {
+    /// Lets the view decide and tell; returns what stores shed, if that is told anew, and which are to be probed.
+    pub fn tick(&mut self, now: Micros) -> (Option<Vec<(ServerId, f64)>>, Vec<ServerId>) {
         let mut out = Vec::new();
         self.spread.handle(now, Input::Tick, &mut out);
-        let mut shed = None;
+        let (mut shed, mut probes) = (None, Vec::new());
         for output in out {
             match output {
                 Output::Send(to, bytes) => {
@@ -116,10 +116,11 @@
                         let _ = socket.send_to(&bytes, address);
                     }
                 }
+                Output::Probe(store) => probes.push(store),
                 Output::Shed(shares) => shed = Some(shares),
             }
         }
-        shed
+        (shed, probes)
     }
 
     /// What operators are told.
--- a/gateway/src/resp.rs
+++ b/gateway/src/resp.rs
@@ -232,7 +232,13 @@
     let Some((reply, used)) = reply(input)? else { return Ok(0) };
     let Some(Conn { role: Role::Store(link), .. }) = gateway.conn(key) else { return Ok(0) };
     link.doubtful = false;
-    let Some(status) = reply.status else { return Ok(used) };
+    let Some(status) = reply.status else {
+        let store = link.store;
+        if let Some(report) = reply.report {
+            gateway.core.reported(store, &loads(report, &gateway.terms.report));
+        }
+        return Ok(used);
+    };
     // A second copy, or an answer to what was never asked here, says nothing of the others.
     let Some(place) = link.open.iter().position(|(call, _)| call == reply.id) else { return Ok(used) };
     let (call, attempt) = link.open[place].clone();
--- a/gateway/tests/net/spread.rs
+++ b/gateway/tests/net/spread.rs
@@ -45,6 +45,35 @@
     s.report("/ops/spread", "\"heard\":1,");
 }
 
+/// Where stores tell their load only when they are asked, `METER` asks them, on connections that there are.
+#[test]
+fn a_store_that_reports_only_when_probed_is_probed_where_the_settings_allow_it() {
+    let spread = Some(r#"{"period_ms":100,"probes_per_s":100}"#);
+    let mut s = Scenario::new(Setup { settings: settings(), spread, console: true, ..Setup::default() });
+    s.run(&format!(
+        "c1 > serve 1 op=guide-video ttl=5000 row={ROW} family=17 block=0 call=aa
+         store < PULL aa
+         store > aa ok remark=HIT,issued=$now | x
+         c1 < served 1 | x
+         never METER *
+         edit config \"peers\":true => \"peers\":true,\"probes\":true
+         hup
+         log < read again
+         store < METER *
+         store > * yes report=inflight:7;util:0.75"
+    ));
+    s.report("/ops/spread", "\"load\":0.75,");
+    // One that says no has no report; the connection goes on.
+    s.run(&format!(
+        "store < METER *
+         store > * no
+         c1 > serve 2 op=guide-video ttl=5000 row={ROW} family=17 block=0 call=bb
+         store < PULL bb
+         store > bb ok remark=HIT,issued=$now | x
+         c1 < served 2 | x"
+    ));
+}
+
 #[test]
 fn the_example_and_the_schema_under_deploy_are_those_of_this_program_and_a_faulty_file_is_named() {
     let deploy = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy");
@@ -57,6 +86,7 @@
         (r#"{"field":""}"#, "field"),
         (r#"{"period_ms":5}"#, "period_ms: 5"),
         (r#"{"fanout":9}"#, "fanout: 9"),
+        (r#"{"probes_per_s":-1}"#, "probes_per_s: -1"),
         (r#"{"fan":1}"#, "fan"),
     ] {
         assert!(read(text).is_err_and(|e| e.contains(key)), "{key}");
--- a/lab/src/stand/store.rs
+++ b/lab/src/stand/store.rs
@@ -54,8 +54,8 @@
 const SPANS: usize = 16;
 
 impl Shared {
-    /// Counts a request, and returns the share of the workers that were busy in the last whole span as it is told now.
-    fn util(&self, at: Micros) -> f64 {
+    /// Counts a request.
+    fn count(&self, at: Micros) {
         let mut spans = self.spans.lock().unwrap_or_else(PoisonError::into_inner);
         let span = at / REPORTED;
         if spans.back().is_none_or(|(last, _)| *last < span) {
@@ -67,6 +67,11 @@
         while spans.len() > SPANS {
             spans.pop_front();
         }
+    }
+
+    /// The share of the workers that were busy in the last whole span, as it is told now.
+    fn told(&self, at: Micros) -> f64 {
+        let (spans, span) = (self.spans.lock().unwrap_or_else(PoisonError::into_inner), at / REPORTED);
         let told = span.saturating_sub(1 + self.late.load(Ordering::Relaxed));
         let of = spans.iter().find(|(s, _)| *s == told).map_or(0, |(_, n)| *n);
         of as f64 * self.service.as_micros() as f64 / (REPORTED as f64 * self.workers as f64)
@@ -171,6 +176,15 @@
             let word = |at: usize| words.get(at).map_or("", |w| std::str::from_utf8(w).unwrap_or(""));
             let (command, id, fields) = (word(0).to_string(), word(1).to_string(), word(2).to_string());
             input.drain(..used);
+            if command == "METER" {
+                let told = format!("report=util:{:.3}", shared.told(now()));
+                let mut out = Vec::new();
+                resp::write_words(&mut out, &[id.as_bytes(), b"yes", told.as_bytes(), b""]);
+                if stream.write_all(&out).is_err() {
+                    return;
+                }
+                continue;
+            }
             if command != "PULL" {
                 continue;
             }
@@ -178,7 +192,8 @@
             let source = resp::field(&fields, "miss").map(String::from);
             let replay = resp::field(&fields, "replay").map(String::from);
             let seen = Seen { at: now(), gateway, source, replay };
-            let util = shared.util(seen.at);
+            shared.count(seen.at);
+            let util = shared.told(seen.at);
             shared.seen.lock().unwrap_or_else(PoisonError::into_inner).push(seen);
             if is(shared, Mode::Silent) {
                 continue;
--- a/lab/src/trial/spread.rs
+++ b/lab/src/trial/spread.rs
@@ -198,6 +198,20 @@
         Seen { what, loads }
     }
 
+    /// What boxes carried in each second from a time on.
+    fn by_second(&self, from: Micros) -> Vec<Seen> {
+        let last = (now().saturating_sub(from) / 1_000_000) as usize;
+        let mut all = vec![Seen { what: "second", loads: vec![0.0; self.stores.len()] }; last];
+        for (at, (_, store, _)) in self.stores.iter().enumerate() {
+            for seen in store.seen().iter().filter(|s| s.at >= from) {
+                if let Some(second) = all.get_mut(((seen.at - from) / 1_000_000) as usize) {
+                    second.loads[at] += 1.0 / capacity();
+                }
+            }
+        }
+        all
+    }
+
     /// The most that came to a box within any second from a time on, over what it could do then.
     fn peak(&self, at: usize, from: Micros) -> f64 {
         let (_, store, born) = &self.stores[at];
@@ -241,11 +255,13 @@
     service: f64,
     datagrams: u64,
     behind: Micros,
+    /// By second of the script, each box's load over what it can do.
+    seconds: Vec<Seen>,
 }
 
 fn way(name: &str, gateways: usize, file: Option<&'static str>, seed: u64) -> Result<Shown, String> {
     let mut world = World::start(name, gateways, file, seed)?;
-    let begun = Instant::now();
+    let (begun, start) = (Instant::now(), now());
     let until = |ms: u64| std::thread::sleep(Duration::from_millis(ms).saturating_sub(begun.elapsed()));
     world.peers(0.2, 19);
     world.ask(0, 70_000);
@@ -294,6 +310,7 @@
         service: tally.service(),
         datagrams: world.relay.passed(),
         behind: tally.behind,
+        seconds: world.by_second(start),
     })
 }
 
@@ -388,6 +405,8 @@
 }
 
 fn told(shown: &Shown) -> Value {
+    let one = |s: &Seen| json!({ "max_over_mean": s.most(), "variation": s.variation(), "idle": s.idle() });
+    let seconds: Vec<Value> = shown.seconds.iter().map(one).collect();
     let spans: Vec<Value> = shown
         .spans
         .iter()
@@ -396,7 +415,7 @@
         })
         .collect();
     json!({
-        "way": shown.name, "spans": spans, "joined_peak": shown.joined, "returned_peak": shown.returned,
+        "way": shown.name, "spans": spans, "seconds": seconds, "joined_peak": shown.joined, "returned_peak": shown.returned,
         "service": shown.service, "datagrams": shown.datagrams, "sender_behind_us": shown.behind,
     })
 }
