Drop all own copies when an event of the bulletin is spoilt or missing for good

Seen by reading the change again: an event that cannot be read, or that never comes, is passed over after it was asked for once more (Gateway::told). It may be a purge. Stores hear of it by themselves within seconds, but a copy of the gateway's own would answer for as long as it is asked for.

Change: both ways past an event (the Err arm, and a number that skips) drop all copies. The scenario fails on the program before: it still holds one copy after each.

--- a/crates/copies/src/lib.rs
+++ b/crates/copies/src/lib.rs
@@ -327,6 +327,14 @@
         ids.into_iter().for_each(|id| drop(self.drop_one(id)));
     }
 
+    /// Drops everything: something was told that could not be read, and may have been a purge.
+    pub fn forget_all(&mut self) {
+        self.counts.purged += self.entries.len() as u64;
+        self.entries.clear();
+        self.orders = Default::default();
+        self.used = [0; 2];
+    }
+
     /// Drops all of a class: its slot has another meaning from now on.
     pub fn forget_class(&mut self, class: usize) {
         let ids: Vec<Id> = self.entries.keys().filter(|id| id.class == class).copied().collect();
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -1957,12 +1957,17 @@
                 Ok(item) => item,
                 Err(why) => {
                     log!("an event of the bulletin is passed over: {why}");
+                    self.core.copies.iter_mut().for_each(Copies::forget_all);
                     continue;
                 }
             };
             if item.no <= self.feed.last {
                 continue;
             }
+            // Danger: what is missing, or cannot be read, may be a purge. Stores hear of it; copies here would stay.
+            if item.no > self.feed.last + 1 {
+                self.core.copies.iter_mut().for_each(Copies::forget_all);
+            }
             self.feed.last = item.no;
             self.tell(at, item.news);
         }
--- a/gateway/tests/net/copies.rs
+++ b/gateway/tests/net/copies.rs
@@ -107,6 +107,24 @@
     s.until_held("c1", &ask, answer);
 }
 
+/// Invariant 2: what cannot be read may have been a purge.
+#[test]
+fn an_event_that_is_spoilt_or_missing_for_good_takes_all_copies_with_it() {
+    let mut s = keeping();
+    let ask = s.var("ask").to_string();
+    let answer = "ok entity=t1,remark=MISS,issued=$now | x";
+    s.until_held("c1", &ask, answer);
+    // Asked for again once; it comes no better.
+    let spoilt = r#"bulletin > {"no":2,"recall":{"item":"$row"}}"#;
+    s.run(&format!("bulletin < call last=1\n{spoilt}\nbulletin < call last=1\n{spoilt}\nlog < passed over"));
+    s.report("/ops/copies", r#""copies":0,"#);
+    s.until_held("c1", &ask, answer);
+    // What was numbered between never comes.
+    s.run(r#"bulletin > {"no":5,"other":{}}"#);
+    s.report("/ops/copies", r#""copies":0,"#);
+    s.until_held("c1", &ask, answer);
+}
+
 #[test]
 fn the_second_front_is_answered_from_the_same_copies() {
     let mut s = keeping();
