Say the fleet's mean load once, join views in place, and check operator files in one way

Seen by reading the change again: Spread::decide and ::report each took the mean of the stores known of; a datagram had all store ids copied to find places by number, where the order of the views gives them; Peers::field, Spread::field and Summary::entries served nobody else; copies_file and spread_file were one text twice.

Change: Spread::mean and View::known, a zip over the views, `checked` for both files; what nobody used is gone.

--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -125,6 +125,10 @@
     fn worth(&self, now: Micros) -> f64 {
         self.worth * (-(now.saturating_sub(self.at) as f64) / SPAN).exp()
     }
+    /// Whether enough is known of it to act on.
+    fn known(&self, now: Micros) -> bool {
+        self.worth(now) >= LEAST
+    }
     fn hear(&mut self, now: Micros, load: f64) {
         let kept = self.worth(now);
         self.load = (self.load * kept + load) / (kept + 1.0);
@@ -218,11 +222,6 @@
         (self.terms, self.me, self.peers) = (terms, me, peers);
     }
 
-    /// The field of reports that tells the load.
-    pub fn field(&self) -> &str {
-        &self.terms.field
-    }
-
     /// When it is to be told that it is time.
     pub fn next_due(&self) -> Micros {
         self.due
@@ -243,12 +242,9 @@
             Input::Datagram(bytes) => match Summary::read(bytes) {
                 Some(told) if told.zone == self.zone && told.list == self.list => {
                     self.heard += 1;
-                    let ids: Vec<ServerId> = self.views.keys().copied().collect();
-                    for (place, told) in told.entries() {
-                        let view = ids.get(place).and_then(|id| self.views.get_mut(id));
-                        if let (Some(view), true) = (view, told.worth >= LEAST) {
-                            view.join(now, told.load, told.worth.min(WORTH));
-                        }
+                    let views = self.views.values_mut().skip(usize::from(told.first));
+                    for (view, told) in views.zip(told.told).filter(|(_, told)| told.worth >= LEAST) {
+                        view.join(now, told.load, told.worth.min(WORTH));
                     }
                 }
                 _ => self.turned_down += 1,
@@ -278,17 +274,21 @@
         self.list = stores.iter().fold(stores.len() as u64, |list, id| mix(list ^ mix(*id))) as u32;
     }
 
+    /// The mean load of the stores that are known of, and how many they are.
+    fn mean(&self, now: Micros) -> (f64, usize) {
+        let known = self.views.values().filter(|v| v.known(now));
+        let (sum, n) = known.fold((0.0, 0), |(sum, n), v| (sum + v.load, n + 1));
+        (sum / n.max(1) as f64, n)
+    }
+
     /// Has each store that carries more than its like shed more, and the others take objects back.
     fn decide(&mut self, now: Micros, out: &mut Vec<Output>) {
-        let known = |v: &View| v.worth(now) >= LEAST;
-        let (sum, n) =
-            self.views.values().filter(|v| known(v)).fold((0.0, 0), |(s, n), v| (s + v.load, n + 1));
-        let mean = sum / f64::from(n.max(1));
+        let (mean, n) = self.mean(now);
         let seconds = self.terms.period_ms as f64 / 1000.0;
         // Danger: with half of the stores unheard, the mean is of the others alone.
-        let enough = 2 * n as usize > self.views.len() && n > 1 && mean >= QUIET;
+        let enough = 2 * n > self.views.len() && n > 1 && mean >= QUIET;
         for view in self.views.values_mut() {
-            let more = match enough && known(view) {
+            let more = match enough && view.known(now) {
                 // Both ways by the same rule, so that what is shed settles where the load is even.
                 true => (view.load / mean - EVEN).clamp(-0.5, 1.0) * GAIN * seconds,
                 // Danger: a store that nobody hears of stays shed on old news. It takes its objects back.
@@ -347,9 +347,7 @@
             .iter()
             .map(|(id, v)| Shown { store: *id, load: v.load, worth: v.worth(now), shed: v.shed })
             .collect();
-        let known = stores.iter().filter(|s| s.worth >= LEAST);
-        let (sum, n) = known.fold((0.0, 0.0), |(sum, n), s| (sum + s.load, n + 1.0));
         let (sent, heard, turned_down) = (self.sent, self.heard, self.turned_down);
-        Report { mean: sum / f64::max(n, 1.0), sent, heard, turned_down, stores }
+        Report { mean: self.mean(now).0, sent, heard, turned_down, stores }
     }
 }
--- a/crates/spread/src/wire.rs
+++ b/crates/spread/src/wire.rs
@@ -64,11 +64,6 @@
         let told = (0..n).map(one).collect::<Option<_>>()?;
         Some(Summary { zone: bytes[3], list, first, told })
     }
-
-    /// Stores by their place in the list.
-    pub fn entries(&self) -> impl Iterator<Item = (usize, Told)> + '_ {
-        self.told.iter().enumerate().map(|(i, told)| (usize::from(self.first) + i, *told))
-    }
 }
 
 #[cfg(test)]
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -482,18 +482,24 @@
     })
 }
 
-/// Reads the file of the gateway's own copies.
-pub fn copies_file(path: &str) -> Result<CopiesFile, String> {
+/// Reads an operator file and checks its values; errors name the file and the key.
+fn checked<T: serde::de::DeserializeOwned>(
+    path: &str,
+    check: fn(&T) -> Result<(), String>,
+) -> Result<T, String> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read {path}: {e}"))?;
-    let file = operator_file::<CopiesFile>(&text).and_then(|file| file.check().map(|()| file));
+    let file = operator_file::<T>(&text).and_then(|file| check(&file).map(|()| file));
     file.map_err(|e| format!("{path}: {e}"))
 }
 
+/// Reads the file of the gateway's own copies.
+pub fn copies_file(path: &str) -> Result<CopiesFile, String> {
+    checked(path, CopiesFile::check)
+}
+
 /// Reads the file of the load's spread.
 pub fn spread_file(path: &str) -> Result<SpreadFile, String> {
-    let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read {path}: {e}"))?;
-    let file = operator_file::<SpreadFile>(&text).and_then(|file| file.check().map(|()| file));
-    file.map_err(|e| format!("{path}: {e}"))
+    checked(path, SpreadFile::check)
 }
 
 /// The schema of that file.
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -68,11 +68,6 @@
         self.socket.as_ref()
     }
 
-    /// The field of reports that tells a store's load.
-    pub fn field(&self) -> &str {
-        self.spread.field()
-    }
-
     /// When [`Peers::tick`] is due.
     pub fn next_due(&self) -> Micros {
         self.spread.next_due()
