--- /dev/null
+++ b/crates/fleet/src/lease.rs
@@ -0,0 +1,201 @@
+//! What share of all that is divided among the gateways this one may use: cold budgets, fills at the origin, probes.
+//!
+//! Messages between gateways alone cannot tell a dead one from one that is cut off, so what a gateway may use cannot be
+//! taken up by others on their word (`docs/design/fleet.md`). A part of its configured share, the floor, is a gateway's
+//! own always. The rest of all shares is a pool, divided evenly among those whose ephemeral nodes stand. The ensemble
+//! is the arbiter:
+//!
+//! * L1 A gateway uses the pool only until `lease` after it asked for a `sync` that was answered, and its view of the
+//!   nodes then held at least all that stood when it asked.
+//! * L2 A gateway whose node was made uses the pool only [`WAIT`] later: by then every lease given on a view without it
+//!   has lapsed.
+//! * L3 `lease` is shorter than what a session lives on after its last answer, so no node of one that uses it is gone.
+//!
+//! So whoever uses the pool stands in the view of all who do, and no view is smaller than the number of users.
+use larchway::Micros;
+use std::collections::BTreeMap;
+
+/// µs that a lease lasts at most, whatever a file says: the wait of L2 holds for the files of all gateways.
+pub const LONGEST: Micros = 2_000_000;
+/// µs between the own node and the first use of the pool: the longest lease, and an eighth for clocks that differ.
+pub const WAIT: Micros = LONGEST + LONGEST / 8;
+/// Most nodes kept; those beyond only count.
+const MOST: usize = 10_000;
+
+/// What a lease goes by.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Terms {
+    /// The part of each configured share that is never lent.
+    pub floor: f64,
+    /// µs that a lease lasts, at most [`LONGEST`].
+    pub lease: Micros,
+    /// µs between the own node and the first use.
+    pub wait: Micros,
+}
+
+impl Terms {
+    /// By the file of the fleet.
+    pub fn of(file: &crate::FleetFile) -> Self {
+        Terms { floor: file.floor, lease: (file.lease_ms * 1000).min(LONGEST), wait: WAIT }
+    }
+}
+
+/// The gateways by the settings.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
+pub struct Configured {
+    /// All of the tier.
+    pub all: u64,
+    /// Those of the own zone.
+    pub own_zone: u64,
+    /// The own zone.
+    pub zone: usize,
+}
+
+/// What has come from the ensemble.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Input {
+    /// The session lives for so long after its last answer.
+    Granted(Micros),
+    /// The own node stands, under this session.
+    Registered,
+    /// The session is over, or about to be closed: the own node is gone, or will be.
+    Ended,
+    /// A gateway's node is there, in this zone.
+    Here(String, usize),
+    /// A gateway's node is gone.
+    Gone(String),
+    /// All nodes are read anew: what is not told of again was gone.
+    Reread,
+    /// The reading is whole.
+    Whole,
+    /// The server has answered a `sync` asked for at this time, and all that was told before is taken in.
+    CaughtUp(Micros),
+    /// The ensemble was put back to an older state: what it tells may lack nodes that stood.
+    Rewound,
+}
+
+/// What the gateway may use.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Share {
+    /// Until when the leased shares hold; from then on, the floor does.
+    pub until: Micros,
+    /// Of what is divided by all gateways, and by those of the own zone.
+    pub leased: (f64, f64),
+    /// The same without a lease.
+    pub floor: (f64, f64),
+}
+
+impl Share {
+    /// What may be used now: of what all divide, and of what the own zone divides.
+    pub fn now(&self, now: Micros) -> (f64, f64) {
+        match now < self.until {
+            true => self.leased,
+            false => self.floor,
+        }
+    }
+}
+
+/// The lease of one gateway.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Lease {
+    configured: Configured,
+    registered: Option<Micros>,
+    /// When the last `sync` that was answered was asked for.
+    confirmed: Option<Micros>,
+    lives: Micros,
+    /// The nodes by name, with their zones; at most [`MOST`], and how many more there are.
+    nodes: BTreeMap<String, usize>,
+    over: u64,
+    whole: bool,
+    /// Nodes not told of since a reading began anew, at most [`MOST`].
+    stale: BTreeMap<String, ()>,
+}
+
+impl Lease {
+    /// None held.
+    pub fn new(configured: Configured) -> Self {
+        Lease {
+            configured,
+            registered: None,
+            confirmed: None,
+            lives: 0,
+            nodes: BTreeMap::new(),
+            over: 0,
+            whole: false,
+            stale: BTreeMap::new(),
+        }
+    }
+
+    /// Takes other numbers of gateways.
+    pub fn configure(&mut self, configured: Configured) {
+        self.configured = configured;
+    }
+
+    /// Takes in what has come.
+    pub fn handle(&mut self, now: Micros, input: Input) {
+        match input {
+            Input::Granted(lives) => self.lives = lives,
+            Input::Registered => self.registered = Some(now),
+            Input::Ended => (self.registered, self.confirmed) = (None, None),
+            Input::Here(name, zone) => {
+                self.stale.remove(&name);
+                // Danger: one that is left out is missing in the division. It is counted.
+                if self.nodes.len() < MOST || self.nodes.contains_key(&name) {
+                    self.nodes.insert(name, zone);
+                } else {
+                    self.over += 1;
+                }
+            }
+            Input::Gone(name) => drop(self.nodes.remove(&name)),
+            Input::Reread => {
+                self.whole = false;
+                self.stale = self.nodes.keys().map(|name| (name.clone(), ())).collect();
+            }
+            Input::Whole => {
+                self.whole = true;
+                for name in std::mem::take(&mut self.stale).into_keys() {
+                    self.nodes.remove(&name);
+                }
+            }
+            Input::CaughtUp(asked) => {
+                // L1: the view must hold all that stood when it was asked for.
+                if self.whole && self.registered.is_some_and(|at| at <= asked) {
+                    self.confirmed = self.confirmed.max(Some(asked));
+                }
+            }
+            Input::Rewound => {
+                // As if the own node had only now been made: the others may have lost sight of it.
+                self.registered = self.registered.map(|_| now);
+                self.confirmed = None;
+            }
+        }
+    }
+
+    /// How many gateways stand, in all and in the own zone; one whose zone is not known may be of any.
+    pub fn standing(&self) -> (u64, u64) {
+        let own = self.nodes.values().filter(|zone| **zone == self.configured.zone || **zone == usize::MAX);
+        (self.nodes.len() as u64 + self.over, own.count() as u64 + self.over)
+    }
+
+    /// Until when the pool may be used, and what the gateway may use then and after.
+    pub fn share(&self, terms: &Terms, now: Micros) -> Share {
+        let (all, own_zone) = (self.configured.all.max(1) as f64, self.configured.own_zone.max(1) as f64);
+        let floor = (terms.floor / all, terms.floor / own_zone);
+        let waited = self.registered.is_some_and(|at| at + terms.wait <= now);
+        // L3: a quarter of a session's life is left for clocks that differ.
+        let holds = terms.lease.min(self.lives * 3 / 4);
+        let until = match self.confirmed {
+            Some(at) if waited && self.whole => at + holds,
+            _ => 0,
+        };
+        let (stand, near) = self.standing();
+        let pool = 1.0 - terms.floor;
+        let leased = (floor.0 + pool / stand.max(1) as f64, floor.1 + pool / near.max(1) as f64);
+        Share { until, leased, floor }
+    }
+
+    /// Whether the pool may be used now.
+    pub fn holds(&self, terms: &Terms, now: Micros) -> bool {
+        now < self.share(terms, now).until
+    }
+}
