--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -36,7 +36,9 @@
 /// Datagrams that must tell nothing later of a member after the longest pause: what others know is asked for first.
 const CONFIRMED: usize = 2;
 /// Datagrams a second in trouble, and how many may come at once; answers go out all the same, and count.
-const RATE: (f64, f64) = (10.0, 40.0);
+const RATE: (f64, f64) = (9.0, 16.0);
+/// More that may be sent at once when many give no answer: once in a while, since it is then that all must be asked.
+const MANY: (f64, Micros) = (30.0, 30_000_000);
 /// Members that a datagram names one by one.
 const NAMED: usize = 24;
 /// µs for which a member whose accusation is refuted is named all the same, so that all hear of it.
@@ -348,7 +350,7 @@
 
     /// Pings without an answer from which this gateway accuses: as many as are hardly all lost.
     fn need(&self) -> u8 {
-        let need = (BORNE.ln() / self.lost.clamp(0.01, 0.9).ln()).ceil();
+        let need = (BORNE.ln() / self.lost.clamp(0.01, 0.9).ln()).round();
         // Where there is no time to ask each more than once, one answer missing tells, and more gateways must say so.
         (need as u8).clamp(if self.mass() { 1 } else { MISSING.0 }, MISSING.1)
     }
@@ -421,6 +423,9 @@
         self.look_around(now, out);
         let silent = |m: &&Member| m.alive() && (m.missing > 0 || m.accused.is_some());
         if self.members.iter().filter(silent).nth(FEW).is_some() {
+            if now >= self.massed + MANY.1 {
+                self.allowed.0 += MANY.0;
+            }
             self.massed = now + MASSED;
         }
         self.judge(now, out);
@@ -631,7 +636,8 @@
     fn allowed(&mut self, now: Micros) -> f64 {
         let (left, at) = self.allowed;
         let more = now.saturating_sub(at) as f64 / 1e6 * RATE.0;
-        self.allowed = ((left + more).min(RATE.1), now.max(at));
+        // What was granted beyond the usual most is used up, not added to.
+        self.allowed = ((left + more).min(RATE.1.max(left)), now.max(at));
         self.allowed.0
     }
 
@@ -791,6 +797,10 @@
         if anew || paused {
             self.set(now, who, |m| (m.gone, m.left) = (false, m.left && !anew), out);
         }
+        if anew {
+            // What was damped was the verdict on another life.
+            self.members[usize::from(who)].changed = None;
+        }
         let over = self.terms.pause_ms * 1000 + ANSWER;
         let member = &mut self.members[usize::from(who)];
         if by != who && member.accused.is_some_and(|at| now.saturating_sub(at) >= over) {
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -236,9 +236,9 @@
 
     #[test]
     fn news_come_back_as_they_were_and_never_take_over_the_room() {
-        let pulse = |n: u16| Pulse { life: n | 1, beat: n & BEATS, left: n % 3 == 0 };
+        let pulse = |n: u16| Pulse { life: n | 1, beat: n & BEATS, left: n.is_multiple_of(3) };
         let named =
-            |n: u16| Named { who: n * 700, pulse: pulse(n), accused: (n % 2 == 0).then_some(n as u8) };
+            |n: u16| Named { who: n * 700, pulse: pulse(n), accused: n.is_multiple_of(2).then_some(n as u8) };
         let news = News {
             own: pulse(40_000),
             paused: true,
--- a/crates/keeper/src/agent.rs
+++ b/crates/keeper/src/agent.rs
@@ -9,6 +9,8 @@
 //! * A2 Loss of contact tells nothing of children.
 //! * A3 At most one request a child is queued, and at most the session's window is on its way.
 //! * A5 A server is made to catch up as often as the plan says, by `sync`, one at a time.
+//! * A6 A mirror is told as caught up, by the time at which a `sync` was asked for, when that is answered and nothing of
+//!   the mirror is being read.
 //! * A4 Once a reading is whole, the mirror equals the service's state at the time of the reading or later.
 use crate::proto::{Acl, Code, Event, EventKind, Mode, Request, Response, Stat, WatchMode};
 use crate::session::{self, Session};
@@ -110,6 +112,13 @@
         /// Which mirror.
         mirror: usize,
     },
+    /// A mirror holds at least what stood when this server was asked to catch up, at this time.
+    CaughtUp {
+        /// Which mirror.
+        mirror: usize,
+        /// When it was asked.
+        asked: Micros,
+    },
     /// The session was closed in good order.
     Closed,
 }
@@ -187,6 +196,11 @@
         (self.listed, self.listing, self.again) = (None, false, false);
     }
 
+    /// Whether no child is being read, or is to be.
+    fn idle(&self) -> bool {
+        self.queue.is_empty() && self.reading.is_empty()
+    }
+
     fn enqueue(&mut self, name: &str) {
         if self.queued.insert(name.to_string()) {
             self.queue.push_back(name.to_string());
@@ -213,6 +227,8 @@
     sync: Micros,
     /// When the server is to catch up next; none while it is asked to, or if it can't.
     sync_due: Option<Micros>,
+    /// When it was last asked to.
+    sync_asked: Micros,
     /// Requests that wait for room, at most the parts of the own path and a handful a mirror.
     waiting: VecDeque<(Asked, Request)>,
     acl: Vec<Acl>,
@@ -237,6 +253,7 @@
             token: 0,
             sync: plan.sync,
             sync_due: None,
+            sync_asked: 0,
             waiting: VecDeque::new(),
             acl,
         }
@@ -415,6 +432,9 @@
             if let Asked::Child(at, name) = &asked {
                 self.mirrors[*at].reading.insert(name.clone(), self.token);
             }
+            if asked == Asked::Sync {
+                self.sync_asked = now;
+            }
             self.asked.insert(self.token, asked);
             let mut told = Vec::new();
             self.session.handle(now, session::Input::Ask(self.token, request), &mut told);
@@ -468,7 +488,14 @@
                 out.push(fact(Fact::Refused(self.own().unwrap_or_default(), code)));
             }
             (Asked::OwnData, Ok(_)) => {}
-            (Asked::Sync, Ok(_)) => self.sync_due = Some(now + self.sync),
+            (Asked::Sync, Ok(_)) => {
+                self.sync_due = Some(now + self.sync);
+                // A6: all that stood then was told before this answer; what is still being read of it counts as not known.
+                let asked = self.sync_asked;
+                let read = |m: &Mirror| !m.listing && m.listed.is_none() && !m.anew && m.idle();
+                let caught = (0..self.mirrors.len()).filter(|at| read(&self.mirrors[*at]));
+                out.extend(caught.map(|mirror| fact(Fact::CaughtUp { mirror, asked })));
+            }
             // One that knows no sync is not asked again on this connection.
             (Asked::Sync, Err(_)) => {}
             (Asked::Watch(at), Ok(_)) => self.list(at),
@@ -556,7 +583,7 @@
 
     fn whole(&mut self, at: usize, out: &mut Vec<Output>) {
         let mirror = &mut self.mirrors[at];
-        if mirror.listing || !mirror.queue.is_empty() || !mirror.reading.is_empty() {
+        if mirror.listing || !mirror.idle() {
             return;
         }
         if let Some(zxid) = mirror.listed.take() {
--- a/crates/spread/src/wire.rs
+++ b/crates/spread/src/wire.rs
@@ -1,7 +1,7 @@
-//! The peers' datagram: what a gateway makes of the load of the stores of a list, in their order.
+//! What the envelope between gateways holds of load: what a gateway makes of the load of the stores of a list, in their order.
 
-/// Most bytes: the platform voids a run with a longer one.
-pub const LONGEST: usize = 256;
+/// Most bytes: what the envelope between gateways holds.
+pub const LONGEST: usize = larchway_fleet::wire::BODY;
 const HEAD: usize = 12;
 /// Stores that one datagram tells of.
 pub const ENTRIES: usize = (LONGEST - HEAD) / 4;
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -1,11 +1,12 @@
 //! The only place that reads, checks and defaults configuration. Errors name the faulty key.
 use crate::bulletin::{self, Item};
 use crate::hierarchy::{self, HierarchyFile};
-use crate::peers::Addresses;
+use crate::peers::{self, Addresses};
 use crate::signed::{token::Parties, Keys, Secret};
 use larchway::settings::{as_bool, as_f64, as_u64, get, read_value};
 use larchway::{Class, Micros, Settings};
 use larchway_copies::CopiesFile;
+use larchway_fleet::{lease::Configured, FleetFile};
 use larchway_members::{format::Defaults, Policy};
 use larchway_spread::SpreadFile;
 use miniserde::json::{self, Value};
@@ -106,6 +107,8 @@
     pub copies: Option<String>,
     /// That of the load's spread; without it, each gateway acts on what it sees alone.
     pub spread: Option<String>,
+    /// That of the fleet; without it, gateways know nothing of each other.
+    pub fleet: Option<String>,
 }
 
 /// All configuration, read in one go.
@@ -123,6 +126,8 @@
     pub copies: Option<CopiesFile>,
     /// The load's spread, if the fleet's view is kept.
     pub spread: Option<SpreadFile>,
+    /// The fleet, if gateways know of each other.
+    pub tier: Option<FleetFile>,
 }
 
 impl Files {
@@ -134,6 +139,13 @@
         let hierarchy = self.hierarchy.as_deref().map(hierarchy::file).transpose()?;
         let copies = self.copies.as_deref().map(copies_file).transpose()?;
         let spread = self.spread.as_deref().map(spread_file).transpose()?;
+        let tier = self.fleet.as_deref().map(fleet_file).transpose()?;
+        let sessions = fleet.as_ref().is_some_and(|ensemble| ensemble.gateways);
+        if tier.is_some() && config.peers.own.is_none() && !sessions {
+            return Err(
+                "fleet: it needs peer_listen with settings.limits.peers, or an ensemble with gateways".into(),
+            );
+        }
         if let Some(file) = spread.as_ref().filter(|f| !config.terms.report.contains(&f.field)) {
             return Err(format!("field: {:?} is not among settings.report.fields", file.field));
         }
@@ -147,7 +159,23 @@
         if let Some(class) = front.iter().flat_map(|f| &f.classes).find(unknown) {
             return Err(format!("classes: {class:?} is not among settings.services"));
         }
-        Ok(Loaded { config, front, fleet, hierarchy, copies, spread })
+        Ok(Loaded { config, front, fleet, hierarchy, copies, spread, tier })
+    }
+}
+
+impl Config {
+    /// What gateways tell each other, by the configuration and the files.
+    pub fn between_peers(
+        &self,
+        spread: Option<SpreadFile>,
+        fleet: Option<FleetFile>,
+        ensemble: Option<&Ensemble>,
+    ) -> peers::Terms {
+        let set = &self.settings;
+        let own_zone = set.routers_of(set.zone) as u64;
+        let configured = Configured { all: set.routers, own_zone, zone: set.zone };
+        let lent = ensemble.is_some_and(|ensemble| ensemble.gateways);
+        peers::Terms { spread, fleet, addresses: self.peers.clone(), configured, lent, seed: self.seed }
     }
 }
 
@@ -502,6 +530,16 @@
     checked(path, SpreadFile::check)
 }
 
+/// Reads the file of the fleet.
+pub fn fleet_file(path: &str) -> Result<FleetFile, String> {
+    checked(path, FleetFile::check)
+}
+
+/// The schema of the fleet's file.
+pub fn fleet_schema() -> String {
+    serde_json::to_string_pretty(&schemars::schema_for!(FleetFile)).unwrap_or_default()
+}
+
 /// The schema of that file.
 pub fn spread_schema() -> String {
     serde_json::to_string_pretty(&schemars::schema_for!(SpreadFile)).unwrap_or_default()
--- a/gateway/src/console.rs
+++ b/gateway/src/console.rs
@@ -26,6 +26,8 @@
     Copies,
     /// The stores' load as the fleet sees it.
     Spread,
+    /// The gateways of the tier, and the shares that this one may use.
+    Fleet,
     /// A store out or back.
     Store {
         /// Its id.
@@ -50,6 +52,14 @@
         Reply { status, text: text.into(), allow: None }
     }
 
+    /// What a part tells of itself; `none`: why it tells nothing.
+    pub fn told(told: Option<String>, none: &str) -> Self {
+        match told {
+            Some(told) => Reply::new(200, told + "\n"),
+            None => Reply::new(404, format!("{none}\n")),
+        }
+    }
+
     /// Of a call about a store.
     pub fn store(who: &str, down: bool, verdict: Verdict) -> Self {
         let who = who.escape_default();
@@ -115,7 +125,7 @@
     let target = request.path.unwrap_or("");
     let path = target.split('?').next().unwrap_or("");
     let (takes, down) = match path {
-        "/ops/readiness" | "/ops/stats" | "/ops/copies" | "/ops/spread" => ("GET", false),
+        "/ops/readiness" | "/ops/stats" | "/ops/copies" | "/ops/spread" | "/ops/fleet" => ("GET", false),
         "/ops/stores/down" => ("PUT", true),
         "/ops/stores/up" => ("PUT", false),
         _ => return Err(Reply::new(404, format!("there is no {}\n", path.escape_default()))),
@@ -155,6 +165,7 @@
                 "/ops/stats" => Call::Stats,
                 "/ops/copies" => Call::Copies,
                 "/ops/spread" => Call::Spread,
+                "/ops/fleet" => Call::Fleet,
                 _ => Call::Readiness,
             })),
             std::cmp::Ordering::Greater => {
@@ -363,6 +374,7 @@
         assert_eq!(get("/ops/stats"), Ok(Some(Call::Stats)));
         assert_eq!(get("/ops/copies"), Ok(Some(Call::Copies)));
         assert_eq!(get("/ops/spread"), Ok(Some(Call::Spread)));
+        assert_eq!(get("/ops/fleet"), Ok(Some(Call::Fleet)));
         let long = "x".repeat(HEAD);
         let many = "A: b\r\n".repeat(40);
         let path = "/ops/stores/down";
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -239,7 +239,12 @@
 
     /// Puts settings and classes in the place of those in force; requests, attempts and what was learned stay.
     /// Returns the settings with the classes in their slots.
-    pub fn configure(&mut self, settings: Settings, classes: Vec<(String, ClassTerms)>) -> Settings {
+    pub fn configure(
+        &mut self,
+        now: Micros,
+        settings: Settings,
+        classes: Vec<(String, ClassTerms)>,
+    ) -> Settings {
         let heirs = self.classes.replace(classes);
         // Danger: a slot that has another class now would serve the old one's copies.
         if let Some(copies) = &mut self.copies {
@@ -257,23 +262,23 @@
         self.tally.declare(self.classes.current().map(|(_, name, _)| name));
         let classes = self.classes.all().map(|(_, terms, _)| terms.class.clone()).collect();
         let settings = Settings { classes, ..settings };
-        self.note(&settings);
+        self.note(now, &settings);
         self.router.configure(settings.clone(), &heirs);
         settings
     }
 
     /// Puts settings of the same classes in force.
-    pub fn adjust(&mut self, settings: Settings) {
-        self.note(&settings);
+    pub fn adjust(&mut self, now: Micros, settings: Settings) {
+        self.note(now, &settings);
         self.router.configure(settings, &[]);
     }
 
-    fn note(&mut self, settings: &Settings) {
+    fn note(&mut self, now: Micros, settings: &Settings) {
         self.fetching_kinds = [settings.parent_kind, settings.origin_kind];
-        self.gateways = settings.routers;
+        self.gateways = settings.sharers(now, None).ceil() as u64;
         self.purge_done = settings.purge_done;
         if let Some(shield) = &mut self.shield {
-            shield.shared_by(settings.routers);
+            shield.shared_by(self.gateways);
         }
     }
 
@@ -390,6 +395,11 @@
         self.router.sent_elsewhere(now, sent);
     }
 
+    /// Another gateway found that a store fails.
+    pub fn suspect(&mut self, now: Micros, store: ServerId) {
+        self.feed(now, Event::Suspected(store));
+    }
+
     /// The stores that the module avoids now by its own choice.
     pub fn avoided(&self, now: Micros) -> impl Iterator<Item = ServerId> + '_ {
         self.router.avoided(now)
@@ -822,7 +832,7 @@
             ..Settings::default()
         };
         let mut core = Core::new(1);
-        core.configure(settings, classes);
+        core.configure(START, settings, classes);
         let stores = vec![
             store(1, 0, State::Up),
             store(2, 0, State::Up),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -1,6 +1,7 @@
 //! larchway: the decision module on real sockets, by concern.
 pub mod admin;
 pub mod bulletin;
+pub mod clock;
 pub mod config;
 pub mod console;
 pub mod core;
@@ -14,6 +15,7 @@
 pub mod resp;
 pub mod signed;
 pub mod slots;
+pub mod sockets;
 pub mod table;
 pub mod thrift;
 pub mod upgrade;
--- a/gateway/src/log.rs
+++ b/gateway/src/log.rs
@@ -31,7 +31,7 @@
 macro_rules! log {
     ($($arg:tt)*) => {{
         static LIMIT: $crate::log::Limit = $crate::log::Limit::new();
-        if let Some(left_out) = LIMIT.admit($crate::net::now() / 1_000_000) {
+        if let Some(left_out) = LIMIT.admit($crate::clock::now() / 1_000_000) {
             if left_out > 0 {
                 eprintln!("larchway: {} ({left_out} like it left out)", format_args!($($arg)*));
             } else {
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -1,7 +1,7 @@
 //! The gateway daemon's command line.
 use argh::FromArgs;
-use larchway_gateway::net::{self, Gateway};
 use larchway_gateway::{admin, config, hierarchy, signed, table};
+use larchway_gateway::{clock, net::Gateway};
 use miniserde::json::{Number, Object, Value};
 use std::process::ExitCode;
 
@@ -83,7 +83,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "schema")]
 struct Schema {
-    /// which file: ensemble, hierarchy, copies or spread
+    /// which file: ensemble, hierarchy, copies, spread or fleet
     #[argh(positional)]
     file: String,
 }
@@ -107,6 +107,9 @@
     /// file of the load's spread; without it, each gateway acts on what it sees alone
     #[argh(option)]
     spread: Option<String>,
+    /// file of the fleet; without it, gateways know nothing of each other
+    #[argh(option)]
+    fleet: Option<String>,
 }
 
 /// Print the version.
@@ -133,6 +136,9 @@
     /// file of the load's spread
     #[argh(option)]
     spread: Option<String>,
+    /// file of the fleet
+    #[argh(option)]
+    fleet: Option<String>,
 }
 
 /// Issue a signed URL or a token for one object.
@@ -169,6 +175,7 @@
         hierarchy: args.hierarchy.clone(),
         copies: args.copies.clone(),
         spread: args.spread.clone(),
+        fleet: args.fleet.clone(),
     };
     Gateway::new(files)?.run()
 }
@@ -180,6 +187,7 @@
         hierarchy: args.hierarchy.clone(),
         copies: args.copies.clone(),
         spread: args.spread.clone(),
+        fleet: args.fleet.clone(),
     };
     println!("{} is well configured", files.read()?.config.name);
     Ok(())
@@ -202,7 +210,7 @@
     if let Some(key) = &args.key {
         order.insert("key".into(), text(key));
     }
-    let issued = signed::issue(&terms, &front, &Value::Object(order), net::now() / 1_000_000);
+    let issued = signed::issue(&terms, &front, &Value::Object(order), clock::now() / 1_000_000);
     let (url, _) = issued.map_err(|(_, why)| why)?;
     println!("{url}");
     Ok(())
@@ -259,8 +267,12 @@
                 println!("{}", config::spread_schema());
                 Ok(())
             }
+            "fleet" => {
+                println!("{}", config::fleet_schema());
+                Ok(())
+            }
             other => Err(format!(
-                "there is no schema of {other:?}, only of ensemble, hierarchy, copies and spread"
+                "there is no schema of {other:?}, only of ensemble, hierarchy, copies, spread and fleet"
             )),
         },
     };
--- a/gateway/src/membership.rs
+++ b/gateway/src/membership.rs
@@ -5,6 +5,7 @@
 use crate::kept;
 use crate::log;
 use larchway::{Micros, ServerId};
+use larchway_fleet::lease;
 use larchway_keeper::agent::{self, Agent, Fact, Registration};
 use larchway_members::format::{self, Names};
 use larchway_members::members::{Row, Source};
@@ -34,6 +35,8 @@
     Gateways(BTreeMap<usize, u64>),
     /// A change of the hierarchy: its node, and what it holds.
     Change(String, Vec<u8>),
+    /// What a lease on shares goes by.
+    Lease(lease::Input),
 }
 
 /// The instance itself, as its node tells of it.
@@ -155,6 +158,7 @@
         let other = |plan: &agent::Plan| agent::Plan { register: None, ..plan.clone() };
         let place = |plan: &agent::Plan| plan.register.as_ref().map(|r| (r.base.clone(), r.name.clone()));
         if moved || other(&old) != other(&new) || place(&old) != place(&new) {
+            effects.push(Effect::Lease(lease::Input::Ended));
             self.agent_told(at, agent::Input::Close, &mut effects);
             effects.push(Effect::Close("it is set up anew".into()));
             self.contact(at, false, &mut effects);
@@ -207,7 +211,10 @@
         if self.unsaved.is_some() {
             self.save(at);
         }
-        self.agent_input(at, agent::Input::Close)
+        // Before the node is gone.
+        let mut effects = vec![Effect::Lease(lease::Input::Ended)];
+        self.agent_told(at, agent::Input::Close, &mut effects);
+        effects
     }
 
     /// The bulletin has told of stores.
@@ -314,7 +321,32 @@
         self.own.changes.is_some() && self.mirrors.len() == mirror + 1
     }
 
+    /// What a fact tells a lease on shares, which goes by the nodes of the gateways.
+    fn lease(&self, fact: &Fact) -> Vec<lease::Input> {
+        use lease::Input as L;
+        let gateways = |mirror: usize| !self.of_stores(mirror) && !self.of_changes(mirror);
+        match fact {
+            Fact::Granted { timeout, fresh, .. } => {
+                let ended = fresh.then_some(L::Ended);
+                ended.into_iter().chain([L::Granted(*timeout), L::Reread]).collect()
+            }
+            Fact::Expired | Fact::Closed => vec![L::Ended],
+            Fact::Rewound => vec![L::Rewound],
+            Fact::Registered(_) => vec![L::Registered],
+            Fact::Child { mirror, name, data, .. } if gateways(*mirror) => {
+                vec![L::Here(name.clone(), zone(data).unwrap_or(usize::MAX))]
+            }
+            Fact::Gone { mirror, name } if gateways(*mirror) => vec![L::Gone(name.clone())],
+            Fact::Whole { mirror, .. } if gateways(*mirror) => vec![L::Whole],
+            Fact::CaughtUp { mirror, asked } if gateways(*mirror) => vec![L::CaughtUp(*asked)],
+            _ => Vec::new(),
+        }
+    }
+
     fn fact(&mut self, at: Micros, fact: Fact, effects: &mut Vec<Effect>) {
+        if self.config.gateways {
+            effects.extend(self.lease(&fact).into_iter().map(Effect::Lease));
+        }
         match fact {
             Fact::Granted { timeout, fresh, .. } => {
                 let kind = if fresh { "a session" } else { "the session" };
@@ -337,7 +369,7 @@
             Fact::Crowded { mirror } => {
                 log!("{} has too many children: some are left out", self.path(mirror))
             }
-            Fact::Closed => {}
+            Fact::Closed | Fact::CaughtUp { .. } => {}
             Fact::Child { mirror, name, data, stat } if self.of_stores(mirror) => {
                 let input = match format::read(&data, &self.names, &self.config.nodes) {
                     Ok(entry) => Input::Node { node: name, entry, session: stat.owner },
@@ -352,8 +384,7 @@
             Fact::Gone { mirror, .. } | Fact::Whole { mirror, .. } if self.of_changes(mirror) => {}
             Fact::Child { name, data, .. } => {
                 // A gateway that tells no zone may be of this one: a number too large is the safe one.
-                let told = serde_json::from_slice::<serde_json::Value>(&data).ok();
-                let zone = told.and_then(|v| v["zone"].as_u64()).map_or(self.own.zone, |z| z as usize);
+                let zone = zone(&data).unwrap_or(self.own.zone);
                 self.feed(at, Input::Peer(name, zone), effects);
             }
             Fact::Gone { mirror, name } if self.of_stores(mirror) => {
@@ -440,6 +471,12 @@
     }
 }
 
+/// The zone that a gateway's node tells.
+fn zone(data: &[u8]) -> Option<usize> {
+    let told = serde_json::from_slice::<serde_json::Value>(data).ok();
+    told.and_then(|v| v["zone"].as_u64()).map(|zone| zone as usize)
+}
+
 fn names(terms: &Terms) -> Names {
     Names { zones: terms.zones.clone(), kinds: terms.kinds.clone() }
 }
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -1,6 +1,7 @@
 //! The loop: connections in numbered slots, their buffers, and one poller.
 use crate::admin::{self, Admin, Turn};
 use crate::bulletin::{self, Reader, Store};
+use crate::clock::now;
 use crate::config::{Config, Ensemble, Files, Front, Loaded, Shape, Terms};
 use crate::console::{self, Console};
 use crate::core::{Core, Order, Ticket};
@@ -8,10 +9,11 @@
 use crate::hierarchy::{Hierarchy, HierarchyFile, ShieldReport};
 use crate::log;
 use crate::membership::{Effect, Membership, Own};
-use crate::peers::Peers;
+use crate::peers::{self, Peers};
 use crate::resp::{self, Link, Reply};
 use crate::signed::{self, Session};
 use crate::slots::{Key, Slots};
+use crate::sockets::{drain, polled, told_by};
 use crate::thrift::{self, Calls};
 use crate::upgrade::{self, Upgrade};
 use larchway::{Micros, Note, ServerId, Settings, State, Status};
@@ -19,7 +21,6 @@
 use larchway_operations::cordon::{self, Cordon, Verdict};
 use larchway_operations::handover::{self, Company, Frame};
 use larchway_operations::tally::Gauges;
-use larchway_spread::SpreadFile;
 use polling::{Event, PollMode, Poller};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use socket2::{Domain, Protocol, Socket, Type};
@@ -28,8 +29,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
 use std::path::Path;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 const PLATFORM: usize = usize::MAX - 1;
 const SIGNAL: usize = usize::MAX - 2;
@@ -74,13 +74,6 @@
 /// µs: first and longest pause between calls on the bulletin.
 const BACKOFF: (Micros, Micros) = (100_000, 2_000_000);
 
-/// Microseconds of the Unix clock, never going back.
-pub fn now() -> Micros {
-    static LAST: AtomicU64 = AtomicU64::new(0);
-    let clock = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64);
-    LAST.fetch_max(clock, Ordering::Relaxed).max(clock)
-}
-
 /// Bytes on their way in or out.
 #[derive(Default)]
 pub struct Buffer {
@@ -269,57 +262,10 @@
     stopping: Option<Micros>,
 }
 
-/// Listens at an address; `shared`: with the gateway's other processes, which must ask for it too.
-fn listen(address: SocketAddr, shared: bool) -> Result<TcpListener, String> {
-    let open = || -> io::Result<TcpListener> {
-        let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-        socket.set_reuse_address(true)?;
-        if shared {
-            socket.set_reuse_port(true)?;
-        }
-        socket.set_nonblocking(true)?;
-        socket.bind(&address.into())?;
-        socket.listen(1024)?;
-        Ok(socket.into())
-    };
-    open().map_err(|e| format!("cannot listen on {address}: {e}"))
-}
-
-/// A pipe that these signals write to, polled under a key.
-fn told_by(poller: &Poller, signals: &[i32], key: usize) -> Result<UnixStream, String> {
-    let open = || -> io::Result<UnixStream> {
-        let (told, teller) = UnixStream::pair()?;
-        told.set_nonblocking(true)?;
-        for &signal in signals {
-            signal_hook::low_level::pipe::register(signal, teller.try_clone()?)?;
-        }
-        poller.add_with_mode(&told, Event::readable(key), PollMode::Level)?;
-        Ok(told)
-    };
-    open().map_err(|e| format!("cannot take signals: {e}"))
-}
-
-/// Empties such a pipe, and returns how many signals it told of.
-fn drain(mut told: &UnixStream) -> u64 {
-    let (mut bytes, mut all) = ([0; 64], 0);
-    while let Ok(n @ 1..) = told.read(&mut bytes) {
-        all += n as u64;
-    }
-    all
-}
-
-/// Listens at an address and polls it under a key.
-fn polled(poller: &Poller, address: SocketAddr, key: usize, shared: bool) -> Result<TcpListener, String> {
-    let listener = listen(address, shared)?;
-    let added = poller.add_with_mode(&listener, Event::readable(key), PollMode::Level);
-    added.map_err(|e| format!("cannot poll: {e}"))?;
-    Ok(listener)
-}
-
 impl Gateway {
     /// Listens where the configuration says and takes in what it knows.
     pub fn new(files: Files) -> Result<Self, String> {
-        let Loaded { config, front, fleet, hierarchy, copies, spread } = files.read()?;
+        let Loaded { config, front, fleet, hierarchy, copies, spread, tier } = files.read()?;
         let poller = Poller::new().map_err(|e| format!("cannot poll: {e}"))?;
         let stop_told = told_by(&poller, &[SIGTERM, SIGINT], SIGNAL)?;
         let reload_told = told_by(&poller, &[SIGHUP], RELOAD)?;
@@ -379,7 +325,7 @@
         // What the other process knows comes before the first decision, and clients come when all is known.
         let told = scratch.map(|folder| gateway.find_others(at, &folder, &name)).unwrap_or_default();
         gateway.keep_copies(&config, copies);
-        gateway.keep_spread(at, &config, spread);
+        gateway.keep_peers(at, config.between_peers(spread, tier, fleet.as_ref()), &config.terms);
         gateway.take_in(at, config, fleet, hierarchy)?;
         gateway.told_first(now(), told);
         gateway.listener = Some(polled(&gateway.poller, gateway.listens, PLATFORM, shared)?);
@@ -417,10 +363,13 @@
             }
             self.tend_hierarchy(at);
         }
-        self.settings = self.core.configure(config.settings, config.classes);
+        // What is lent is not in the configuration, and stays.
+        let shares = self.peers.as_ref().and_then(Peers::shares);
+        let settings = Settings { shares, ..config.settings };
+        self.settings = self.core.configure(at, settings, config.classes);
         self.shape = config.shape;
         // Danger: budgets of cold stores that are shared by fewer gateways than there are.
-        if !self.alive.is_empty() {
+        if !self.alive.is_empty() || shares.is_some() {
             self.count_gateways();
         }
         self.terms = config.terms;
@@ -464,7 +413,7 @@
 
     /// Puts a configuration in the place of the one in force; what can fail comes first.
     fn replace(&mut self, at: Micros, loaded: Loaded) -> Result<(), String> {
-        let Loaded { config, front, fleet, hierarchy, copies, spread } = loaded;
+        let Loaded { config, front, fleet, hierarchy, copies, spread, tier } = loaded;
         config.shape.replaces(&self.shape)?;
         config.terms.extends(&self.terms)?;
         let moved = config.listen != self.listens;
@@ -494,7 +443,7 @@
             self.log_listening();
         }
         self.keep_copies(&config, copies);
-        self.keep_spread(at, &config, spread);
+        self.keep_peers(at, config.between_peers(spread, tier, fleet.as_ref()), &config.terms);
         self.take_in(at, config, fleet, hierarchy)
     }
 
@@ -511,31 +460,34 @@
         }
     }
 
-    /// Keeps the fleet's view of the stores' load as its file says, or none.
-    fn keep_spread(&mut self, at: Micros, config: &Config, terms: Option<SpreadFile>) {
-        let Some(terms) = terms else {
-            self.core.load_field = None;
-            if self.peers.take().is_some() {
-                self.core.shed(at, Vec::new());
-            }
-            return self.set_peers();
-        };
-        self.core.load_field = config.terms.report.iter().position(|name| *name == terms.field);
+    /// Keeps what gateways tell each other as its files say, or nothing of it.
+    fn keep_peers(&mut self, at: Micros, told: peers::Terms, terms: &Terms) {
+        let field = told.spread.as_ref().map(|file| &file.field);
+        self.core.load_field = terms.report.iter().position(|name| Some(name) == field);
+        if told.spread.is_none() && self.peers.as_ref().is_some_and(Peers::spreads) {
+            self.core.shed(at, Vec::new());
+        }
         let moved = match &mut self.peers {
-            Some(peers) => peers.configure(terms, config.peers.clone()),
-            None => {
-                let zone = config.settings.zone;
-                self.peers = Some(Peers::new(at, terms, config.peers.clone(), zone, config.seed));
+            _ if told.off() => self.peers.take().is_some(),
+            Some(peers) => peers.configure(at, &told),
+            peers => {
+                *peers = Some(Peers::new(at, &told));
                 true
             }
         };
+        if moved {
+            self.listen_to_peers();
+        }
+        self.tell_stores(at);
+        self.set_peers();
+    }
+
+    fn listen_to_peers(&mut self) {
         // A socket that is dropped is no longer polled.
-        if let Some(socket) = self.peers.as_ref().and_then(Peers::socket).filter(|_| moved) {
+        if let Some(socket) = self.peers.as_ref().and_then(Peers::socket) {
             let added = self.poller.add_with_mode(socket, Event::readable(DATAGRAMS), PollMode::Level);
             added.unwrap_or_else(|e| log!("peer_listen: cannot poll: {e}"));
         }
-        self.tell_stores(at);
-        self.set_peers();
     }
 
     /// Tells the fleet's view which stores of the own location are up.
@@ -547,29 +499,39 @@
                 host.state == State::Up && host.zone == self.own_zone && !kinds.contains(&Some(host.kind))
             };
             let stores = self.pools.values().filter(caches).map(|p| p.store.host.server).collect();
-            let sharers = self.settings.zone_routers.get(self.own_zone).copied();
-            peers.stores(at, stores, sharers.unwrap_or(self.settings.routers));
+            let sharers = self.settings.sharers(at, Some(self.own_zone));
+            peers.stores(at, stores, sharers.ceil() as u64);
         }
     }
 
     /// Sets when the fleet's view is to be looked at.
     fn set_peers(&mut self) {
-        let due = self.peers.as_ref().map(Peers::next_due);
+        let due = self.peers.as_ref().and_then(Peers::next_due);
         self.core.deadlines.shift(&mut self.peers_due, due, Due::Peers);
     }
 
     fn tend_peers(&mut self, at: Micros) {
         self.peers_due = None;
-        let (shed, probes) = self.peers.as_mut().map(|peers| peers.tick(at)).unwrap_or_default();
-        if let Some(shares) = shed {
-            self.core.shed(at, shares);
-        }
-        if self.terms.probes {
-            probes.into_iter().for_each(|store| self.probe(at, store));
-        }
+        let avoided = self.core.avoided(at).collect();
+        let effects = self.peers.as_mut().map(|peers| peers.tick(at, avoided)).unwrap_or_default();
+        self.heed_peers(at, effects);
         self.set_peers();
     }
 
+    /// Carries out what other gateways' words come to.
+    fn heed_peers(&mut self, at: Micros, effects: Vec<peers::Effect>) {
+        for effect in effects {
+            match effect {
+                peers::Effect::Shed(shares) => self.core.shed(at, shares),
+                peers::Effect::Probe(store) if self.terms.probes => self.probe(at, store),
+                peers::Effect::Probe(_) => {}
+                peers::Effect::Suspect(store) => self.core.suspect(at, store),
+                peers::Effect::Shares => self.count_gateways(),
+                peers::Effect::Socket => self.listen_to_peers(),
+            }
+        }
+    }
+
     /// Asks a store for its report on a connection that is free for it; where there is none, another gateway asks.
     fn probe(&mut self, at: Micros, store: ServerId) {
         let links = self.pools.get(&store).map(|p| p.links.clone()).unwrap_or_default();
@@ -652,7 +614,10 @@
                     key if (CONSOLE_CLIENTS..CONSOLE).contains(&key) => {
                         self.serve_caller(at, key - CONSOLE_CLIENTS);
                     }
-                    DATAGRAMS => self.peers.iter_mut().for_each(|peers| peers.hear(at)),
+                    DATAGRAMS => {
+                        let effects = self.peers.as_mut().map(|peers| peers.hear(at));
+                        self.heed_peers(at, effects.unwrap_or_default());
+                    }
                     UPGRADE => self.admit_process(at),
                     key if (PEERS..UPGRADE).contains(&key) => self.hear_process(at, key - PEERS),
                     PLATFORM | SECOND => self.accept(at, event.key),
@@ -686,6 +651,9 @@
                 log!("told to stop: taking requests for {} ms more", ACCEPTING / 1000);
             }
             self.tell_status();
+            if !self.company.successor() {
+                self.peers.iter_mut().for_each(|peers| peers.farewell(at));
+            }
             // The own node goes first, so that the fleet's users turn to the others.
             let effects = self.membership.as_mut().map(|m| m.close(at)).unwrap_or_default();
             self.perform(at, effects);
@@ -1659,20 +1627,19 @@
             }
             console::Call::Readiness => console::Reply::new(503, "no list of stores is known yet\n"),
             console::Call::Stats => console::Reply::new(200, self.core.tally.report(self.gauges(at))),
-            console::Call::Copies => match &self.core.copies {
-                Some(copies) => {
-                    let report = serde_json::to_string(&copies.report(at)).unwrap_or_default();
-                    console::Reply::new(200, report + "\n")
-                }
-                None => console::Reply::new(404, "no copies are kept here\n"),
-            },
-            console::Call::Spread => match &self.peers {
-                Some(peers) => {
-                    let report = serde_json::to_string(&peers.report(at)).unwrap_or_default();
-                    console::Reply::new(200, report + "\n")
-                }
-                None => console::Reply::new(404, "the fleet's view is not kept here\n"),
-            },
+            console::Call::Copies => {
+                let report = self.core.copies.as_ref().map(|copies| copies.report(at));
+                let told = report.map(|report| serde_json::to_string(&report).unwrap_or_default());
+                console::Reply::told(told, "no copies are kept here")
+            }
+            console::Call::Spread => {
+                let told = self.peers.as_ref().and_then(|peers| peers.load(at));
+                console::Reply::told(told, "the fleet's view is not kept here")
+            }
+            console::Call::Fleet => {
+                let told = self.peers.as_ref().and_then(|peers| peers.fleet(at));
+                console::Reply::told(told, "gateways know nothing of each other here")
+            }
             console::Call::Store { who, down } => {
                 let input = cordon::Input::Call { who: who.clone(), down };
                 let verdict = self.cordon_told(at, input).unwrap_or(Verdict::Unknown);
@@ -1775,6 +1742,10 @@
                     self.alive = numbers;
                     self.count_gateways();
                 }
+                Effect::Lease(input) => {
+                    let effects = self.peers.as_mut().map(|peers| peers.told(at, input));
+                    self.heed_peers(at, effects.unwrap_or_default());
+                }
                 Effect::Change(node, data) => {
                     if let Some(hierarchy) = &mut self.hierarchy {
                         hierarchy.change(at, &node, &data);
@@ -1790,20 +1761,26 @@
         self.core.deadlines.shift(&mut self.membership_due, due, Due::Membership);
     }
 
-    /// Shares the budgets of cold stores by the gateways that are alive; zones that no node tells of keep theirs.
+    /// Shares the budgets of cold stores by what is lent, or by the gateways that are alive; zones that no node tells of
+    /// keep theirs.
     fn count_gateways(&mut self) {
+        self.settings.shares = self.peers.as_ref().and_then(Peers::shares);
         let mut settings = self.settings.clone();
-        for (&zone, &number) in &self.alive {
-            if zone >= self.terms.zones.len() {
-                continue;
-            }
+        let mut count = |zone: usize, number: u64| {
             if settings.zone_routers.len() <= zone {
                 settings.zone_routers.resize(zone + 1, 1);
             }
             settings.zone_routers[zone] = number;
-        }
-        settings.routers = settings.zone_routers.iter().sum::<u64>().max(1);
-        self.core.adjust(settings);
+        };
+        if let Some((all, near)) = self.peers.as_ref().and_then(Peers::standing) {
+            count(self.own_zone, near);
+            settings.routers = all.max(1);
+        } else if !self.alive.is_empty() {
+            let known = self.alive.iter().filter(|(zone, _)| **zone < self.terms.zones.len());
+            known.for_each(|(zone, number)| count(*zone, *number));
+            settings.routers = settings.zone_routers.iter().sum::<u64>().max(1);
+        }
+        self.core.adjust(now(), settings);
     }
 
     /// Takes in news of the bulletin: of stores by way of the merge, where they are merged.
--- a/gateway/tests/net/scenario/mod.rs
+++ b/gateway/tests/net/scenario/mod.rs
@@ -93,6 +93,10 @@
     pub copies: Option<&'static str>,
     /// The file of the load's spread.
     pub spread: Option<&'static str>,
+    /// The file of the fleet.
+    pub fleet: Option<&'static str>,
+    /// More keys of the configuration, each with a comma behind it.
+    pub config: &'static str,
     /// Whether operators may call.
     pub console: bool,
     /// The module's settings.
@@ -110,6 +114,8 @@
             hierarchy: None,
             copies: None,
             spread: None,
+            fleet: None,
+            config: "",
             console: false,
             settings: SETTINGS,
         }
@@ -323,8 +329,9 @@
         let list = format!(r#"{{"no":1,"roster":{{"seq":1,"whole":true,"hosts":[{}]}}}}"#, stores.join(","));
         let known = if setup.known { &list[..] } else { "" };
         let config = format!(
-            r#"{{"seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":64,"sockets":{}}},"bulletin":"{feed}",
+            r#"{{{}"seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":64,"sockets":{}}},"bulletin":"{feed}",
             "known":{{"no":{},"items":[{known}]}},"settings":{}}}"#,
+            setup.config,
             setup.sockets,
             u8::from(setup.known),
             setup.settings
@@ -357,7 +364,7 @@
             command.args(["--hierarchy", &path]);
             files.insert("hierarchy".into(), (path, text.to_string()));
         }
-        for (name, text) in [("copies", setup.copies), ("spread", setup.spread)] {
+        for (name, text) in [("copies", setup.copies), ("spread", setup.spread), ("fleet", setup.fleet)] {
             let Some(text) = text else { continue };
             let path = file(&format!("{name}.json"), text);
             command.args([&format!("--{name}"), &path]);
--- a/gateway/tests/net/spread.rs
+++ b/gateway/tests/net/spread.rs
@@ -1,5 +1,6 @@
 //! The fleet's view of the stores' load. Numbers are those of `docs/design/spread.md`.
 use crate::scenario::{file, Scenario, Setup, ROW, SECOND};
+use larchway_fleet::wire::{open, seal, Kind};
 use larchway_spread::wire::{Summary, Told};
 use std::net::UdpSocket;
 use std::path::Path;
@@ -31,13 +32,23 @@
     // It tells its peer, in 256 bytes at most; what it hears of the same list counts.
     let mut bytes = [0; 512];
     let length = peer.recv(&mut bytes).expect("a datagram");
-    let told = Summary::read(&bytes[..length]).expect("a summary");
-    assert!(length <= 256 && told.told.len() == 2, "{told:?}");
+    let opened = open(&bytes[..length]).expect("an envelope");
+    let told = Summary::read(opened.body).expect("a summary");
+    assert!(
+        length <= 256 && told.told.len() == 2 && (opened.kind, opened.from) == (Kind::Load, 0),
+        "{told:?}"
+    );
     let words = Summary { told: vec![Told { load: 0.25, worth: 20.0 }; 2], ..told };
-    peer.send_to(&words.write(), own).expect("sends");
+    let sealed = |from: u16, words: &[u8]| seal(Kind::Load, from, words);
+    peer.send_to(&sealed(1, &words.write()), own).expect("sends");
     s.report("/ops/spread", "\"heard\":1,");
+    // What is cut, spoilt or of another sender, and what comes from elsewhere, never reaches the view.
+    let foreign = UdpSocket::bind("127.0.0.1:0").expect("binds");
+    foreign.send_to(&sealed(1, &words.write()), own).expect("sends");
+    peer.send_to(&sealed(0, &words.write()), own).expect("sends");
+    peer.send_to(&sealed(1, &words.write())[..20], own).expect("sends");
     for spoilt in [Summary { list: words.list ^ 1, ..words.clone() }.write(), vec![0; 300], b"ls".to_vec()] {
-        peer.send_to(&spoilt, own).expect("sends");
+        peer.send_to(&sealed(1, &spoilt), own).expect("sends");
     }
     let told = s.report("/ops/spread", "\"turned_down\":3,");
     assert!(told.contains("\"heard\":1,"), "{told}");
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -27,7 +27,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "trial")]
 struct Trial {
-    /// which: membership, hierarchy, upgrade, spread
+    /// which: membership, hierarchy, upgrade, spread, fleet
     #[argh(positional)]
     name: String,
     /// decides on times and objects (default 1)
@@ -73,6 +73,9 @@
     /// file of the load's spread
     #[argh(option)]
     spread: Option<String>,
+    /// file of the fleet
+    #[argh(option)]
+    fleet: Option<String>,
 }
 
 fn run_trial(args: &Trial) -> Result<bool, String> {
@@ -120,7 +123,8 @@
         Command::Daemon(args) => {
             let hierarchy = args.hierarchy.clone();
             let (signed, ensemble) = (args.signed.clone(), args.ensemble.clone());
-            let files = Files { signed, ensemble, hierarchy, copies: None, spread: args.spread.clone() };
+            let (spread, fleet) = (args.spread.clone(), args.fleet.clone());
+            let files = Files { signed, ensemble, hierarchy, copies: None, spread, fleet };
             Gateway::new(files).and_then(|mut gateway| gateway.run()).map(|()| true)
         }
     };
--- a/lab/src/trial/fleet.rs
+++ b/lab/src/trial/fleet.rs
@@ -76,7 +76,12 @@
 
     /// Has it read its files again.
     pub fn hup(&self) -> Result<(), String> {
-        let line = format!("kill -HUP {}", self.child.id());
+        self.signal("HUP")
+    }
+
+    /// Sends it a signal, by name: `STOP` has it stand still, `CONT` go on.
+    pub fn signal(&self, name: &str) -> Result<(), String> {
+        let line = format!("kill -{name} {}", self.child.id());
         let done = Command::new("sh").args(["-c", &line]).status().map_err(|e| format!("kill: {e}"))?;
         done.success().then_some(()).ok_or_else(|| format!("{line} fails"))
     }
--- a/lab/src/trial/mod.rs
+++ b/lab/src/trial/mod.rs
@@ -3,6 +3,7 @@
 pub mod hierarchy;
 pub mod membership;
 pub mod spread;
+pub mod tier;
 pub mod upgrade;
 
 use serde_json::Value;
@@ -18,7 +19,7 @@
 }
 
 /// The trials by name.
-pub const NAMES: [&str; 4] = ["membership", "hierarchy", "upgrade", "spread"];
+pub const NAMES: [&str; 5] = ["membership", "hierarchy", "upgrade", "spread", "fleet"];
 
 /// Plays a trial.
 pub fn play(name: &str, seed: u64, only: Option<&str>) -> Result<Outcome, String> {
@@ -27,6 +28,7 @@
         "hierarchy" => hierarchy::play(seed, only),
         "upgrade" => upgrade::play(seed, only),
         "spread" => spread::play(seed, only),
+        "fleet" => tier::play(seed, only),
         other => Err(format!("there is no trial {other:?}; there are: {}", NAMES.join(", "))),
     }
 }
--- a/lab/src/trial/upgrade.rs
+++ b/lab/src/trial/upgrade.rs
@@ -56,13 +56,18 @@
 }
 
 /// An address that nobody has now. Another process may take it meanwhile; then the trial says that it cannot start.
-fn free() -> Result<SocketAddr, String> {
+pub fn free() -> Result<SocketAddr, String> {
     let found = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr());
     found.map_err(|e| format!("an address: {e}"))
 }
 
 /// A call on the console: its status and text.
-fn call(console: SocketAddr, method: &str, path: &str, who: Option<&str>) -> Result<(u16, String), String> {
+pub fn call(
+    console: SocketAddr,
+    method: &str,
+    path: &str,
+    who: Option<&str>,
+) -> Result<(u16, String), String> {
     let body = who.map_or(String::new(), |w| json!({ "who": w }).to_string());
     let asked = || -> std::io::Result<String> {
         let patience = Some(Duration::from_secs(1));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -69,6 +69,17 @@
     Any,
 }
 
+/// What the router may use of all that is divided among the routers, where that is lent to it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Shares {
+    /// Until when the lent shares hold; from then on, those of `alone` do.
+    pub until: Micros,
+    /// Of what all routers divide, and of what those of the own zone divide.
+    pub lent: (f64, f64),
+    /// The same for a router to which nothing is lent.
+    pub alone: (f64, f64),
+}
+
 /// What the router knows from the start.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -78,6 +89,8 @@
     pub zone: usize,
     /// By zone, how many routers serve it.
     pub zone_routers: Vec<u64>,
+    /// The shares lent to this router; none: it goes by the numbers of routers.
+    pub shares: Option<Shares>,
     /// Request classes.
     pub classes: Vec<Class>,
     /// Whether news of the servers must be asked for.
@@ -146,12 +159,32 @@
     }
 }
 
+impl Settings {
+    /// Among how many this router's share is one, now: of what the routers of a zone divide, or all of them. The time is
+    /// looked at with each use: a router that stood still must not go by a share that has lapsed meanwhile.
+    pub fn sharers(&self, now: Micros, zone: Option<usize>) -> f64 {
+        let shares = self.shares.map(|s| if now < s.until { s.lent } else { s.alone });
+        match (shares, zone) {
+            (Some((all, _)), None) => 1.0 / all.max(1e-6),
+            (Some((_, own)), Some(zone)) if zone == self.zone => 1.0 / own.max(1e-6),
+            (_, None) => self.routers.max(1) as f64,
+            (_, Some(zone)) => self.routers_of(zone),
+        }
+    }
+
+    /// How many routers serve a zone.
+    pub fn routers_of(&self, zone: usize) -> f64 {
+        self.zone_routers.get(zone).map_or(1.0, |&n| n.max(1) as f64)
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Settings {
             routers: 1,
             zone: 0,
             zone_routers: Vec::new(),
+            shares: None,
             classes: Vec::new(),
             ask: false,
             parent_kind: None,
@@ -357,6 +390,8 @@
     Homes(Option<Homes>),
     /// By server, the share of its objects that goes to their next homes from now on; those left out keep all theirs.
     Shed(Vec<(ServerId, f64)>),
+    /// Another router found that a server fails. The own next attempts decide, but sooner.
+    Suspected(ServerId),
 }
 
 /// Shares of the objects' homes among parents, where a shape of the hierarchy is given. Without it all listed parents
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -155,6 +155,10 @@
             self.retry_at = now + self.pause;
         }
     }
+    /// Danger: another's word must not put a server out: it stays at the bar, and one own failure passes it.
+    fn suspect(&mut self) {
+        self.failing = self.failing.max(FAILING);
+    }
     /// Danger: a cache that grows slower and slower looks no busier than its like. Harm: one large object of
     /// untold size makes it look slow for seconds.
     fn paced(&mut self, now: Micros, pace: f64) {
@@ -323,6 +327,7 @@
             Event::Timer(_) => self.on_timer(actions),
             Event::Homes(homes) => self.homes = homes,
             Event::Shed(shares) => self.shed = shares.into_iter().collect(),
+            Event::Suspected(id) => self.servers.get_mut(&id).into_iter().for_each(Server::suspect),
             Event::Purged { age, group, object } => self.on_purge(now.saturating_sub(age), group, object),
         }
         if !self.wake && !self.open.is_empty() {
@@ -391,10 +396,8 @@
         let keep = 3 * self.settings.purge_done;
         let now = self.now;
         self.purges.retain(|_, at| now < *at + keep);
-        self.purges
-            .entry((object.map_or(group, |_| 0), object))
-            .and_modify(|k| *k = at.max(*k))
-            .or_insert(at);
+        let known = self.purges.entry((object.map_or(group, |_| 0), object)).or_insert(at);
+        *known = at.max(*known);
         let range = object.map_or((0, 0)..=(u64::MAX, u64::MAX), |o| (o, 0)..=(o, u64::MAX));
         for (_, item) in self.items.range_mut(range).filter(|(_, i)| object.is_some() || i.group == group) {
             item.hits.clear();
@@ -542,10 +545,6 @@
         Some(s.host.kind) != self.settings.parent_kind && Some(s.host.kind) != self.settings.origin_kind
     }
 
-    fn routers_of(&self, zone: usize) -> f64 {
-        self.settings.zone_routers.get(zone).map_or(1.0, |&n| n.max(1) as f64)
-    }
-
     /// Transfers that a server carries at full pace: as listed, as learned, or as its like have shown.
     fn flows(&self, s: &Server) -> f64 {
         if self.settings.weighted && s.host.weight > 0.0 {
@@ -566,13 +565,13 @@
         if self.is_own(s) {
             usual = (usual + self.out.mean(self.now, LOAD_SPAN) / self.caches) / 2.0;
         }
-        s.out.now + usual * (self.routers_of(s.host.zone) - 1.0)
+        s.out.now + usual * (self.settings.routers_of(s.host.zone) - 1.0)
     }
 
     /// The same for the location's link.
     fn link_load(&self) -> f64 {
         self.filling.now
-            + self.filling.mean(self.now, LOAD_SPAN) * (self.routers_of(self.settings.zone) - 1.0)
+            + self.filling.mean(self.now, LOAD_SPAN) * (self.settings.routers_of(self.settings.zone) - 1.0)
     }
 
     /// Danger: slow parents, and objects larger than their class, look like a jam of the link; the estimate
@@ -608,8 +607,8 @@
             return true;
         }
         let (multiple, share) = match self.is_cache(s) {
-            true => (set.fall_multiple, self.routers_of(s.host.zone)),
-            false => (set.parent_fall_multiple, set.routers.max(1) as f64),
+            true => (set.fall_multiple, set.sharers(self.now, Some(s.host.zone))),
+            false => (set.parent_fall_multiple, set.sharers(self.now, None)),
         };
         let span = set.fall_span.max(1);
         let used = COLD_SHARE.0 + COLD_SHARE.1 * (1.0 - (4.0 / share).min(1.0).sqrt());
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1156,3 +1156,50 @@
     rig.tell(Event::Shed(vec![(1, 0.6)]));
     assert!(homes(&mut rig).iter().all(|s| *s == 1));
 }
+
+/// Cold caches fall over when gateways that stood still go on with what was lent to them before.
+#[test]
+fn a_share_that_was_lent_is_used_until_it_lapses_and_the_own_one_from_then_on() {
+    let sent = |shares: Option<Shares>, wait: Micros| {
+        let lone = vec![host(1, 1, 0), host(ORIGIN, 0, 2)];
+        let mut rig = Rig::new(Settings { zone_routers: vec![0, 10], shares, ..settings() }, lone);
+        let back = Host { started: rig.now, ..host(1, 1, 0) };
+        rig.list(Scope::Changes, vec![back]);
+        rig.wait(wait);
+        let mut asked = |object| {
+            let sent = get(&rig.ask(object));
+            rig.answer(0, Status::Ok, Note::Filled);
+            sent.is_some_and(|sent| sent.server == 1)
+        };
+        (0..400).filter(|&object| asked(object)).count()
+    };
+    let until = 100_000 * MS + 1000 * MS;
+    let lent = Some(Shares { until, lent: (1.0, 1.0), alone: (0.05, 0.05) });
+    let [configured, alone] = [sent(None, 0), sent(lent, 1000)];
+    assert!(sent(lent, 999) > 3 * configured, "{} against {configured}", sent(lent, 999));
+    assert!(alone < configured, "{alone} against {configured}");
+}
+
+/// Each gateway of hundreds finds a dead store out alone: word of it lets the first own failure tell, and nothing less.
+#[test]
+fn word_of_a_failing_server_puts_it_out_by_the_first_own_failure_only() {
+    let mut rig = Rig::new(Settings { siblings: Siblings::None, ..settings() }, fleet());
+    let object = (0..).find(|&o| rig.serve(o, Note::Hit).server == 1).expect("some");
+    let avoided = |rig: &Rig| rig.router.avoided(rig.now).count();
+    let fails = |rig: &mut Rig| {
+        assert_eq!(get(&rig.ask(object)).expect("sent").server, 1);
+        rig.answer(0, Status::Error, Note::None);
+        rig.answer(1, Status::Ok, Note::Filled);
+    };
+    fails(&mut rig);
+    assert_eq!(avoided(&rig), 0, "one failure alone");
+    for _ in 0..20 {
+        rig.serve(object, Note::Hit);
+    }
+    for _ in 0..100 {
+        rig.tell(Event::Suspected(1));
+    }
+    assert_eq!(avoided(&rig), 0, "words alone");
+    fails(&mut rig);
+    assert_eq!(avoided(&rig), 1, "words and one failure");
+}
