Hold the shares of gateways that are gone until their leases have lapsed, however they ended

Seen: the lease trusted that a session outlives it, but operators and the service end sessions of gateways that live; the others then took up at once what that one still used. Checked by the model once sessions may end at any time: it also found that a node which came and went while a gateway had no contact is in no view of it (crates/fleet/src/lease.rs, share).

Change: a node that is gone counts for the wait on; after a new reading the pool is used only after the wait; a gateway whose own node is taken away is without a lease until it is made anew. Verdicts wait 0.4 s longer for each doubling over 64 members: at 1,000 one that hears nothing was taken for dead by 111.

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -9,7 +9,9 @@
 //!   nodes then held at least all that stood when it asked.
 //! * L2 A gateway whose node was made uses the pool only [`WAIT`] later: by then every lease given on a view without it
 //!   has lapsed.
-//! * L3 `lease` is shorter than what a session lives on after its last answer, so no node of one that uses it is gone.
+//! * L3 A node that is gone counts for [`WAIT`] more: by then every lease of its gateway has lapsed, however its session
+//!   ended, and whoever ended it. One that came and went while there was no contact was never seen; so after a new reading
+//!   the pool is used only [`WAIT`] later, too.
 //!
 //! So whoever uses the pool stands in the view of all who do, and no view is smaller than the number of users.
 use larchway::Micros;
@@ -17,7 +19,8 @@
 
 /// µs that a lease lasts at most, whatever a file says: the wait of L2 holds for the files of all gateways.
 pub const LONGEST: Micros = 2_000_000;
-/// µs between the own node and the first use of the pool: the longest lease, and an eighth for clocks that differ.
+/// µs between the own node and the first use of the pool, and for which one that is gone counts: the longest lease, and an
+/// eighth for clocks that differ.
 pub const WAIT: Micros = LONGEST + LONGEST / 8;
 /// Most nodes kept; those beyond only count.
 const MOST: usize = 10_000;
@@ -31,12 +34,14 @@
     pub lease: Micros,
     /// µs between the own node and the first use.
     pub wait: Micros,
+    /// µs for which a node that is gone counts.
+    pub hold: Micros,
 }
 
 impl Terms {
     /// By the file of the fleet.
     pub fn of(file: &crate::FleetFile) -> Self {
-        Terms { floor: file.floor, lease: (file.lease_ms * 1000).min(LONGEST), wait: WAIT }
+        Terms { floor: file.floor, lease: (file.lease_ms * 1000).min(LONGEST), wait: WAIT, hold: WAIT }
     }
 }
 
@@ -54,8 +59,6 @@
 /// What has come from the ensemble.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Input {
-    /// The session lives for so long after its last answer.
-    Granted(Micros),
     /// The own node stands, under this session.
     Registered,
     /// The session is over, or about to be closed: the own node is gone, or will be.
@@ -100,11 +103,12 @@
 pub struct Lease {
     configured: Configured,
     registered: Option<Micros>,
+    /// When the nodes were last read anew.
+    read: Micros,
     /// When the last `sync` that was answered was asked for.
     confirmed: Option<Micros>,
-    lives: Micros,
-    /// The nodes by name, with their zones; at most [`MOST`], and how many more there are.
-    nodes: BTreeMap<String, usize>,
+    /// The nodes by name: their zones, and since when they are gone; at most [`MOST`], and how many more there are.
+    nodes: BTreeMap<String, (usize, Option<Micros>)>,
     over: u64,
     whole: bool,
     /// Nodes not told of since a reading began anew, at most [`MOST`].
@@ -117,8 +121,8 @@
         Lease {
             configured,
             registered: None,
+            read: 0,
             confirmed: None,
-            lives: 0,
             nodes: BTreeMap::new(),
             over: 0,
             whole: false,
@@ -134,27 +138,26 @@
     /// Takes in what has come.
     pub fn handle(&mut self, now: Micros, input: Input) {
         match input {
-            Input::Granted(lives) => self.lives = lives,
             Input::Registered => self.registered = Some(now),
             Input::Ended => (self.registered, self.confirmed) = (None, None),
             Input::Here(name, zone) => {
                 self.stale.remove(&name);
                 // Danger: one that is left out is missing in the division. It is counted.
                 if self.nodes.len() < MOST || self.nodes.contains_key(&name) {
-                    self.nodes.insert(name, zone);
+                    self.nodes.insert(name, (zone, None));
                 } else {
                     self.over += 1;
                 }
             }
-            Input::Gone(name) => drop(self.nodes.remove(&name)),
+            Input::Gone(name) => self.gone(now, &name),
             Input::Reread => {
-                self.whole = false;
+                (self.whole, self.read) = (false, now);
                 self.stale = self.nodes.keys().map(|name| (name.clone(), ())).collect();
             }
             Input::Whole => {
                 self.whole = true;
                 for name in std::mem::take(&mut self.stale).into_keys() {
-                    self.nodes.remove(&name);
+                    self.gone(now, &name);
                 }
             }
             Input::CaughtUp(asked) => {
@@ -171,24 +174,34 @@
         }
     }
 
-    /// How many gateways stand, in all and in the own zone; one whose zone is not known may be of any.
-    pub fn standing(&self) -> (u64, u64) {
-        let own = self.nodes.values().filter(|zone| **zone == self.configured.zone || **zone == usize::MAX);
-        (self.nodes.len() as u64 + self.over, own.count() as u64 + self.over)
+    fn gone(&mut self, now: Micros, name: &str) {
+        if let Some((_, gone)) = self.nodes.get_mut(name) {
+            *gone = gone.or(Some(now));
+        }
+        // What is long gone counts for nothing; it is dropped when the next one goes.
+        self.nodes.retain(|_, (_, gone)| gone.is_none_or(|at| now < at + WAIT));
+    }
+
+    /// How many gateways stand, or stood until now, in all and in the own zone; one whose zone is not known may be of any.
+    pub fn standing(&self, terms: &Terms, now: Micros) -> (u64, u64) {
+        let counts = |(_, gone): &&(usize, Option<Micros>)| gone.is_none_or(|at| now < at + terms.hold);
+        let own = |(zone, _): &&(usize, _)| *zone == self.configured.zone || *zone == usize::MAX;
+        let all = self.nodes.values().filter(counts);
+        let near = self.nodes.values().filter(counts).filter(own);
+        (all.count() as u64 + self.over, near.count() as u64 + self.over)
     }
 
     /// Until when the pool may be used, and what the gateway may use then and after.
     pub fn share(&self, terms: &Terms, now: Micros) -> Share {
         let (all, own_zone) = (self.configured.all.max(1) as f64, self.configured.own_zone.max(1) as f64);
         let floor = (terms.floor / all, terms.floor / own_zone);
-        let waited = self.registered.is_some_and(|at| at + terms.wait <= now);
-        // L3: a quarter of a session's life is left for clocks that differ.
-        let holds = terms.lease.min(self.lives * 3 / 4);
+        let waited =
+            self.registered.is_some_and(|at| at + terms.wait <= now) && self.read + terms.hold <= now;
         let until = match self.confirmed {
-            Some(at) if waited && self.whole => at + holds,
+            Some(at) if waited && self.whole => at + terms.lease,
             _ => 0,
         };
-        let (stand, near) = self.standing();
+        let (stand, near) = self.standing(terms, now);
         let pool = 1.0 - terms.floor;
         let leased = (floor.0 + pool / stand.max(1) as f64, floor.1 + pool / near.max(1) as f64);
         Share { until, leased, floor }
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -33,6 +33,8 @@
 const NEWEST: f64 = 0.05;
 /// µs after the longest pause in which its end may become known, and how many times that with all datagrams lost.
 const SETTLED: (Micros, f64) = (700_000, 4.0);
+/// Members up to which that is enough, and µs more for each doubling: news come by more hops.
+const SMALL: (f64, f64) = (64.0, 400_000.0);
 /// Datagrams that must tell nothing later of a member after the longest pause: what others know is asked for first.
 const CONFIRMED: usize = 2;
 /// Datagrams a second in trouble, and how many may come at once; answers go out all the same, and count.
@@ -299,6 +301,7 @@
         let fresh = Member { began: now, ..Member::default() };
         self.members.resize(members.clamp(1, usize::from(u16::MAX)), fresh);
         self.order.clear();
+        self.favours.clear();
         self.turn = 0;
     }
 
@@ -344,8 +347,14 @@
     /// µs for which a member must have been asked without an answer to be taken for dead: the longest pause, and the time
     /// in which its end becomes known. It grows by itself where datagrams are lost.
     fn bound(&self) -> Micros {
-        let settled = SETTLED.0 as f64 * (1.0 + SETTLED.1 * self.lost);
-        self.terms.pause_ms * 1000 + settled as Micros
+        self.terms.pause_ms * 1000 + SETTLED.0 + self.spared()
+    }
+
+    /// µs that a verdict waits beyond what it would in a small tier that loses nothing: for pings that get lost, and for
+    /// what refutes an accusation to come by more hops.
+    fn spared(&self) -> Micros {
+        let doublings = (self.members.len() as f64 / SMALL.0).log2().max(0.0);
+        (SETTLED.0 as f64 * SETTLED.1 * self.lost + SMALL.1 * doublings) as Micros
     }
 
     /// Pings without an answer from which this gateway accuses: as many as are hardly all lost.
@@ -483,8 +492,7 @@
             }
             // M7: each asks for itself, once more when the longest pause is over. Where there are too many for that, or
             // no answer can be had, it goes by what others tell.
-            let spared = (SETTLED.0 as f64 * SETTLED.1 * self.lost) as Micros;
-            let own = accuses && again >= since + pause + spared && now >= again + ANSWER;
+            let own = accuses && again >= since + pause + self.spared() && now >= again + ANSWER;
             let told = many && now >= since + bound && member.confirmed >= CONFIRMED.min(could - 1);
             let accusers = usize::from(accuses) + member.accusers.len();
             if (own || told) && accusers >= enough || member.sure.len() >= 2 {
@@ -532,7 +540,7 @@
             }
         }
         let many = self.mass();
-        let spared = (SETTLED.0 as f64 * SETTLED.1 * self.lost) as Micros;
+        let spared = self.spared();
         let asks = (ASKERS / self.others().count().max(1) as f64 * 1024.0) as usize;
         let pause = self.terms.pause_ms * 1000;
         let from = self.draw(suspects.len());
@@ -670,7 +678,9 @@
     }
 
     fn news(&mut self, now: Micros, wanted: &[u16]) -> News {
-        let mut names: Vec<u16> = wanted.iter().copied().filter(|who| *who != self.me).collect();
+        // Another's configuration may be newer, and know of more members.
+        let known = |who: &u16| *who != self.me && usize::from(*who) < self.members.len();
+        let mut names: Vec<u16> = wanted.iter().copied().filter(known).collect();
         names.truncate(NAMED);
         let hot = |who: &u16| {
             let member = &self.members[usize::from(*who)];
--- a/gateway/src/membership.rs
+++ b/gateway/src/membership.rs
@@ -326,9 +326,9 @@
         use lease::Input as L;
         let gateways = |mirror: usize| !self.of_stores(mirror) && !self.of_changes(mirror);
         match fact {
-            Fact::Granted { timeout, fresh, .. } => {
+            Fact::Granted { fresh, .. } => {
                 let ended = fresh.then_some(L::Ended);
-                ended.into_iter().chain([L::Granted(*timeout), L::Reread]).collect()
+                ended.into_iter().chain([L::Reread]).collect()
             }
             Fact::Expired | Fact::Closed => vec![L::Ended],
             Fact::Rewound => vec![L::Rewound],
@@ -336,6 +336,10 @@
             Fact::Child { mirror, name, data, .. } if gateways(*mirror) => {
                 vec![L::Here(name.clone(), zone(data).unwrap_or(usize::MAX))]
             }
+            Fact::Gone { mirror, name } if gateways(*mirror) && *name == self.own.name => {
+                // Whoever took it away: until it is made anew, the others do not count this one.
+                vec![L::Ended, L::Gone(name.clone())]
+            }
             Fact::Gone { mirror, name } if gateways(*mirror) => vec![L::Gone(name.clone())],
             Fact::Whole { mirror, .. } if gateways(*mirror) => vec![L::Whole],
             Fact::CaughtUp { mirror, asked } if gateways(*mirror) => vec![L::CaughtUp(*asked)],
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -152,7 +152,7 @@
     fn report(&self, at: Micros, turned_down: &BTreeMap<Fault, u64>) -> String {
         let terms = lease::Terms::of(&self.terms);
         let share = self.lease.share(&terms, at);
-        let (standing, standing_near) = self.lease.standing();
+        let (standing, standing_near) = self.lease.standing(&terms, at);
         let now = if self.lent { share.now(at) } else { (share.floor.0, share.floor.1) };
         let name = |fault: &Fault| match fault {
             Fault::Foreign => "foreign",
@@ -179,7 +179,8 @@
 
     /// The shares that may be used, if they are others than those last told of.
     fn shares(&mut self, at: Micros) -> Option<Effect> {
-        let share = self.lease.share(&lease::Terms::of(&self.terms), at);
+        let terms = lease::Terms::of(&self.terms);
+        let share = self.lease.share(&terms, at);
         let new = self.lent.then_some(Shares { until: share.until, lent: share.leased, alone: share.floor });
         let far = |a: (f64, f64), b: (f64, f64)| {
             (a.0 - b.0).abs() > CHANGE * b.0 || (a.1 - b.1).abs() > CHANGE * b.1
@@ -190,7 +191,7 @@
             }
             (old, new) => old.is_some() != new.is_some(),
         };
-        let standing = new.filter(|new| at < new.until).map(|_| self.lease.standing());
+        let standing = new.filter(|new| at < new.until).map(|_| self.lease.standing(&terms, at));
         let changed = changed || self.standing != standing;
         (self.shares, self.standing) = (new, standing);
         changed.then_some(Effect::Shares)
