--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -470,7 +470,7 @@
     }
 
     fn judge(&mut self, now: Micros, out: &mut Vec<Output>) {
-        let bound = self.bound();
+        let (bound, spared) = (self.bound(), self.spared());
         let suspects = self.suspects();
         let many = self.mass();
         // M1: two accuse, where there are two that could.
@@ -492,7 +492,7 @@
             }
             // M7: each asks for itself, once more when the longest pause is over. Where there are too many for that, or
             // no answer can be had, it goes by what others tell.
-            let own = accuses && again >= since + pause + self.spared() && now >= again + ANSWER;
+            let own = accuses && again >= since + pause + spared && now >= again + ANSWER;
             let told = many && now >= since + bound && member.confirmed >= CONFIRMED.min(could - 1);
             let accusers = usize::from(accuses) + member.accusers.len();
             if (own || told) && accusers >= enough || member.sure.len() >= 2 {
