Keep one type of shares for lease and module, and show the whole share where none is lent

Seen when the change was read again: the lease had its own copy of the module's Shares with the same choice by time; members wrote the list of all others four times; schemas were printed in five arms; Plan::splits was called by nobody. /ops/fleet showed the floor where nothing is lent, though the module then uses the whole configured share (gateway/src/peers.rs, report).

Change: the lease returns larchway::Shares, whose now() both use; the rest is written once or gone; the whole share is shown, with an assertion that fails without it. What gateways do is as before.

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -14,8 +14,8 @@
 //!   the pool is used only [`WAIT`] later, too.
 //!
 //! So whoever uses the pool stands in the view of all who do, and no view is smaller than the number of users.
-use larchway::Micros;
-use std::collections::BTreeMap;
+use larchway::{Micros, Shares};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// µs that a lease lasts at most, whatever a file says: the wait of L2 holds for the files of all gateways.
 pub const LONGEST: Micros = 2_000_000;
@@ -77,27 +77,6 @@
     Rewound,
 }
 
-/// What the gateway may use.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Share {
-    /// Until when the leased shares hold; from then on, the floor does.
-    pub until: Micros,
-    /// Of what is divided by all gateways, and by those of the own zone.
-    pub leased: (f64, f64),
-    /// The same without a lease.
-    pub floor: (f64, f64),
-}
-
-impl Share {
-    /// What may be used now: of what all divide, and of what the own zone divides.
-    pub fn now(&self, now: Micros) -> (f64, f64) {
-        match now < self.until {
-            true => self.leased,
-            false => self.floor,
-        }
-    }
-}
-
 /// The lease of one gateway.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Lease {
@@ -112,7 +91,7 @@
     over: u64,
     whole: bool,
     /// Nodes not told of since a reading began anew, at most [`MOST`].
-    stale: BTreeMap<String, ()>,
+    stale: BTreeSet<String>,
 }
 
 impl Lease {
@@ -126,7 +105,7 @@
             nodes: BTreeMap::new(),
             over: 0,
             whole: false,
-            stale: BTreeMap::new(),
+            stale: BTreeSet::new(),
         }
     }
 
@@ -152,11 +131,11 @@
             Input::Gone(name) => self.gone(now, &name),
             Input::Reread => {
                 (self.whole, self.read) = (false, now);
-                self.stale = self.nodes.keys().map(|name| (name.clone(), ())).collect();
+                self.stale = self.nodes.keys().cloned().collect();
             }
             Input::Whole => {
                 self.whole = true;
-                for name in std::mem::take(&mut self.stale).into_keys() {
+                for name in std::mem::take(&mut self.stale) {
                     self.gone(now, &name);
                 }
             }
@@ -191,10 +170,15 @@
         (all.count() as u64 + self.over, near.count() as u64 + self.over)
     }
 
+    /// The configured share, of what all divide and of what the own zone divides: used where nothing is lent.
+    pub fn whole(&self) -> (f64, f64) {
+        (1.0 / self.configured.all.max(1) as f64, 1.0 / self.configured.own_zone.max(1) as f64)
+    }
+
     /// Until when the pool may be used, and what the gateway may use then and after.
-    pub fn share(&self, terms: &Terms, now: Micros) -> Share {
-        let (all, own_zone) = (self.configured.all.max(1) as f64, self.configured.own_zone.max(1) as f64);
-        let floor = (terms.floor / all, terms.floor / own_zone);
+    pub fn share(&self, terms: &Terms, now: Micros) -> Shares {
+        let whole = self.whole();
+        let floor = (terms.floor * whole.0, terms.floor * whole.1);
         let waited =
             self.registered.is_some_and(|at| at + terms.wait <= now) && self.read + terms.hold <= now;
         let until = match self.confirmed {
@@ -203,8 +187,8 @@
         };
         let (stand, near) = self.standing(terms, now);
         let pool = 1.0 - terms.floor;
-        let leased = (floor.0 + pool / stand.max(1) as f64, floor.1 + pool / near.max(1) as f64);
-        Share { until, leased, floor }
+        let lent = (floor.0 + pool / stand.max(1) as f64, floor.1 + pool / near.max(1) as f64);
+        Shares { until, lent, alone: floor }
     }
 
     /// Whether the pool may be used now.
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -322,9 +322,14 @@
         who == self.me || self.members.get(usize::from(who)).is_some_and(Member::alive)
     }
 
+    /// All by the configuration, the gateway itself left out.
+    fn all_others(&self) -> impl Iterator<Item = u16> + '_ {
+        (0..self.members.len() as u16).filter(|who| *who != self.me)
+    }
+
     /// Who is taken for alive, the gateway itself left out.
     pub fn others(&self) -> impl Iterator<Item = u16> + '_ {
-        (0..self.members.len() as u16).filter(|who| *who != self.me && self.alive(*who))
+        self.all_others().filter(|who| self.alive(*who))
     }
 
     /// A few others that are taken for alive, drawn anew.
@@ -618,14 +623,14 @@
                 }
             }
             self.turn = 0;
-            self.order = (0..self.members.len() as u16).filter(|who| *who != self.me).collect();
+            self.order = self.all_others().collect();
             for at in (1..self.order.len()).rev() {
                 let other = self.draw(at + 1);
                 self.order.swap(at, other);
             }
         }
         // Nobody is left but those that are accused.
-        let others: Vec<u16> = (0..self.members.len() as u16).filter(|who| *who != self.me).collect();
+        let others: Vec<u16> = self.all_others().collect();
         (!others.is_empty()).then(|| others[self.draw(others.len())])
     }
 
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -251,30 +251,16 @@
         Command::Members(args) => members(&args),
         Command::Hierarchy(args) => look(&args.what),
         Command::Schema(args) => match args.file.as_str() {
-            "ensemble" => {
-                println!("{}", config::ensemble_schema());
-                Ok(())
-            }
-            "hierarchy" => {
-                println!("{}", hierarchy::schema());
-                Ok(())
-            }
-            "copies" => {
-                println!("{}", config::copies_schema());
-                Ok(())
-            }
-            "spread" => {
-                println!("{}", config::spread_schema());
-                Ok(())
-            }
-            "fleet" => {
-                println!("{}", config::fleet_schema());
-                Ok(())
-            }
+            "ensemble" => Ok(config::ensemble_schema()),
+            "hierarchy" => Ok(hierarchy::schema()),
+            "copies" => Ok(config::copies_schema()),
+            "spread" => Ok(config::spread_schema()),
+            "fleet" => Ok(config::fleet_schema()),
             other => Err(format!(
                 "there is no schema of {other:?}, only of ensemble, hierarchy, copies, spread and fleet"
             )),
-        },
+        }
+        .map(|schema| println!("{schema}")),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -153,7 +153,7 @@
         let terms = lease::Terms::of(&self.terms);
         let share = self.lease.share(&terms, at);
         let (standing, standing_near) = self.lease.standing(&terms, at);
-        let now = if self.lent { share.now(at) } else { (share.floor.0, share.floor.1) };
+        let now = if self.lent { share.now(at) } else { self.lease.whole() };
         let name = |fault: &Fault| match fault {
             Fault::Foreign => "foreign",
             Fault::Malformed => "malformed",
@@ -180,8 +180,7 @@
     /// The shares that may be used, if they are others than those last told of.
     fn shares(&mut self, at: Micros) -> Option<Effect> {
         let terms = lease::Terms::of(&self.terms);
-        let share = self.lease.share(&terms, at);
-        let new = self.lent.then_some(Shares { until: share.until, lent: share.leased, alone: share.floor });
+        let new = self.lent.then(|| self.lease.share(&terms, at));
         let far = |a: (f64, f64), b: (f64, f64)| {
             (a.0 - b.0).abs() > CHANGE * b.0 || (a.1 - b.1).abs() > CHANGE * b.1
         };
--- a/gateway/tests/net/fleet.rs
+++ b/gateway/tests/net/fleet.rs
@@ -44,6 +44,8 @@
     peer.send_to(&seal(Kind::Words, 1, &words::write(&[word(1), word(2)])), own).expect("sends");
     let told = s.report("/ops/fleet", "\"words_heard\":2,");
     assert!(told.contains("\"alive\":2,") && told.contains("\"lent\":false"), "{told}");
+    // Where nothing is lent the whole configured share is used, and shown.
+    assert!(told.contains("\"share\":1.0,\"share_near\":1.0"), "{told}");
     // What cannot be used is named, and what ran goes on.
     s.run("put fleet {\"floor\":1.5}\nhup\nlog < floor: 1.5 is not from 0 to 1");
     s.report("/ops/fleet", "\"words_heard\":2,");
--- a/lab/src/faults/plan.rs
+++ b/lab/src/faults/plan.rs
@@ -272,11 +272,6 @@
         steps.sort_unstable();
         steps
     }
-
-    /// Whether any cut keeps two members apart at some time, whole halves of them.
-    pub fn splits(&self) -> bool {
-        self.faults.iter().any(|f| matches!(f.what, What::Halves { .. }))
-    }
 }
 
 #[cfg(test)]
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -80,6 +80,17 @@
     pub alone: (f64, f64),
 }
 
+impl Shares {
+    /// What may be used now: of what all routers divide, and of what those of the own zone divide.
+    pub fn now(&self, now: Micros) -> (f64, f64) {
+        if now < self.until {
+            self.lent
+        } else {
+            self.alone
+        }
+    }
+}
+
 /// What the router knows from the start.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -163,7 +174,7 @@
     /// Among how many this router's share is one, now: of what the routers of a zone divide, or all of them. The time is
     /// looked at with each use: a router that stood still must not go by a share that has lapsed meanwhile.
     pub fn sharers(&self, now: Micros, zone: Option<usize>) -> f64 {
-        let shares = self.shares.map(|s| if now < s.until { s.lent } else { s.alone });
+        let shares = self.shares.map(|shares| shares.now(now));
         match (shares, zone) {
             (Some((all, _)), None) => 1.0 / all.max(1e-6),
             (Some((_, own)), Some(zone)) if zone == self.zone => 1.0 / own.max(1e-6),
