Teach the scenario language to force orders: pause, reset, full queues, a vanished bulletin

Cause: rare moments have to be made to happen, never waited for by sleeping or repeating.

Change: steps pause, resume, reset, refused, store admit, store close, bulletin vanish and rise; settings for stores whose queue is full, for a limit on descriptors, for an address that is held at the start; what a store was told is counted; the processor time that the program used is read. No source is touched.

--- a/gateway/tests/net/scenario/mod.rs
+++ b/gateway/tests/net/scenario/mod.rs
@@ -14,10 +14,17 @@
 //! o1 > PUT /ops/stores/down | {"who":"s-a1"}         an operator calls; o1 < 200.   figure passed.files 3   is reported soon
 //! start   another process of the gateway beside the old one, at the same address    old term    old kill    old exit 0
 //! c1 raw 00ff    c1 close    c1 < closed    wait 50    term    hup    log < words    exit 0    never PULL aa
+//! pause    resume          the program stands still, and what comes meanwhile is there all at once
+//! c1 refused               a new connection to the platform's front is refused
+//! c1 reset                 the client ends its connection at once, by a reset
+//! store admit a1           a store whose queue was full takes connections in; store < admitted NAME at=a1   one came
+//! store close aa           the store closes the connection of that request, as an idle one
+//! bulletin vanish          the next edit moves to $feed, where nobody listens until: bulletin rise
 //! ```
 //! A body `#N` stands for N bytes of every value. Expectations have seconds to be met, so no timing is tight.
 pub mod ensemble;
 
+use socket2::{Domain, SockRef, Socket, Type};
 use std::collections::{BTreeMap, HashMap};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -65,6 +72,56 @@
     vars: HashMap<String, String>,
     /// Requests made by [`Scenario::until_held`].
     made: usize,
+    /// Stores whose queue of connections is full.
+    held: HashMap<&'static str, HeldStore>,
+    /// An address at which nobody listens yet.
+    vacant: Option<Socket>,
+}
+
+/// A store that listens and takes no connection in: its queue is full, so that dials stay under way.
+struct HeldStore {
+    listener: TcpListener,
+    fill: Vec<Socket>,
+}
+
+impl HeldStore {
+    fn new() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        socket.bind(&any.into()).expect("binds");
+        socket.listen(0).expect("listens");
+        let listener: TcpListener = socket.into();
+        let address = listener.local_addr().expect("an address");
+        let mut fill = Vec::new();
+        for _ in 0..4 {
+            let one = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+            // Once the queue is full, none comes up any more.
+            let full = one.connect_timeout(&address.into(), Duration::from_millis(150)).is_err();
+            fill.push(one);
+            if full {
+                return HeldStore { listener, fill };
+            }
+        }
+        panic!("the queue is never full");
+    }
+
+    /// Takes in what dials from now on, as any store.
+    fn admit(self, heard: Sender<Heard>, name: &'static str) {
+        let fill: Vec<_> = self.fill.iter().filter_map(|s| s.local_addr().ok()?.as_socket()).collect();
+        drop(self.fill);
+        std::thread::spawn(move || {
+            while let Ok((stream, from)) = self.listener.accept() {
+                if fill.contains(&from) {
+                    continue;
+                }
+                let (at, word) = (name.to_string(), "admitted".to_string());
+                let (id, fields, body) = (name.to_string(), String::new(), Vec::new());
+                let _ = heard.send(Heard { who: "store", at, word, id, fields, body, stream: None });
+                let heard = heard.clone();
+                std::thread::spawn(move || read_store(stream, &heard, name));
+            }
+        });
+    }
 }
 
 pub const ROW: &str = "7f3a9c21e0b4d655";
@@ -82,6 +139,12 @@
 pub struct Setup {
     /// Stores that listen nowhere, of the caches a1, a2.
     pub dead: &'static [&'static str],
+    /// Stores whose queue of connections is full until they are told to admit them.
+    pub held: &'static [&'static str],
+    /// Descriptors that the system gives the program at most.
+    pub nofile: Option<u32>,
+    /// Whether something else holds the address of the platform's front when the program starts.
+    pub occupied: bool,
     pub sockets: u32,
     pub known: bool,
     pub ensemble: Option<SocketAddr>,
@@ -107,6 +170,9 @@
     fn default() -> Self {
         Setup {
             dead: &[],
+            held: &[],
+            nofile: None,
+            occupied: false,
             sockets: 256,
             known: true,
             ensemble: None,
@@ -219,7 +285,15 @@
 }
 
 fn bulletin(heard: Sender<Heard>, open: Arc<Mutex<Option<TcpStream>>>, muted: Arc<AtomicBool>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+    bulletin_at(TcpListener::bind("127.0.0.1:0").expect("binds"), heard, open, muted)
+}
+
+fn bulletin_at(
+    listener: TcpListener,
+    heard: Sender<Heard>,
+    open: Arc<Mutex<Option<TcpStream>>>,
+    muted: Arc<AtomicBool>,
+) -> SocketAddr {
     let address = listener.local_addr().expect("an address");
     let (beat, quiet) = (open.clone(), muted.clone());
     std::thread::spawn(move || loop {
@@ -278,8 +352,8 @@
     logged: Receiver<String>,
 }
 
-/// Starts the program, and waits until it listens.
-fn started(command: &mut Command, calls: bool) -> Started {
+/// Starts the program, and waits until it listens; `occupied`: what holds its address until that was noticed.
+fn started(command: &mut Command, calls: bool, mut occupied: Option<TcpListener>) -> Started {
     let mut child = command.spawn().expect("starts");
     let ((found, addresses), (line_logged, logged)) = (channel(), channel());
     let (called, callers) = channel();
@@ -287,6 +361,9 @@
     std::thread::spawn(move || {
         for line in std::io::BufRead::lines(std::io::BufReader::new(log)).map_while(Result::ok) {
             eprintln!("{line}");
+            if line.contains("it is tried again") {
+                drop(occupied.take());
+            }
             if let Some((_, address)) = line.split_once("operators may call at ") {
                 let _ = called.send(address.parse::<SocketAddr>().expect("an address"));
             }
@@ -318,9 +395,18 @@
         let (told, heard) = channel();
         let none: SocketAddr = "127.0.0.1:1".parse().expect("an address");
         let mut vars: HashMap<String, String> = HashMap::new();
-        let mut stores = Vec::new();
+        let (mut stores, mut held) = (Vec::new(), HashMap::new());
         for (name, class) in [("a1", "standard"), ("a2", "standard"), ("b1", "parent"), ("c1", "origin")] {
-            let dial = if setup.dead.contains(&name) { none } else { listen(told.clone(), name) };
+            let dial = match name {
+                name if setup.dead.contains(&name) => none,
+                name if setup.held.contains(&name) => {
+                    let store = HeldStore::new();
+                    let address = store.listener.local_addr().expect("an address");
+                    held.insert(name, store);
+                    address
+                }
+                name => listen(told.clone(), name),
+            };
             stores.push(entry(name, dial, class, "up"));
             vars.insert(name.to_string(), dial.to_string());
         }
@@ -339,14 +425,22 @@
         vars.insert("list".into(), list);
         vars.insert("feed".into(), feed.to_string());
         // The second front names a class of the settings in force.
-        let front = if setup.settings == SETTINGS {
+        let front = if setup.settings.contains("\"history-files\"") {
             FRONT.into()
         } else {
             FRONT.replace("history-files", "guide-video")
         };
         let signed = (file("signed.json", &front), front);
         let config = (file("config.json", &config), config);
-        let mut command = Command::new(env!("CARGO_BIN_EXE_larchway"));
+        let program = env!("CARGO_BIN_EXE_larchway");
+        let mut command = match setup.nofile {
+            None => Command::new(program),
+            Some(most) => {
+                let mut shell = Command::new("sh");
+                shell.args(["-c", &format!("ulimit -n {most}; exec {program} \"$@\""), "sh"]);
+                shell
+            }
+        };
         command.args(["serve", "--signed", &signed.0]);
         command.env("EDGE_CONFIG", &config.0).env("EDGE_NAME", "n1");
         let mut files = BTreeMap::from([("config".to_string(), config), ("signed".to_string(), signed)]);
@@ -377,7 +471,12 @@
             std::fs::create_dir(&folder).expect("a folder");
             command.env("EDGE_CONSOLE", "127.0.0.1:0").env("TMPDIR", folder);
         }
-        let Started { child, front, second, console, logged } = started(&mut command, setup.console);
+        let occupied = setup.occupied.then(|| TcpListener::bind("127.0.0.1:0").expect("binds"));
+        if let Some(address) = occupied.as_ref().and_then(|o| o.local_addr().ok()) {
+            command.env("EDGE_LISTEN", address.to_string());
+        }
+        let Started { child, front, second, console, logged } =
+            started(&mut command, setup.console, occupied);
         let (backlog, last, asked, clients) = (Vec::new(), String::new(), HashMap::new(), BTreeMap::new());
         let bulletin = open;
         Scenario {
@@ -399,6 +498,8 @@
             muted,
             vars,
             made: 0,
+            held,
+            vacant: None,
         }
     }
 
@@ -442,10 +543,16 @@
     fn line(&mut self, line: &str, words: &[&str], head: &str, body: &[u8]) {
         match words {
             ["wait", ms] => std::thread::sleep(Duration::from_millis(ms.parse().expect("a number"))),
-            [signal @ ("term" | "hup")] => {
-                let line = format!("kill -{} {}", signal.to_uppercase(), self.child.id());
-                assert!(Command::new("sh").args(["-c", &line]).status().expect("kills").success());
+            [signal @ ("term" | "hup")] => self.signal(&signal.to_uppercase()),
+            ["pause"] => {
+                self.signal("STOP");
+                let stat = format!("/proc/{}/stat", self.child.id());
+                let end = Instant::now() + PATIENCE;
+                while !std::fs::read_to_string(&stat).expect("its state").contains(") T ") {
+                    assert!(Instant::now() < end, "it does not stand still");
+                }
             }
+            ["resume"] => self.signal("CONT"),
             ["put", name, ..] => {
                 let text = head.split_once(name).expect("a name").1.trim_start();
                 let (path, _) = self.files.get(*name).expect("a file");
@@ -468,10 +575,28 @@
                 let old = self.vars.insert("feed".into(), feed.to_string());
                 self.vars.insert("old".into(), old.expect("an address"));
             }
+            ["bulletin", "vanish"] => {
+                let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+                let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+                socket.bind(&any.into()).expect("binds");
+                let feed = socket.local_addr().expect("an address").as_socket().expect("of IP");
+                let old = self.vars.insert("feed".into(), feed.to_string());
+                self.vars.insert("old".into(), old.expect("an address"));
+                self.vacant = Some(socket);
+            }
+            ["bulletin", "rise"] => {
+                let socket = self.vacant.take().expect("it vanished");
+                socket.listen(16).expect("listens");
+                bulletin_at(socket.into(), self.told.clone(), self.bulletin.clone(), self.muted.clone());
+            }
+            ["store", "admit", name] => {
+                let (name, store) = self.held.remove_entry(*name).expect("it is held");
+                store.admit(self.told.clone(), name);
+            }
             ["exit", code] => exit(&mut self.child, code.parse().expect("a code")),
             ["start"] => {
                 let program = self.program.as_mut().expect("a console");
-                let new = started(program.env("EDGE_LISTEN", self.front.to_string()), true);
+                let new = started(program.env("EDGE_LISTEN", self.front.to_string()), true, None);
                 self.old = Some(std::mem::replace(&mut self.child, new.child));
                 (self.second, self.console, self.logged) = (new.second, new.console, new.logged);
             }
@@ -520,7 +645,7 @@
                     .write_all(text.as_bytes())
                     .expect("writes");
             }
-            ["store", "reset", call] => {
+            ["store", "reset" | "close", call] => {
                 self.asked[&id(call)].shutdown(Shutdown::Both).expect("closes");
             }
             [client, ">", "GET" | "HEAD" | "POST" | "PUT", ..] => self.send_http(client, head, body),
@@ -532,6 +657,13 @@
             }
             [client, "connect"] => drop(self.client(client)),
             [client, "close"] => drop(self.clients.remove(*client)),
+            [client, "reset"] => {
+                let (stream, _) = self.clients.remove(*client).expect("it is connected");
+                SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("sets");
+            }
+            [_, "refused"] => {
+                TcpStream::connect(self.front).expect_err("nobody listens any more");
+            }
             [client, "<", "closed"] => {
                 let (stream, input) = self.client(client);
                 let mut piece = [0; 4096];
@@ -562,12 +694,24 @@
         }
     }
 
+    fn signal(&self, name: &str) {
+        let line = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &line]).status().expect("kills").success());
+    }
+
+    /// Ticks of the processor that the program has used (a hundred a second).
+    pub fn ticks(&self) -> u64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).expect("its state");
+        let fields: Vec<&str> = stat.rsplit_once(')').expect("a name").1.split_whitespace().collect();
+        [11, 12].iter().map(|at| fields[*at].parse::<u64>().expect("a number")).sum()
+    }
+
     fn find(&self, who: &str, words: &[&str]) -> Option<usize> {
         let fits = |h: &Heard| {
             h.who == who
                 && words.iter().enumerate().all(|(i, w)| match (i, w.split_once('=')) {
                     (0, _) => h.word == *w,
-                    (_, None) => *w == "*" || h.id == id(w),
+                    (_, None) => *w == "*" || h.id == *w || h.id == id(w),
                     (_, Some(("at", v))) => v.starts_with('?') || h.at == v,
                     (_, Some((name, v))) => {
                         let told = larchway_gateway::resp::field(&h.fields, name);
@@ -597,8 +741,12 @@
                 }
             }
         };
+        assert!(self.backlog[place].body == body, "{line}: another body");
+        self.take(place, words);
+    }
+
+    fn take(&mut self, place: usize, words: &[&str]) {
         let heard = self.backlog.remove(place);
-        assert!(heard.body == body, "{line}: another body");
         for (name, value) in words.iter().filter_map(|w| w.split_once("=?")) {
             let told = larchway_gateway::resp::field(&heard.fields, name).unwrap_or(&heard.at);
             self.vars.insert(value.to_string(), told.to_string());
@@ -733,10 +881,15 @@
 
     /// Whether a store is asked for this request within a moment; it is the last one taken then.
     pub fn asked_soon(&mut self, call: &str) -> bool {
-        let end = Instant::now() + Duration::from_secs(4);
+        self.asked_within(call, Duration::from_secs(4))
+    }
+
+    /// Whether a store is asked for this request within so long; it is the last one taken then.
+    pub fn asked_within(&mut self, call: &str, span: Duration) -> bool {
+        let end = Instant::now() + span;
         while Instant::now() < end {
-            if self.find("store", &["PULL", call]).is_some() {
-                self.run(&format!("store < PULL {call}"));
+            if let Some(place) = self.find("store", &["PULL", call]) {
+                self.take(place, &[]);
                 return true;
             }
             self.backlog.extend(self.heard.recv_timeout(Duration::from_millis(20)));
@@ -744,6 +897,15 @@
         false
     }
 
+    /// How many messages of this word stores have had for this request; all connections have ended.
+    pub fn messages(&mut self, word: &str, call: &str) -> usize {
+        let end = Instant::now() + Duration::from_millis(200);
+        while let Ok(more) = self.heard.recv_timeout(end.saturating_duration_since(Instant::now())) {
+            self.backlog.push(more);
+        }
+        self.backlog.iter().filter(|h| h.who == "store" && h.word == word && h.id == id(call)).count()
+    }
+
     /// Asks until the gateway answers by itself; what it asks a store for meanwhile is answered with the same. The
     /// words of the answer, and its body. `ask` and `answer` are as in a script, without numbers and ids.
     pub fn until_held(&mut self, client: &str, ask: &str, answer: &str) -> (String, Vec<u8>) {
