Judge a request by the limits of the settings it came with

Cause: read for another customer's settings. A request kept its class over a SIGHUP, but whether it may be withdrawn or sent twice, and how long its client may be told to stay away, came from the settings in force when it ended (logic.rs: close, refuse, send, timer). A client for which there was no room was always told 200 ms (thrift.rs), whatever maxRetryAfterMs or retryAfter said, and one of the second front 1 s.

Change: these limits lie with the class (interface.rs, settings.rs); the module asks for those of the request; refusals at the door go by Core::advice.

--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -412,6 +412,15 @@
     }
 
     /// Ends a request for its client, once, and counts how: the ticket, unless it has ended before.
+    /// For how long a client may be told to stay away, where that long is wanted: as the settings of its class allow, or
+    /// those in force where it has none.
+    pub fn advice(&self, class: Option<usize>, wanted: Micros) -> Micros {
+        let terms = class.and_then(|at| self.classes.get(at)).map(|(_, terms)| terms);
+        let terms = terms.or_else(|| self.classes.current().next().map(|(_, _, terms)| terms));
+        let limits = terms.and_then(|terms| terms.class.limits).unwrap_or_default();
+        wanted.min(limits.max_retry_after)
+    }
+
     fn end(&mut self, request: Key, end: End) -> Option<Ticket> {
         let open = self.requests.get_mut(request).filter(|r| !r.answered)?;
         open.answered = true;
--- a/gateway/src/signed/mod.rs
+++ b/gateway/src/signed/mod.rs
@@ -297,7 +297,8 @@
             return Ok(used);
         }
     };
-    let retry: &[(&str, &str)] = if status == 503 { &[("Retry-After", "1")] } else { &[] };
+    let advised = status == 503 && gateway.core.advice(None, 1) > 0;
+    let retry: &[(&str, &str)] = if advised { &[("Retry-After", "1")] } else { &[] };
     reply(gateway, at, key, status, retry, why.as_bytes());
     Ok(used)
 }
@@ -404,8 +405,10 @@
             }
         }
         Final::Refused(pushback) => {
-            let seconds = pushback.div_ceil(1_000_000).max(1).to_string();
-            reply(gateway, at, key, 503, &[("Retry-After", &seconds)], b"not now");
+            // Whole seconds are all that HTTP has for it; where nothing is advised, nothing is told.
+            let seconds = pushback.div_ceil(1_000_000).to_string();
+            let advice = [("Retry-After", &seconds[..])];
+            reply(gateway, at, key, 503, if *pushback > 0 { &advice } else { &[] }, b"not now");
         }
         Final::Failed { late: true } => reply(gateway, at, key, 504, &[], b"no answer in time"),
         Final::Failed { late: false } => reply(gateway, at, key, 502, &[], b"no store could answer"),
--- a/gateway/src/thrift.rs
+++ b/gateway/src/thrift.rs
@@ -17,6 +17,9 @@
 const LAST_PART: u64 = 1_000_000;
 /// Longest wait in milliseconds, where the settings tell none.
 const LONGEST_WAIT: u64 = 600_000;
+/// µs for which a client is asked to stay away for which there is no room, where it may be told: what is under way has
+/// answers to write, which takes moments.
+const COME_BACK: Micros = 200_000;
 /// Requests that may be open on one connection.
 pub const OPEN: usize = 32;
 const CALL: u8 = 1;
@@ -382,6 +385,8 @@
         Call::Serve(fields, body) => Some(ask(&gateway.terms, fields, body)),
         _ => None,
     };
+    let class = asked.as_ref().and_then(|ask| ask.as_ref().ok()).map(|ask| ask.class);
+    let advice = gateway.core.advice(class, COME_BACK);
     let Some(conn) = gateway.conn(key) else { return Ok(0) };
     let Role::Client(calls) = &mut conn.role else { return Ok(0) };
     if !matches!(message.call, Call::Forget(_)) {
@@ -410,7 +415,7 @@
             return Ok(used);
         }
         (_, Some(Ok(ask))) => {
-            busy(out, seq, 200);
+            busy(out, seq, advice.div_ceil(1000));
             gateway.core.turn_away(ask.class);
         }
         (_, Some(Err(why))) => {
--- a/gateway/tests/net/main.rs
+++ b/gateway/tests/net/main.rs
@@ -7,6 +7,7 @@
 mod membership;
 mod operations;
 mod platform;
+mod rare;
 mod scenario;
 mod signed;
 mod spread;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -55,6 +55,19 @@
     pub uncacheable: bool,
     /// Attempts for one request at most; 0: as [`Settings::max_attempts`]. A request keeps those of its class.
     pub attempts: u64,
+    /// What else is allowed for a request, which it keeps likewise; none: as the settings in force say.
+    pub limits: Option<Limits>,
+}
+
+/// What settings allow for a request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Limits {
+    /// Whether an attempt may be withdrawn.
+    pub cancel: bool,
+    /// Whether two attempts may be out at once.
+    pub duplicates: bool,
+    /// The longest that a client told to wait will heed; 0 if it is not told.
+    pub max_retry_after: Micros,
 }
 
 /// Which other caches may supply a fill.
@@ -163,6 +176,13 @@
         (if class.attempts > 0 { class.attempts } else { self.max_attempts }) as usize
     }
 
+    /// What is allowed for a request of the class at this place.
+    pub fn limits_of(&self, class: usize) -> Limits {
+        let (cancel, duplicates, max_retry_after) = (self.cancel, self.duplicates, self.max_retry_after);
+        let own = self.classes.get(class).and_then(|class| class.limits);
+        own.unwrap_or(Limits { cancel, duplicates, max_retry_after })
+    }
+
     /// What a cache's report says of its location's link: transfers over those that fit at full pace.
     pub fn link_told(&self, load: &[f64]) -> Option<f64> {
         let at = self.report.iter().position(|name| name == "x1")?;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -445,7 +445,7 @@
     fn close(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.open.get_mut(&id) else { return };
         open.closed = true;
-        if self.settings.cancel && !open.streaming {
+        if self.settings.limits_of(open.req.class).cancel && !open.streaming {
             for (n, a) in open.attempts.iter_mut().enumerate().filter(|(_, a)| !a.done && !a.cancelled) {
                 a.cancelled = true;
                 actions.push(Action::Cancel { id, attempt: n as u64 });
@@ -462,7 +462,7 @@
         let class = &self.settings.classes[open.req.class];
         let dropped = class.effect == Effect::Keyed && class.group == Group::All;
         let harmless = open.ran.is_none() || class.effect == Effect::Pure || dropped;
-        let retry_after = retry_after.min(self.settings.max_retry_after);
+        let retry_after = retry_after.min(self.settings.limits_of(open.req.class).max_retry_after);
         actions.push(if harmless { Action::Refuse { id, retry_after } } else { Action::Fail(id) });
         self.close(id, actions);
     }
@@ -494,7 +494,7 @@
             id,
             server: choice.edge,
             source: choice.source,
-            stop_at: (!self.settings.cancel).then(|| now + 2 * patience),
+            stop_at: (!self.settings.limits_of(open.req.class).cancel).then(|| now + 2 * patience),
             rank: if class.uncacheable { 0 } else { (1 + seen.ilog2()).min(3) as u8 },
             max_age,
             peek: choice.peek,
@@ -986,11 +986,11 @@
                 s.fault(now, FAILING);
             }
             if once {
-            } else if self.settings.duplicates && copies < most {
+            } else if self.settings.limits_of(open.req.class).duplicates && copies < most {
                 copies += 1.0;
                 open.ran.get_or_insert((sent, edge));
                 self.advance(id, actions);
-            } else if self.settings.cancel {
+            } else if self.settings.limits_of(open.req.class).cancel {
                 attempt.cancelled = true;
                 actions.push(Action::Cancel { id, attempt: last });
             }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,6 @@
 //! Reads the settings, for the adapter and the gateway alike. Unknown keys are ignored; absent ones get the
 //! wire's defaults.
-use crate::interface::{Class, Effect, Group, Micros, Settings, Siblings};
+use crate::interface::{Class, Effect, Group, Limits, Micros, Settings, Siblings};
 use miniserde::json::{self, Number, Value};
 
 /// A member of an object.
@@ -96,6 +96,21 @@
         grace: by_class("graceForMs"),
         uncacheable: list(info, "neverKept").get(at).and_then(as_bool).unwrap_or(false),
         attempts: attempts(limits),
+        limits: Some(Limits {
+            cancel: flag(limits, "cancel", false),
+            duplicates: flag(limits, "mayDuplicate", false),
+            max_retry_after: advice(limits),
+        }),
+    }
+}
+
+/// The longest that clients are told to stay away; 0 where they are not told.
+fn advice(limits: &Value) -> Micros {
+    let told = flag(limits, "retryAfter", false);
+    if told {
+        span(limits, "maxRetryAfterMs", 0.0)
+    } else {
+        0
     }
 }
 
@@ -121,7 +136,6 @@
     let services = list(all, "services").iter().enumerate();
     let classes = services.map(|(at, c)| class(c, at, info, limits)).collect();
     let usual = Settings::default();
-    let told = flag(limits, "retryAfter", false);
     let settings = Settings {
         routers: number(all, "balancers", 1.0).max(1.0) as u64,
         zone: place(all, "locality").unwrap_or(0),
@@ -147,7 +161,7 @@
         cancel: flag(limits, "cancel", false),
         duplicates: flag(limits, "mayDuplicate", false),
         max_attempts: attempts(limits),
-        max_retry_after: if told { span(limits, "maxRetryAfterMs", 0.0) } else { 0 },
+        max_retry_after: advice(limits),
         fall_multiple: number(rules, "fallMultiple", usual.fall_multiple),
         fall_span: span(rules, "fallMs", 2000.0),
         cold_from: number(rules, "startCapacity", usual.cold_from),
