Ask for the list within the time its news counts, and drop copies when events were leapt over

A dial to it was given 1 s at least, whatever the settings allow. A new configuration whose `known` leaps over events dropped no copies, though one of those may have been a purge (take_in; only the stream's own gaps did).

Change: pauses grow to half of the shortest notice that the settings name (Terms::notice), 25 ms at least; one function, passed_over, forgets copies for both ways.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -92,6 +92,8 @@
     pub idle: Micros,
     /// Whether stores may be probed.
     pub probes: bool,
+    /// Within so long of word of it a drain or a purge must be heeded, the shorter of the two; none: not told.
+    pub notice: Option<Micros>,
 }
 
 /// The files besides the one that the environment names.
@@ -288,6 +290,17 @@
     Ok(if price > 0.0 { most.min(SHARED) as usize } else { 1 })
 }
 
+/// The time in which something must be heeded, where it is told.
+fn notice(settings: &Value, part: &str, key: &str) -> Result<Option<Micros>, String> {
+    match get(settings, part).and_then(|part| get(part, key)) {
+        None | Some(Value::Null) => Ok(None),
+        Some(v) => as_f64(v)
+            .filter(|ms| *ms >= 0.0 && ms.is_finite())
+            .map(|ms| Some(larchway::settings::micros(ms)))
+            .ok_or_else(|| format!("settings.{part}.{key} must be a number from 0")),
+    }
+}
+
 fn terms(settings: &Value) -> Result<Terms, String> {
     let none = Value::Null;
     let limits = get(settings, "limits").unwrap_or(&none);
@@ -308,6 +321,12 @@
         connect_timeout: span("connectTimeoutMs", 400.0)?,
         idle: span("connIdleMs", 30_000.0)?,
         probes: get(limits, "probes").and_then(as_bool).unwrap_or(false),
+        notice: [("rules", "stopSendingWithinMs"), ("familyInfo", "noticeTimeMs")]
+            .into_iter()
+            .filter_map(|(part, key)| notice(settings, part, key).transpose())
+            .collect::<Result<Vec<_>, _>>()?
+            .into_iter()
+            .min(),
         ..Terms::default()
     })
 }
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -71,10 +71,12 @@
 const TURN: usize = 512 * 1024;
 /// µs of silence after which the bulletin counts as lost: it says something every second.
 const SILENT: Micros = 2_500_000;
-/// µs: first and longest pause between calls on the bulletin.
+/// µs: first and longest pause between calls on the bulletin; see [`Gateway::longest_pause`].
 const BACKOFF: (Micros, Micros) = (100_000, 2_000_000);
 
 /// Bytes on their way in or out.
+/// µs between calls on the bulletin at least, however short the time is in which its news must be heeded.
+const LEAST_PAUSE: Micros = 25_000;
 #[derive(Default)]
 pub struct Buffer {
     /// The bytes, those already dealt with in front.
@@ -455,10 +457,12 @@
             (Some(copies), Some(terms)) => copies.configure(terms, config.uplink),
             (copies, Some(terms)) => *copies = Some(Copies::new(terms, config.uplink)),
         }
+                self.passed_over(item.no);
         if let Some(copies) = &mut self.core.copies {
             copies.told_by_bulletin(config.bulletin.is_some());
         }
     }
+        self.passed_over(config.known + 1);
 
     /// Keeps what gateways tell each other as its files say, or nothing of it.
     fn keep_peers(&mut self, at: Micros, told: peers::Terms, terms: &Terms) {
@@ -1882,8 +1886,9 @@
 
     /// Calls the bulletin after a pause, longer each time until it has told something.
     fn call_later(&mut self, at: Micros) {
-        self.set_feed(at + self.feed.backoff);
-        self.feed.backoff = (2 * self.feed.backoff).min(BACKOFF.1);
+        let pause = self.feed.backoff.min(self.longest_pause());
+        self.set_feed(at + pause);
+        self.feed.backoff = 2 * pause;
     }
 
     /// Leaves the bulletin's connection for a call at its present address, at once.
@@ -1907,7 +1912,7 @@
         }
         let Some(address) = self.feed.address else { return };
         self.feed.heard = at;
-        let due = at + self.terms.connect_timeout.max(1_000_000);
+        let due = at + self.terms.connect_timeout;
         let Some(key) = self.connect(at, address, Role::Bulletin(Reader::default()), due) else {
             return self.call_later(at);
         };
@@ -1941,13 +1946,24 @@
             if item.no <= self.feed.last {
                 continue;
             }
-            // Danger: what is missing, or cannot be read, may be a purge. Stores hear of it; copies here would stay.
-            if item.no > self.feed.last + 1 {
-                self.core.copies.iter_mut().for_each(Copies::forget_all);
-            }
+            self.passed_over(item.no);
             self.feed.last = item.no;
             self.tell(at, item.news);
         }
         Ok(())
     }
 }
+    /// The longest pause between calls on the bulletin. Danger: an event counts as told once the bulletin has it, and
+    /// one that comes just after the bulletin is back must be heeded within the settings' time: half of it may be slept.
+    fn longest_pause(&self) -> Micros {
+        self.terms.notice.map_or(BACKOFF.1, |notice| (notice / 2).clamp(LEAST_PAUSE, BACKOFF.1))
+    }
+
+    /// The number `next` follows the last event taken in. Danger: what is missing between, or cannot be read, may be a
+    /// purge. Stores hear of it; copies here would stay.
+    fn passed_over(&mut self, next: u64) {
+        if next > self.feed.last + 1 {
+            self.core.copies.iter_mut().for_each(Copies::forget_all);
+        }
+    }
+
--- a/gateway/tests/net/rare.rs
+++ b/gateway/tests/net/rare.rs
@@ -1,5 +1,5 @@
 //! Rare moments (`docs/design/rare-moments.md`): the bad order of two events is made to happen each time.
-use crate::scenario::{Scenario, Setup, ROW, SETTINGS};
+use crate::scenario::{unix_ms, Scenario, Setup, ROW, SETTINGS};
 
 fn scenario(setup: Setup) -> Scenario {
     let mut s = Scenario::new(setup);
@@ -16,6 +16,43 @@
     text.leak()
 }
 
+// Starts, and the list.
+
+#[test]
+fn after_an_outage_the_list_is_asked_for_within_the_time_in_which_its_news_counts() {
+    let edits = [("\"services\"", "\"rules\":{\"stopSendingWithinMs\":250},\"services\"")];
+    let mut s = scenario(Setup { settings: settings(&edits), ..Setup::default() });
+    s.run("bulletin < call last=1\n bulletin vanish\n edit config $old => $feed\n hup");
+    // Pauses have grown to their longest.
+    s.run(&"log < the bulletin is lost\n".repeat(8));
+    s.run("bulletin rise");
+    let risen = unix_ms();
+    s.run("bulletin < call at=$feed last=1");
+    let took = unix_ms() - risen;
+    assert!(took < 1000, "asked after {took} ms");
+}
+
+#[test]
+fn events_that_a_new_configuration_leaps_over_may_be_purges_so_copies_go() {
+    let mut s = scenario(Setup { copies: Some("{}"), ..Setup::default() });
+    s.run("bulletin < call last=1");
+    let (words, _) = s.until_held(
+        "c1",
+        "op=history-files ttl=6000 row=$row block=3 family=17",
+        "ok remark=HIT,entity=t1,issued=$now | x",
+    );
+    assert!(words.starts_with("served"), "{words}");
+    s.run(
+        "edit config \"known\":{\"no\":1, => \"known\":{\"no\":5,
+         hup
+         log < is read again
+         c9 > serve 1 $ask call=after
+         store < PULL after
+         store > after ok remark=HIT | y
+         c9 < served 1 | y",
+    );
+}
+
 // Another customer's settings.
 
 #[test]
