Wait at a start for an address that the process before still holds

Change: polled_in_time tries again each 50 ms for 25 s (30 s is the platform's bound for ready), ends on SIGTERM, and gives up at once on every other error.

Result: the test holds the address until the program has said that it tries again; on the program before it ends instead.

--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -13,7 +13,7 @@
 use crate::resp::{self, Link, Reply};
 use crate::signed::{self, Session};
 use crate::slots::{Key, Slots};
-use crate::sockets::{drain, polled, told_by};
+use crate::sockets::{drain, polled, polled_in_time, told_by};
 use crate::thrift::{self, Calls};
 use crate::upgrade::{self, Upgrade};
 use larchway::{Micros, Note, ServerId, Settings, State, Status};
@@ -330,9 +330,11 @@
         gateway.keep_peers(at, config.between_peers(spread, tier, fleet.as_ref()), &config.terms);
         gateway.take_in(at, config, fleet, hierarchy)?;
         gateway.told_first(now(), told);
-        gateway.listener = Some(polled(&gateway.poller, gateway.listens, PLATFORM, shared)?);
+        gateway.listener =
+            Some(polled_in_time(&gateway.poller, gateway.listens, PLATFORM, shared, &gateway.stop_told)?);
         if let Some(front) = &gateway.front {
-            gateway.second = Some(polled(&gateway.poller, front.listen, SECOND, shared)?);
+            gateway.second =
+                Some(polled_in_time(&gateway.poller, front.listen, SECOND, shared, &gateway.stop_told)?);
         }
         gateway.tell_status();
         Ok(gateway)
--- a/gateway/src/sockets.rs
+++ b/gateway/src/sockets.rs
@@ -1,12 +1,25 @@
 //! Listening sockets, and the pipes that signals write to.
+use crate::log;
 use polling::{Event, PollMode, Poller};
 use socket2::{Domain, Protocol, Socket, Type};
-use std::io::{self, Read};
+use std::io::{self, ErrorKind, Read};
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::UnixStream;
+use std::time::{Duration, Instant};
+
+/// For how long a start waits for an address that another process still holds, and how often it tries: the platform
+/// counts a process that takes over 30 s to be ready as failed.
+const BIND_FOR: Duration = Duration::from_secs(25);
+const BIND_AGAIN: Duration = Duration::from_millis(50);
+
+/// Whether an error says that this machine, not the other side, has no room for one more connection.
+pub fn exhausted(e: &io::Error) -> bool {
+    // ENFILE, EMFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL (no port is free), EAGAIN of a full table.
+    matches!(e.raw_os_error(), Some(23 | 24 | 105 | 12 | 99))
+}
 
 /// Listens at an address; `shared`: with the gateway's other processes, which must ask for it too.
-pub fn listen(address: SocketAddr, shared: bool) -> Result<TcpListener, String> {
+fn listen(address: SocketAddr, shared: bool) -> Result<TcpListener, (String, ErrorKind)> {
     let open = || -> io::Result<TcpListener> {
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_reuse_address(true)?;
@@ -18,7 +31,7 @@
         socket.listen(1024)?;
         Ok(socket.into())
     };
-    open().map_err(|e| format!("cannot listen on {address}: {e}"))
+    open().map_err(|e| (format!("cannot listen on {address}: {e}"), e.kind()))
 }
 
 /// A pipe that these signals write to, polled under a key.
@@ -46,8 +59,35 @@
 
 /// Listens at an address and polls it under a key.
 pub fn polled(poller: &Poller, address: SocketAddr, key: usize, shared: bool) -> Result<TcpListener, String> {
-    let listener = listen(address, shared)?;
+    let listener = listen(address, shared).map_err(|(why, _)| why)?;
     let added = poller.add_with_mode(&listener, Event::readable(key), PollMode::Level);
     added.map_err(|e| format!("cannot poll: {e}"))?;
     Ok(listener)
 }
+
+/// The same at a start: the process before may still hold the address while it ends. `stop`: tells of SIGTERM.
+pub fn polled_in_time(
+    poller: &Poller,
+    address: SocketAddr,
+    key: usize,
+    shared: bool,
+    stop: &UnixStream,
+) -> Result<TcpListener, String> {
+    let end = Instant::now() + BIND_FOR;
+    loop {
+        match listen(address, shared) {
+            Err((why, ErrorKind::AddrInUse)) if Instant::now() < end => {
+                if drain(stop) > 0 {
+                    return Err(format!("told to stop: {why}"));
+                }
+                log!("{why}; it is tried again");
+            }
+            Err((why, _)) => return Err(why),
+            Ok(listener) => {
+                let added = poller.add_with_mode(&listener, Event::readable(key), PollMode::Level);
+                return added.map(|()| listener).map_err(|e| format!("cannot poll: {e}"));
+            }
+        }
+        std::thread::sleep(BIND_AGAIN);
+    }
+}
--- a/gateway/tests/net/rare.rs
+++ b/gateway/tests/net/rare.rs
@@ -18,6 +18,15 @@
 
 // Starts, and the list.
 
+#[test]
+fn a_start_waits_for_an_address_that_the_process_before_still_holds() {
+    scenario(Setup { occupied: true, ..Setup::default() }).run(
+        "log < it is tried again
+         c1 > isWell 1
+         c1 < well 1",
+    );
+}
+
 #[test]
 fn after_an_outage_the_list_is_asked_for_within_the_time_in_which_its_news_counts() {
     let edits = [("\"services\"", "\"rules\":{\"stopSendingWithinMs\":250},\"services\"")];
