--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -6,8 +6,8 @@
 use crate::hierarchy::InferFile;
 use crate::slots::{Key, Slots};
 use larchway::{
-    Action, Event, Get, Homes, Learned, Members, Micros, Note, Outcome, Request, Router, Scope, ServerId,
-    Settings, State, Status,
+    Action, Effect, Event, Get, Homes, Learned, Members, Micros, Note, Outcome, Request, Router, Scope,
+    ServerId, Settings, State, Status,
 };
 use larchway_copies::{Copies, Copy, Found, Id, Want};
 use larchway_hierarchy::loops::{self, Inference, Shown};
@@ -21,6 +21,9 @@
 /// while when it came in, and the answer needs its time too. At most and at least, and a part of a short wait.
 const MARGIN: (Micros, Micros, Micros) = (30_000, 2_000, 16);
 
+/// µs that the first byte of a repeat is given to be at its store.
+const ON_ITS_WAY: Micros = 10_000;
+
 /// Objects of which the next process of this gateway is told: minutes of traffic, about 1 MB.
 const HANDED: usize = 10_000;
 
@@ -91,6 +94,10 @@
     attempts: Vec<Key>,
     out: usize,
     answered: bool,
+    /// Whether it must be answered before its own time is up.
+    cut: bool,
+    /// When the first of its ended attempts began that may have run.
+    ran: Option<Micros>,
 }
 
 /// An attempt that has not ended.
@@ -99,8 +106,8 @@
     number: u64,
     get: Get,
     at: Micros,
-    /// Whether its first byte is written.
-    pub begun: bool,
+    /// When its first byte was written.
+    pub begun: Option<Micros>,
     /// The connection that carries it.
     pub carrier: Option<Key>,
     /// Whether it has left a broken connection for another.
@@ -175,8 +182,8 @@
     purge_done: Micros,
     /// Whether a list of stores is known.
     pub well: bool,
-    /// When all must be answered that comes from now on; none: in its own time.
-    pub last_answer: Option<Micros>,
+    /// When all must be answered, since the process ends then; none: each request in its own time.
+    last_answer: Option<Micros>,
     /// What the sockets have to do, in order.
     pub orders: VecDeque<Order>,
     /// All deadlines, also those of connections.
@@ -405,13 +412,6 @@
         self.router.avoided(now)
     }
 
-    /// A request that can be read was refused before it was taken in.
-    pub fn turn_away(&mut self, class: usize) {
-        self.tally.taken();
-        self.ended(class, End::Dropped);
-    }
-
-    /// Ends a request for its client, once, and counts how: the ticket, unless it has ended before.
     /// For how long a client may be told to stay away, where that long is wanted: as the settings of its class allow, or
     /// those in force where it has none.
     pub fn advice(&self, class: Option<usize>, wanted: Micros) -> Micros {
@@ -421,6 +421,13 @@
         wanted.min(limits.max_retry_after)
     }
 
+    /// A request that can be read was refused before it was taken in.
+    pub fn turn_away(&mut self, class: usize) {
+        self.tally.taken();
+        self.ended(class, End::Dropped);
+    }
+
+    /// Ends a request for its client, once, and counts how: the ticket, unless it has ended before.
     fn end(&mut self, request: Key, end: End) -> Option<Ticket> {
         let open = self.requests.get_mut(request).filter(|r| !r.answered)?;
         open.answered = true;
@@ -452,7 +459,8 @@
             return None;
         }
         let ttl = ask.ttl.saturating_sub((ask.ttl / MARGIN.2).clamp(MARGIN.1, MARGIN.0));
-        let ttl = self.last_answer.map_or(ttl, |last| ttl.min(last.saturating_sub(now)));
+        let left = self.last_answer.map_or(Micros::MAX, |last| last.saturating_sub(now));
+        let (ttl, cut) = (ttl.min(left), false);
         if let Some(found) = self.own_copy(now, &ask, ttl) {
             self.tally.taken();
             self.ended(ask.class, End::Passed);
@@ -466,7 +474,16 @@
         self.held += ask.body.len();
         self.tally.taken();
         self.classes.hold(class);
-        let open = Open { ticket, ask, deadline: now + ttl, attempts: Vec::new(), out: 0, answered: false };
+        let open = Open {
+            ticket,
+            ask,
+            deadline: now + ttl,
+            attempts: Vec::new(),
+            out: 0,
+            answered: false,
+            cut,
+            ran: None,
+        };
         let key = self.requests.insert(open);
         self.deadlines.set(now + ttl, Due::Request(key));
         let request = Request { id: key.0, class, object, part, group, ttl, size_kb, spared };
@@ -508,6 +525,7 @@
     pub fn gone(&mut self, now: Micros, request: Key) {
         if self.end(request, End::BadGateway).is_some() {
             self.feed(now, Event::Gone(request.0));
+            self.drop_unsent(now, request);
         }
     }
 
@@ -542,7 +560,7 @@
             _ => !up(a.get.server) || !up(a.get.source),
         };
         let late: Vec<Key> =
-            self.attempts.iter().filter(|(_, a)| !a.begun && void(a)).map(|(k, _)| k).collect();
+            self.attempts.iter().filter(|(_, a)| a.begun.is_none() && void(a)).map(|(k, _)| k).collect();
         for key in late {
             self.withdraw(now, key, Status::Moot);
         }
@@ -575,19 +593,82 @@
             Due::Attempt(key) => self.withdraw(now, key, Status::Timeout),
             Due::Request(key) => {
                 let Some(open) = self.requests.get(key).filter(|r| !r.answered) else { return };
-                for attempt in open.attempts.clone() {
-                    self.withdraw(now, attempt, Status::Timeout);
+                let (cut, attempts) = (open.cut, open.attempts.clone());
+                // The module knows nothing of the process's end, and would begin another attempt.
+                if cut {
+                    self.fail_late(now, key);
                 }
-                // Guards the promise of one final answer even where the module has none to give.
-                if let Some(ticket) = self.end(key, End::BadGateway) {
-                    self.orders.push_back(Order::Failed(ticket, true));
-                    self.feed(now, Event::Gone(key.0));
+                for attempt in attempts {
+                    self.withdraw(now, attempt, Status::Timeout);
                 }
+                self.fail_late(now, key);
             }
             _ => {}
         }
     }
 
+    /// Guards the promise of one final answer even where the module has none to give.
+    fn fail_late(&mut self, now: Micros, request: Key) {
+        if let Some(ticket) = self.end(request, End::BadGateway) {
+            self.orders.push_back(Order::Failed(ticket, true));
+            self.feed(now, Event::Gone(request.0));
+        }
+    }
+
+    /// All that is open and all that comes must be answered by then, since the process ends.
+    pub fn answer_all_by(&mut self, now: Micros, last: Micros) {
+        self.last_answer = Some(last);
+        let late = |r: &Open| !r.answered && r.deadline > last;
+        let cut: Vec<Key> = self.requests.iter().filter(|(_, r)| late(r)).map(|(key, _)| key).collect();
+        for key in cut {
+            let Some(open) = self.requests.get_mut(key) else { continue };
+            self.deadlines.clear(open.deadline, Due::Request(key));
+            (open.deadline, open.cut) = (last.max(now), true);
+            self.deadlines.set(open.deadline, Due::Request(key));
+        }
+    }
+
+    /// Whether the first byte of an attempt may be written now. Danger: it waited for its connection, and meanwhile
+    /// its client may have left or been answered, or the time may be over in which a repeat of it is dropped.
+    pub fn may_begin(&mut self, now: Micros, key: Key) -> bool {
+        let Some(attempt) = self.attempts.get(key) else { return false };
+        let fit = self.requests.get(attempt.request).is_some_and(|r| !r.answered && !self.lapsed(now, r));
+        if !fit {
+            self.withdraw(now, key, Status::Moot);
+        }
+        fit
+    }
+
+    /// Whether repeats of a request under its key would no longer be dropped, counted from the first attempt that has
+    /// run or may be running. The module decided by the same rule, but before the wait.
+    fn lapsed(&self, now: Micros, open: &Open) -> bool {
+        let Some((_, ClassTerms { class, .. })) = self.classes.get(open.ask.class) else { return false };
+        let begun = open.attempts.iter().filter_map(|key| self.attempts.get(*key)?.begun);
+        let first = begun.chain(open.ran).min();
+        class.effect == Effect::Keyed && first.is_some_and(|at| now + ON_ITS_WAY >= at + class.window)
+    }
+
+    /// The first byte of an attempt is written.
+    pub fn begin(&mut self, now: Micros, key: Key) {
+        self.attempts.get_mut(key).into_iter().for_each(|a| a.begun = Some(now));
+    }
+
+    /// Whether an attempt is one of a request that may not simply be repeated.
+    pub fn writes(&self, key: Key) -> bool {
+        let request = self.attempts.get(key).and_then(|a| self.requests.get(a.request));
+        let class = request.and_then(|r| self.classes.get(r.ask.class));
+        class.is_some_and(|(_, terms)| terms.class.effect != Effect::Pure)
+    }
+
+    /// Ends the attempts of a request that has ended of which no byte is written, also where those that are out must
+    /// not be withdrawn: nothing begins any more for its client.
+    fn drop_unsent(&mut self, now: Micros, request: Key) {
+        let Some(open) = self.requests.get(request) else { return };
+        let unsent = |key: &Key| self.attempts.get(*key).is_some_and(|a| a.begun.is_none());
+        let unsent: Vec<Key> = open.attempts.iter().copied().filter(unsent).collect();
+        unsent.into_iter().for_each(|key| self.withdraw(now, key, Status::Moot));
+    }
+
     /// The attempt, if it has not ended.
     pub fn attempt(&mut self, key: Key) -> Option<&mut Attempt> {
         self.attempts.get_mut(key)
@@ -677,7 +758,11 @@
         if attempt.get.source != attempt.get.server && !attempt.get.peek {
             self.seen_fill(now, attempt.get.source, (status, note), took);
         }
-        self.requests.get_mut(attempt.request)?.out -= 1;
+        let open = self.requests.get_mut(attempt.request)?;
+        open.out -= 1;
+        if !status.never_ran() {
+            open.ran = open.ran.into_iter().chain(attempt.begun).min();
+        }
         let served = if status == Status::Ok { self.end(attempt.request, End::Passed) } else { None };
         let closed = self.requests.get(attempt.request)?.answered;
         let outcome = Outcome {
@@ -691,6 +776,9 @@
             load,
         };
         self.feed(now, Event::Outcome(outcome));
+        if served.is_some() {
+            self.drop_unsent(now, attempt.request);
+        }
         self.sweep(attempt.request);
         served
     }
@@ -698,7 +786,7 @@
     /// Ends an attempt from this side; one that was never written never ran.
     fn withdraw(&mut self, now: Micros, key: Key, status: Status) {
         let Some(attempt) = self.attempts.get(key) else { return };
-        let unsent = !attempt.begun && status != Status::Timeout;
+        let unsent = attempt.begun.is_none() && status != Status::Timeout;
         if let (Some(carrier), Some(open)) = (attempt.carrier, self.requests.get(attempt.request)) {
             self.orders.push_back(Order::Kill { carrier, attempt: key, call: open.ask.call.clone() });
         }
@@ -751,7 +839,7 @@
                     number,
                     get,
                     at: now,
-                    begun: false,
+                    begun: None,
                     carrier: None,
                     moved: false,
                     fill,
@@ -791,13 +879,14 @@
         self.filled(now, attempt.fill, (Status::Cancelled, Note::None), took);
         let Some(open) = self.requests.get_mut(attempt.request) else { return };
         open.out -= 1;
+        open.ran = open.ran.into_iter().chain(attempt.begun).min();
         if let Some(carrier) = attempt.carrier {
             self.orders.push_back(Order::Kill { carrier, attempt: key, call: open.ask.call.clone() });
         }
         self.events.push_back(Event::Outcome(Outcome {
             id: attempt.request.0,
             attempt: attempt.number,
-            status: if attempt.begun { Status::Cancelled } else { Status::Moot },
+            status: if attempt.begun.is_some() { Status::Cancelled } else { Status::Moot },
             latency: now.saturating_sub(attempt.at),
             closed: open.answered,
             note: Note::None,
@@ -887,7 +976,7 @@
             core.request(START, ticket(object), ask(0, object));
         }
         let keys = sent(&mut core);
-        core.attempt(keys[1]).expect("there").begun = true;
+        core.attempt(keys[1]).expect("there").begun = Some(START);
         let purge = News::Recall { object: None, group: 17, issued: START - 50 * MS };
         core.news(START, &purge);
         assert!(core.attempt(keys[0]).is_none() && core.attempt(keys[1]).is_some());
@@ -957,7 +1046,7 @@
         let mut core = core();
         let request = core.request(START, ticket(1), ask(0, 7)).expect("taken");
         let first = sent(&mut core)[0];
-        core.attempt(first).expect("there").begun = true;
+        core.attempt(first).expect("there").begun = Some(START);
         assert_eq!(core.outcome(START + 5, first, Status::Ok, Note::Hit), Some(ticket(1)));
         assert_eq!(core.outcome(START + 6, first, Status::Ok, Note::Hit), None);
         core.gone(START + 7, request);
@@ -973,7 +1062,7 @@
         let request = core.request(START, ticket(1), ask(0, 7)).expect("taken");
         let key = sent(&mut core)[0];
         let attempt = core.attempt(key).expect("there");
-        (attempt.begun, attempt.carrier) = (true, Some(Key(5)));
+        (attempt.begun, attempt.carrier) = (Some(START), Some(Key(5)));
         let at = core.deadlines.next().map_or(0, |next| next.max(START + 6000 * MS - MARGIN.0));
         core.due(at, Due::Request(request));
         assert!(at < START + 6000 * MS, "before the client gives up");
--- a/gateway/src/deadlines.rs
+++ b/gateway/src/deadlines.rs
@@ -26,6 +26,8 @@
     Cordon,
     /// The fleet's view of the stores' load: decide, and tell peers.
     Peers,
+    /// Clients may be taken in again: there may be a descriptor for them.
+    Accept,
     /// The time to go on accepting after SIGTERM is over.
     Stop,
 }
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -6,14 +6,16 @@
 use crate::console::{self, Console};
 use crate::core::{Core, Order, Ticket};
 use crate::deadlines::Due;
+use crate::descriptors::Descriptors;
 use crate::hierarchy::{Hierarchy, HierarchyFile, ShieldReport};
 use crate::log;
 use crate::membership::{Effect, Membership, Own};
 use crate::peers::{self, Peers};
 use crate::resp::{self, Link, Reply};
+use crate::shutdown::{Begun, Shutdown, ACCEPTING};
 use crate::signed::{self, Session};
 use crate::slots::{Key, Slots};
-use crate::sockets::{drain, polled, polled_in_time, told_by};
+use crate::sockets::{drain, exhausted, polled, polled_in_time, told_by};
 use crate::thrift::{self, Calls};
 use crate::upgrade::{self, Upgrade};
 use larchway::{Micros, Note, ServerId, Settings, State, Status};
@@ -26,7 +28,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown as Side, SocketAddr, TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
 use std::path::Path;
 use std::time::Duration;
@@ -52,8 +54,8 @@
 /// µs after which an address that is not free is tried again.
 const BIND_AGAIN: Micros = 100_000;
 const ADMIN_AGAIN: Micros = 1_000_000;
-/// µs for which requests are still taken in after SIGTERM.
-const ACCEPTING: Micros = 700_000;
+/// µs for which no client is taken in once there is no descriptor for one.
+const ACCEPT_AGAIN: Micros = 50_000;
 /// µs after which a client that reads nothing of its answers, or asks for nothing, is cut off.
 const STALLED: Micros = 10_000_000;
 const IDLE: Micros = 60_000_000;
@@ -73,10 +75,10 @@
 const SILENT: Micros = 2_500_000;
 /// µs: first and longest pause between calls on the bulletin; see [`Gateway::longest_pause`].
 const BACKOFF: (Micros, Micros) = (100_000, 2_000_000);
-
-/// Bytes on their way in or out.
 /// µs between calls on the bulletin at least, however short the time is in which its news must be heeded.
 const LEAST_PAUSE: Micros = 25_000;
+
+/// Bytes on their way in or out.
 #[derive(Default)]
 pub struct Buffer {
     /// The bytes, those already dealt with in front.
@@ -120,6 +122,11 @@
     Keeper,
 }
 
+/// Whether a key is that of a pipe that signals write to.
+fn is_signal(key: usize) -> bool {
+    key == SIGNAL || key == RELOAD
+}
+
 impl Role {
     /// Whether a client is at the other end.
     fn client(&self) -> bool {
@@ -148,6 +155,42 @@
     },
 }
 
+/// Why a connection could not even be dialled.
+enum Undialled {
+    /// There is no room for it on this machine, which says nothing of the other side.
+    Here,
+    /// The other side cannot be reached.
+    There,
+}
+
+/// How far a connection has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Life {
+    /// It is being dialled.
+    Dialling,
+    /// Bytes go both ways.
+    Open,
+    /// It is half-closed once all that is written has gone out; what comes in is passed over.
+    Finishing,
+    /// Its write side is shut: no answer could be delivered. What comes in is read and passed over, since a close over
+    /// unread bytes would reset what is still on its way, until the other side has closed or this time has come.
+    HalfClosed {
+        /// When it is closed all the same.
+        until: Micros,
+    },
+}
+
+impl Life {
+    /// Whether it is up, in any way.
+    fn up(self) -> bool {
+        self != Life::Dialling
+    }
+    /// Whether what comes in is passed over.
+    fn over(self) -> bool {
+        matches!(self, Life::Finishing | Life::HalfClosed { .. })
+    }
+}
+
 /// A connection.
 pub struct Conn {
     stream: TcpStream,
@@ -156,10 +199,8 @@
     pub output: Buffer,
     /// What it is for.
     pub role: Role,
-    /// Whether it has come up.
-    pub up: bool,
-    /// Whether it is to be closed once all is written.
-    pub ending: bool,
+    /// How far it has come.
+    pub life: Life,
     since: Micros,
     /// When bytes last moved on it.
     pub moved: Micros,
@@ -174,6 +215,28 @@
     holds: usize,
 }
 
+impl Conn {
+    /// Whether a client is at the other end that is owed nothing and has asked for nothing that was read.
+    fn rests(&self) -> bool {
+        self.role.resting()
+            && self.life == Life::Open
+            && self.output.rest().is_empty()
+            && self.partial.is_none()
+    }
+    /// Whether nothing waits to be read, not even the end.
+    fn quiet(&self) -> bool {
+        matches!(self.stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+}
+
+/// Whether the other side has closed a connection, as far as has come in.
+fn closed(stream: &TcpStream) -> bool {
+    match stream.peek(&mut [0]) {
+        Ok(n) => n == 0,
+        Err(e) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+    }
+}
+
 /// A store: its name, its address and the connections to it.
 struct Pool {
     store: Store,
@@ -235,8 +298,10 @@
     /// Until when the others know what was sent to cold stores.
     sent_told: Micros,
     cordon_due: Option<Micros>,
-    /// Whether clients are left to the next process.
-    leaving: bool,
+    /// How far the end of this process has come.
+    shutdown: Shutdown,
+    /// Who had no turn when the last one was cut: the next one begins there.
+    cut: Option<usize>,
     resumed: Vec<Key>,
     seed: u64,
     drawn: u64,
@@ -257,11 +322,11 @@
     most_held: usize,
     /// µs of the longest turn of the loop.
     longest_turn: Micros,
-    most_clients: usize,
-    most_links: usize,
+    most: Descriptors,
     clients: usize,
+    /// Of these, those that are half-closed.
+    lingering: usize,
     links: usize,
-    stopping: Option<Micros>,
 }
 
 impl Gateway {
@@ -297,7 +362,8 @@
             company: Company::default(),
             sent_told: 0,
             cordon_due: None,
-            leaving: false,
+            shutdown: Shutdown::default(),
+            cut: None,
             resumed: Vec::new(),
             seed: config.seed,
             drawn: 0,
@@ -313,11 +379,10 @@
             held: 0,
             most_held: 0,
             longest_turn: 0,
-            most_clients: 0,
-            most_links: 0,
+            most: Descriptors::default(),
             clients: 0,
+            lingering: 0,
             links: 0,
-            stopping: None,
             terms: Terms::default(),
         };
         let at = now();
@@ -383,7 +448,8 @@
             self.console = None;
         }
         self.tend_console(at);
-        if let Some(fleet) = fleet {
+        // One that was told to stop has left the fleet, and stays away from it.
+        if let Some(fleet) = fleet.filter(|_| !self.shutdown.begun()) {
             let here = self.listener.as_ref().and_then(|l| l.local_addr().ok());
             let listen = here.unwrap_or(config.listen).to_string();
             let changes = self.hierarchy.as_ref().and_then(Hierarchy::path).map(String::from);
@@ -391,10 +457,12 @@
         }
         for item in config.items {
             if item.no > self.feed.last {
+                self.passed_over(item.no);
                 self.feed.last = item.no;
                 self.tell(at, item.news);
             }
         }
+        self.passed_over(config.known + 1);
         self.feed.last = self.feed.last.max(config.known);
         if self.feed.address != config.bulletin {
             self.feed.address = config.bulletin;
@@ -420,34 +488,35 @@
         let Loaded { config, front, fleet, hierarchy, copies, spread, tier } = loaded;
         config.shape.replaces(&self.shape)?;
         config.terms.extends(&self.terms)?;
-        let moved = config.listen != self.listens;
+        // One that listens no more does not begin again.
+        let moved = config.listen != self.listens && !self.shutdown.closing();
         let shared = config.console.is_some();
         let listener =
             if moved { Some(polled(&self.poller, config.listen, PLATFORM, shared)?) } else { None };
         let here = self.front.as_ref().map(|f| f.listen);
         let second = match &front {
-            Some(front) if here != Some(front.listen) => {
+            Some(front) if here != Some(front.listen) && !self.shutdown.closing() => {
                 Some(polled(&self.poller, front.listen, SECOND, shared)?)
             }
             _ => None,
         };
         let rebound = listener.is_some() || second.is_some();
-        // A listener that is dropped is no longer polled; there is nothing to do about an error here.
         if listener.is_some() {
-            let old = std::mem::replace(&mut self.listener, listener);
-            old.into_iter().for_each(|old| drop(self.poller.delete(&old)));
-            self.listens = config.listen;
+            self.deafen(at, PLATFORM);
+            (self.listener, self.listens) = (listener, config.listen);
         }
         if second.is_some() {
-            let old = std::mem::replace(&mut self.second, second);
-            old.into_iter().for_each(|old| drop(self.poller.delete(&old)));
+            self.deafen(at, SECOND);
+            self.second = second;
         }
         self.front = front;
         if rebound {
             self.log_listening();
         }
         self.keep_copies(&config, copies);
-        self.keep_peers(at, config.between_peers(spread, tier, fleet.as_ref()), &config.terms);
+        if !self.shutdown.begun() {
+            self.keep_peers(at, config.between_peers(spread, tier, fleet.as_ref()), &config.terms);
+        }
         self.take_in(at, config, fleet, hierarchy)
     }
 
@@ -459,12 +528,10 @@
             (Some(copies), Some(terms)) => copies.configure(terms, config.uplink),
             (copies, Some(terms)) => *copies = Some(Copies::new(terms, config.uplink)),
         }
-                self.passed_over(item.no);
         if let Some(copies) = &mut self.core.copies {
             copies.told_by_bulletin(config.bulletin.is_some());
         }
     }
-        self.passed_over(config.known + 1);
 
     /// Keeps what gateways tell each other as its files say, or nothing of it.
     fn keep_peers(&mut self, at: Micros, told: peers::Terms, terms: &Terms) {
@@ -544,7 +611,9 @@
         let free = |key: &Key| {
             let conn = self.conns.get(*key);
             conn.is_some_and(|c| {
-                c.up && c.output.rest().is_empty() && matches!(&c.role, Role::Store(link) if !link.doubtful)
+                c.life.up()
+                    && c.output.rest().is_empty()
+                    && matches!(&c.role, Role::Store(link) if !link.doubtful)
             })
         };
         let Some(key) = links.into_iter().find(free) else { return };
@@ -570,7 +639,7 @@
 
     /// Whether SIGTERM has come.
     pub fn stopping(&self) -> bool {
-        self.stopping.is_some()
+        self.shutdown.begun()
     }
 
     /// Lets the next request on a connection have its turn.
@@ -591,10 +660,10 @@
             if self.company.share() > 1 {
                 self.tell_sent(at);
             }
-            if self.leaving {
-                self.let_go(at);
+            if self.shutdown.closing() {
+                self.half_close_resting(at);
             }
-            if self.finished(at) {
+            if self.finished() {
                 log!("ends; the longest turn of the loop took {} ms", self.longest_turn.div_ceil(1000));
                 return Ok(());
             }
@@ -606,13 +675,18 @@
                 _ => {}
             }
             let turn = now();
-            // Operators wait a second at most, however much else there is to do.
-            let of_console = |e: &&Event| (CONSOLE_CLIENTS..=CONSOLE).contains(&e.key);
-            let rest = events.iter().filter(|e| !of_console(e));
-            for event in events.iter().filter(of_console).chain(rest) {
+            // Danger: the poller tells of those first that it told of first before. Where a few busy ones take up whole
+            // turns, all others would wait for ever, and with them the end of clients, stores' answers and news.
+            let from = self.cut.take().and_then(|key| events.iter().position(|e| e.key == key)).unwrap_or(0);
+            events.rotate_left(from);
+            // Operators wait a second at most, however much else there is to do, and signals are few.
+            let soon = |e: &&Event| (CONSOLE_CLIENTS..=CONSOLE).contains(&e.key) || is_signal(e.key);
+            let rest = events.iter().filter(|e| !soon(e));
+            for event in events.iter().filter(soon).chain(rest) {
                 let at = now();
                 self.longest_turn = self.longest_turn.max(at - turn);
                 if at > turn + LONGEST_TURN {
+                    self.cut = Some(event.key);
                     break;
                 }
                 match event.key {
@@ -626,7 +700,7 @@
                     }
                     UPGRADE => self.admit_process(at),
                     key if (PEERS..UPGRADE).contains(&key) => self.hear_process(at, key - PEERS),
-                    PLATFORM | SECOND => self.accept(at, event.key),
+                    PLATFORM | SECOND => drop(self.accept(at, event.key)),
                     SIGNAL => self.stop(at),
                     RELOAD => self.reload(at),
                     ADMIN => self.admit(at),
@@ -648,32 +722,35 @@
 
     fn stop(&mut self, at: Micros) {
         drain(&self.stop_told);
-        if self.stopping.is_none() {
-            self.stopping = Some(at);
-            if self.company.successor() {
+        let first = !self.shutdown.begun();
+        match self.shutdown.signalled(at, self.company.successor()) {
+            Begun::Accepting => log!("told to stop: taking requests for {} ms more", ACCEPTING / 1000),
+            Begun::Closing => {
                 log!("told to stop: the next process takes all clients in");
-                self.leave(at);
-            } else {
-                log!("told to stop: taking requests for {} ms more", ACCEPTING / 1000);
-            }
-            self.tell_status();
-            if !self.company.successor() {
-                self.peers.iter_mut().for_each(|peers| peers.farewell(at));
+                self.stop_listening(at);
             }
-            // The own node goes first, so that the fleet's users turn to the others.
-            let effects = self.membership.as_mut().map(|m| m.close(at)).unwrap_or_default();
-            self.perform(at, effects);
-            self.core.deadlines.set(at + ACCEPTING, Due::Stop);
+            Begun::Nothing => return,
+        }
+        self.tell_status();
+        if !first {
+            return;
         }
+        // Danger: the platform ends the process, and with it whatever waits for longer than that.
+        let longest = self.core.classes.current().map(|(_, _, c)| c.deadline).max().unwrap_or(0);
+        self.core.answer_all_by(at, handover::last_answer(at, longest));
+        if !self.company.successor() {
+            self.peers.iter_mut().for_each(|peers| peers.farewell(at));
+        }
+        // The own node goes first, so that the fleet's users turn to the others.
+        let effects = self.membership.as_mut().map(|m| m.close(at)).unwrap_or_default();
+        self.perform(at, effects);
+        self.core.deadlines.set(at + ACCEPTING, Due::Stop);
     }
 
-    /// Whether it was told to stop, has gone on accepting for long enough, and owes nothing.
-    fn finished(&self, at: Micros) -> bool {
-        // A client that is left to the next process is owed what it sends until its connection is closed.
-        let owes = |c: &Conn| c.role.client() && (self.leaving || !c.output.rest().is_empty());
-        self.stopping.is_some_and(|since| at >= since + ACCEPTING)
-            && self.core.unanswered() == 0
-            && !self.conns.iter().any(|(_, c)| owes(c))
+    /// Whether it was told to stop, listens no more, owes nothing, and no client is connected: one that rests is owed
+    /// an orderly end, since answers may still be on their way to it.
+    fn finished(&self) -> bool {
+        self.shutdown.closing() && self.core.unanswered() == 0 && self.clients == 0
     }
 
     fn due(&mut self, at: Micros, due: Due) {
@@ -694,26 +771,26 @@
                 self.cordon_due = None;
                 self.cordon_told(at, cordon::Input::Tick);
             }
-            // What comes later might not be answered before the platform's end.
-            Due::Stop if self.leaving => {
-                let longest = self.core.classes.current().map(|(_, _, c)| c.deadline).max().unwrap_or(0);
-                let stopped = self.stopping.unwrap_or(at);
-                self.core.last_answer = Some(handover::last_answer(stopped, longest));
+            Due::Stop => {
+                if self.shutdown.tick(at) {
+                    self.stop_listening(at);
+                }
             }
-            Due::Stop => {}
+            Due::Accept => self.hear_clients(true),
             due => self.core.due(at, due),
         }
     }
 
     // Connections.
 
-    fn accept(&mut self, at: Micros, which: usize) {
+    /// Takes clients in, some at a time. Returns whether there may be more.
+    fn accept(&mut self, at: Micros, which: usize) -> bool {
         for _ in 0..64 {
             let listener = if which == PLATFORM { self.listener.as_ref() } else { self.second.as_ref() };
-            let Some(listener) = listener else { return };
+            let Some(listener) = listener else { return false };
             match listener.accept() {
                 Ok((stream, _)) => {
-                    if self.clients >= self.most_clients && !self.evict(at) {
+                    if !self.make_room(at) {
                         log!("a client is turned away: {} are connected", self.clients);
                         continue;
                     }
@@ -722,40 +799,86 @@
                             PLATFORM => (Role::Client(Calls::default()), at + WHOLE),
                             _ => (Role::Web(Session::default()), at + signed::SLOW),
                         };
-                        self.adopt(at, stream, role, true, due);
+                        self.adopt(at, stream, role, Life::Open, due);
                     }
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(e) => return log!("cannot accept: {e}"),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
+                // Danger: a client that cannot be taken in stays in the queue, and the poller tells of it again at
+                // once, for ever. The others are served meanwhile; it is looked at again soon.
+                Err(e) if exhausted(&e) => {
+                    log!("cannot accept: {e}");
+                    self.hear_clients(false);
+                    self.core.deadlines.set(at + ACCEPT_AGAIN, Due::Accept);
+                    return false;
+                }
+                // One that has gone while it waited says nothing of those behind it.
+                Err(e) => log!("a client cannot be taken in: {e}"),
             }
         }
+        true
     }
 
-    /// Closes a client's connection to make room: the one that has been idle for longest, and before all others
-    /// one that never asked for anything.
+    /// Polls the listeners, or leaves them alone for a while.
+    fn hear_clients(&mut self, hear: bool) {
+        for (key, listener) in [(PLATFORM, &self.listener), (SECOND, &self.second)] {
+            let interest = Event { key, readable: hear, writable: false };
+            let polled =
+                listener.as_ref().map(|l| self.poller.modify_with_mode(l, interest, PollMode::Level));
+            if let Some(Err(e)) = polled {
+                log!("cannot poll a listener: {e}");
+            }
+        }
+    }
+
+    /// Takes in what waits at a listener, then closes it: what is left in its queue would be reset.
+    fn deafen(&mut self, at: Micros, which: usize) {
+        while self.accept(at, which) {}
+        let listener = if which == PLATFORM { self.listener.take() } else { self.second.take() };
+        // A listener that is dropped is no longer polled; there is nothing to do about an error here.
+        listener.into_iter().for_each(|old| drop(self.poller.delete(&old)));
+    }
+
+    /// Whether there is room for one more client; to make it, the end of another is begun, or one that has been told
+    /// of its end is closed.
+    fn make_room(&mut self, at: Micros) -> bool {
+        if self.clients - self.lingering >= self.most.clients && !self.evict(at) {
+            return false;
+        }
+        if self.lingering <= self.most.lingering {
+            return true;
+        }
+        let until = |c: &Conn| if let Life::HalfClosed { until } = c.life { Some(until) } else { None };
+        let told = self.conns.iter().filter(|(_, c)| c.role.client());
+        let oldest = told.filter_map(|(key, c)| Some((until(c)?, key))).min();
+        oldest.into_iter().for_each(|(_, key)| self.close(at, key, None));
+        true
+    }
+
+    /// Ends a client's connection to make room: the one that has been idle for longest, and before all others one that
+    /// never asked for anything.
     fn evict(&mut self, at: Micros) -> bool {
-        let idle = |c: &Conn| c.role.resting() && c.output.rest().is_empty();
-        let rank = |c: &Conn| (c.asked, c.moved);
-        let oldest =
-            self.conns.iter().filter(|(_, c)| idle(c)).min_by_key(|(_, c)| rank(c)).map(|(key, _)| key);
-        oldest.map(|key| self.close(at, key, None)).is_some()
+        let idle = self.conns.iter().filter(|(_, c)| c.rests());
+        let mut idle: Vec<_> = idle.map(|(key, c)| (c.asked, c.moved, key)).collect();
+        idle.sort_unstable();
+        let quiet = |key: &Key| self.conns.get(*key).is_some_and(Conn::quiet);
+        let oldest = idle.into_iter().map(|(.., key)| key).find(quiet);
+        oldest.map(|key| self.half_close(at, key)).is_some()
     }
 
-    fn adopt(&mut self, at: Micros, stream: TcpStream, role: Role, up: bool, due: Micros) -> Option<Key> {
+    fn adopt(&mut self, at: Micros, stream: TcpStream, role: Role, life: Life, due: Micros) -> Option<Key> {
         match role {
             Role::Store(_) => self.links += 1,
             Role::Client(_) | Role::Web(_) => self.clients += 1,
             Role::Bulletin(_) | Role::Keeper => {}
         }
         let (input, output) = (Buffer::default(), Buffer::default());
-        let armed = (true, !up);
+        let armed = (true, !life.up());
         let key = self.conns.insert(Conn {
             stream,
             input,
             output,
             role,
-            up,
-            ending: false,
+            life,
             since: at,
             moved: at,
             heard: at,
@@ -776,8 +899,14 @@
         Some(key)
     }
 
-    /// Begins to connect; the connection comes up later or fails.
-    pub fn connect(&mut self, at: Micros, address: SocketAddr, role: Role, due: Micros) -> Option<Key> {
+    /// Begins to connect; the connection comes up later or fails. An error is that of this machine or of the other side.
+    fn connect(
+        &mut self,
+        at: Micros,
+        address: SocketAddr,
+        role: Role,
+        due: Micros,
+    ) -> Result<Key, Undialled> {
         let open = || -> io::Result<TcpStream> {
             let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
             socket.set_nonblocking(true)?;
@@ -790,20 +919,20 @@
             Ok(socket.into())
         };
         match open() {
-            Ok(stream) => self.adopt(at, stream, role, false, due),
+            Ok(stream) => self.adopt(at, stream, role, Life::Dialling, due).ok_or(Undialled::Here),
             Err(e) => {
                 log!("cannot connect to {address}: {e}");
-                None
+                Err(if exhausted(&e) { Undialled::Here } else { Undialled::There })
             }
         }
     }
 
     fn ready(&mut self, at: Micros, key: Key, event: &Event) {
         let Some(conn) = self.conns.get_mut(key) else { return };
-        if !conn.up {
+        if !conn.life.up() {
             match conn.stream.take_error() {
                 Ok(None) if event.writable && conn.stream.peer_addr().is_ok() => {
-                    (conn.up, conn.moved) = (true, at);
+                    (conn.life, conn.moved) = (Life::Open, at);
                     match conn.role {
                         Role::Store(_) => self.send_waiting(at, key),
                         Role::Keeper => {
@@ -816,7 +945,9 @@
                 Ok(None) => {}
                 Ok(Some(e)) | Err(e) => {
                     // One that is refused proves that nothing runs there; one that is reset had come up.
-                    conn.up = e.kind() == ErrorKind::ConnectionReset;
+                    if e.kind() == ErrorKind::ConnectionReset {
+                        conn.life = Life::Open;
+                    }
                     return self.close(at, key, Some(&e.to_string()));
                 }
             }
@@ -834,6 +965,7 @@
         let mut taken = 0;
         let mut end = None;
         let Some(conn) = self.conns.get_mut(key) else { return };
+        let client = conn.role.client();
         let mut input = std::mem::take(&mut conn.input);
         while taken < TURN && end.is_none() {
             let start = input.bytes.len();
@@ -846,7 +978,8 @@
                     input.bytes.truncate(start + n);
                     taken += n;
                     (conn.moved, conn.heard) = (at, at);
-                    if n < room {
+                    // Of a client the end is wanted too: nothing is begun for one that has left.
+                    if n < room && !client {
                         break;
                     }
                     continue;
@@ -860,7 +993,9 @@
             }
             input.bytes.truncate(start);
         }
-        let wrong = self.drive(at, key, &mut input).err();
+        // What a client asked for that has left meanwhile is not begun; a store's last answers count.
+        let left = client && end.is_some();
+        let wrong = if left { None } else { self.drive(at, key, &mut input).err() };
         input.compact();
         if let Some(conn) = self.conns.get_mut(key) {
             let begun = !input.rest().is_empty();
@@ -891,7 +1026,7 @@
     fn drive(&mut self, at: Micros, key: Key, input: &mut Buffer) -> Result<(), String> {
         loop {
             let Some(conn) = self.conns.get_mut(key) else { return Ok(()) };
-            if conn.ending {
+            if conn.life.over() {
                 input.consume(input.rest().len());
                 return Ok(());
             }
@@ -924,7 +1059,7 @@
     /// Writes what can be written. Returns whether the connection still stands.
     pub fn flush(&mut self, at: Micros, key: Key) -> bool {
         let Some(conn) = self.conns.get_mut(key) else { return false };
-        while conn.up && !conn.output.rest().is_empty() {
+        while conn.life.up() && !conn.output.rest().is_empty() {
             match conn.stream.write(conn.output.rest()) {
                 Ok(n) => {
                     conn.output.consume(n);
@@ -942,13 +1077,10 @@
         self.count_held(key);
         let Some(conn) = self.conns.get_mut(key) else { return false };
         let empty = conn.output.rest().is_empty();
-        if empty && conn.ending && conn.due > at + LINGER {
-            // What was written must be read before an unread rest of the input makes the close a reset.
-            let _ = conn.stream.shutdown(Shutdown::Write);
-            self.core.deadlines.clear(conn.due, Due::Connection(key));
-            conn.due = at + LINGER;
-            self.core.deadlines.set(conn.due, Due::Connection(key));
+        if empty && conn.life == Life::Finishing {
+            self.half_close(at, key);
         }
+        let Some(conn) = self.conns.get_mut(key) else { return false };
         match &mut conn.role {
             Role::Store(link) if empty => {
                 if std::mem::take(&mut link.partly) {
@@ -973,7 +1105,7 @@
         let crowded = matches!(conn.role, Role::Web(_)) && pending.max(conn.input.rest().len()) > CROWDED;
         // An attempt whose first byte found no room waits for the connection to be writable too.
         let waits = matches!(&conn.role, Role::Store(link) if !link.waiting.is_empty());
-        let armed = (!crowded, !conn.up || pending > 0 || waits);
+        let armed = (!crowded, !conn.life.up() || pending > 0 || waits);
         if armed != conn.armed {
             conn.armed = armed;
             let interest = Event { key: key.0 as usize, readable: armed.0, writable: armed.1 };
@@ -987,6 +1119,7 @@
     pub fn close(&mut self, at: Micros, key: Key, why: Option<&str>) {
         let Some(conn) = self.conns.remove(key) else { return };
         self.held -= conn.holds;
+        self.lingering -= usize::from(matches!(conn.life, Life::HalfClosed { .. }));
         self.core.deadlines.clear(conn.due, Due::Connection(key));
         // A connection that is closed is no longer polled; there is nothing to do about an error here.
         let _ = self.poller.delete(&conn.stream);
@@ -1009,7 +1142,7 @@
                     pool.links.retain(|k| *k != key);
                 }
                 self.retire(link.store);
-                if !conn.up {
+                if !conn.life.up() {
                     log!("no connection to {:08x}: {}", link.store, why.unwrap_or("closed"));
                 }
                 // Only what had no byte written is sure not to have run.
@@ -1019,7 +1152,7 @@
                 // A connection that was up and broke before a byte was written says nothing of the store's health:
                 // what waited for it has not been sent and takes another.
                 for attempt in link.waiting {
-                    if conn.up && self.core.again(attempt) {
+                    if conn.life.up() && self.core.again(attempt) {
                         self.core.orders.push_back(Order::Send(attempt));
                     } else {
                         self.core.outcome(at, attempt, Status::ConnectFailed, Note::None);
@@ -1050,9 +1183,9 @@
         let Some(conn) = self.conns.get_mut(key) else { return };
         let pending = !conn.output.rest().is_empty();
         let limit = match &conn.role {
-            _ if !conn.up => conn.since + timeout,
+            _ if matches!(conn.life, Life::HalfClosed { .. }) => conn.due,
+            _ if !conn.life.up() => conn.since + timeout,
             role if role.client() && pending => conn.moved + STALLED,
-            _ if conn.ending => at,
             Role::Client(_) if conn.partial.is_some() => conn.partial.unwrap_or(at) + WHOLE,
             Role::Client(_) if !conn.asked => conn.since + WHOLE,
             Role::Web(_) if !conn.asked => conn.since + signed::SLOW,
@@ -1066,9 +1199,17 @@
             Role::Store(link) if link.open.is_empty() && link.waiting.is_empty() => conn.moved + idle / 2,
             _ => at + idle / 2,
         };
+        if limit <= at && conn.rests() {
+            if conn.quiet() {
+                return self.half_close(at, key);
+            }
+            // What has come meanwhile is read first.
+            conn.due = at + LONGEST_TURN;
+            return self.core.deadlines.set(conn.due, Due::Connection(key));
+        }
         if limit <= at {
             let why = match conn.partial {
-                _ if !conn.up => "no connection in time",
+                _ if !conn.life.up() => "no connection in time",
                 Some(_) => "a message does not go on",
                 None => "idle",
             };
@@ -1188,7 +1329,7 @@
         let call = call.to_string();
         let here = |p: &&Pool| p.store.host.zone == self.own_zone && p.store.host.state != State::Removed;
         let own = self.pools.values().filter(here).count().max(1);
-        let most = (self.most_links / own).clamp(2, 128);
+        let most = (self.most.links / own).clamp(2, 128);
         let Some((address, links)) = self.pools.get(&server).and_then(|p| Some((p.store.dial?, &p.links)))
         else {
             self.core.outcome(at, attempt, Status::ConnectFailed, Note::None);
@@ -1196,29 +1337,35 @@
         };
         let mut best: Option<(usize, bool, Key)> = None;
         for &key in links {
-            let Some(Conn { role: Role::Store(link), up, .. }) = self.conns.get(key) else { continue };
+            let Some(Conn { role: Role::Store(link), life, .. }) = self.conns.get(key) else { continue };
+            let up = life.up();
             let load = link.open.len() + link.waiting.len();
             if !link.doubtful && !link.knows(&call) && best.is_none_or(|(l, u, _)| (load, !up) < (l, !u)) {
-                best = Some((load, *up, key));
+                best = Some((load, up, key));
             }
         }
-        let more = links.len() < most && self.links < self.most_links;
+        let more = links.len() < most && self.links < self.most.links;
         let key = match best {
-            Some((load, _, key)) if load < self.terms.streams => Some(key),
-            Some((_, _, key)) if !more => Some(key),
+            Some((load, _, key)) if load < self.terms.streams => key,
+            Some((_, _, key)) if !more => key,
             _ => {
                 let due = at + self.terms.connect_timeout;
-                let key = self.connect(at, address, Role::Store(Link::new(server)), due);
-                if let (Some(key), Some(pool)) = (key, self.pools.get_mut(&server)) {
+                let key = match self.connect(at, address, Role::Store(Link::new(server)), due) {
+                    Ok(key) => key,
+                    // Danger: a shortage here, laid to the stores, makes them all look gone and back, cold.
+                    Err(undialled) => {
+                        let here = matches!(undialled, Undialled::Here);
+                        let status = if here { Status::Moot } else { Status::ConnectFailed };
+                        self.core.outcome(at, attempt, status, Note::None);
+                        return;
+                    }
+                };
+                if let Some(pool) = self.pools.get_mut(&server) {
                     pool.links.push(key);
                 }
                 key
             }
         };
-        let Some(key) = key else {
-            self.core.outcome(at, attempt, Status::ConnectFailed, Note::None);
-            return;
-        };
         if let Some(a) = self.core.attempt(attempt) {
             a.carrier = Some(key);
         }
@@ -1232,11 +1379,24 @@
     /// Writes the attempts that wait for a connection, each once all before it is written.
     fn send_waiting(&mut self, at: Micros, key: Key) {
         loop {
-            let Some(conn) = self.conns.get_mut(key).filter(|c| c.up && c.output.rest().is_empty()) else {
+            let Some(conn) = self.conns.get_mut(key).filter(|c| c.life.up() && c.output.rest().is_empty())
+            else {
                 return;
             };
             let Role::Store(link) = &mut conn.role else { return };
             let Some(attempt) = link.waiting.pop_front() else { return };
+            // Much may have happened while it waited.
+            if !self.core.may_begin(at, attempt) {
+                continue;
+            }
+            let Some(conn) = self.conns.get_mut(key) else { return };
+            let Role::Store(link) = &mut conn.role else { return };
+            // Danger: what is written to a connection that the store has closed counts as having run, and a write then
+            // fails that never ran. Its end may be among the events that have not had their turn.
+            if link.open.is_empty() && self.core.writes(attempt) && closed(&conn.stream) {
+                link.waiting.push_front(attempt);
+                return self.close(at, key, Some("closed by the other side"));
+            }
             let Some(pull) = self.core.pull(at, attempt) else { continue };
             let call = pull.ask.call.clone();
             resp::pull(&mut conn.output.bytes, &pull, &self.terms.classes);
@@ -1252,9 +1412,7 @@
                     if !link.partly {
                         self.core.tally.tried();
                     }
-                    if let Some(a) = self.core.attempt(attempt) {
-                        a.begun = true;
-                    }
+                    self.core.begin(at, attempt);
                 }
                 Err(e) => {
                     // No byte went out: it waits on, or fails as one that never ran.
@@ -1505,44 +1663,41 @@
         let (sockets, memory) = (self.sockets / share, self.memory / share);
         self.most_held = memory / CLIENTS_HOLD.2;
         self.core.copies.iter_mut().for_each(|copies| copies.fit(memory, self.held));
-        self.most_clients = sockets * 2 / 5;
-        self.most_links = (sockets / 2).min(memory / 3 / resp::LONGEST);
+        let most = Descriptors::of(sockets);
+        self.most = Descriptors { links: most.links.min(memory / 3 / resp::LONGEST), ..most };
     }
 
-    /// Leaves clients to the next process: what waits to be accepted is taken in, then nothing more comes here.
-    fn leave(&mut self, at: Micros) {
+    /// Listens no more.
+    fn stop_listening(&mut self, at: Micros) {
         for which in [PLATFORM, SECOND] {
-            self.accept(at, which);
-            let listener = if which == PLATFORM { self.listener.take() } else { self.second.take() };
-            listener.into_iter().for_each(|old| drop(self.poller.delete(&old)));
-        }
-        self.leaving = true;
-    }
-
-    /// Ends clients' connections with nothing open, unsent or unread on them, so that clients turn to the next
-    /// process. Danger: a request that crosses a plain close makes it a reset, and answers that are still on their way
-    /// are lost with it. So the end is told first, and what comes meanwhile is read until the client has closed too.
-    fn let_go(&mut self, at: Micros) {
-        let idle = |c: &Conn| {
-            c.role.client()
-                && !c.ending
-                && c.role.resting()
-                && c.output.rest().is_empty()
-                && c.input.rest().is_empty()
-                && matches!(c.stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
-        };
-        let idle: Vec<Key> = self.conns.iter().filter(|(_, c)| idle(c)).map(|(key, _)| key).collect();
-        for key in idle {
-            let Some(conn) = self.conns.get_mut(key) else { continue };
-            conn.ending = true;
-            // A connection that is broken is found out when it is read.
-            let _ = conn.stream.shutdown(Shutdown::Write);
-            self.core.deadlines.clear(conn.due, Due::Connection(key));
-            conn.due = at + LINGER;
-            self.core.deadlines.set(conn.due, Due::Connection(key));
+            self.deafen(at, which);
         }
     }
 
+    /// Half-closes clients' connections with nothing open, unsent or unread on them, so that clients turn elsewhere.
+    fn half_close_resting(&mut self, at: Micros) {
+        let rests = |c: &Conn| c.rests() && c.input.rest().is_empty() && c.quiet();
+        let resting: Vec<Key> = self.conns.iter().filter(|(_, c)| rests(c)).map(|(key, _)| key).collect();
+        resting.into_iter().for_each(|key| self.half_close(at, key));
+    }
+
+    /// Ends a client's connection in order. Danger: a request that crosses a plain close makes it a reset, and answers
+    /// that are still on their way are lost with it. So the end is told first, and what comes meanwhile is read, and
+    /// sent nowhere, until the client has closed too.
+    fn half_close(&mut self, at: Micros, key: Key) {
+        let Some(conn) = self.conns.get_mut(key).filter(|c| !matches!(c.life, Life::HalfClosed { .. }))
+        else {
+            return;
+        };
+        self.lingering += 1;
+        conn.life = Life::HalfClosed { until: at + LINGER };
+        // A connection that is broken is found out when it is read.
+        let _ = conn.stream.shutdown(Side::Write);
+        self.core.deadlines.clear(conn.due, Due::Connection(key));
+        conn.due = at + LINGER;
+        self.core.deadlines.set(conn.due, Due::Connection(key));
+    }
+
     // The console.
 
     /// Listens where operators call, as soon as that address is free, and looks at callers whose time has come.
@@ -1554,7 +1709,7 @@
                     if let Ok(here) = listener.local_addr() {
                         log!("operators may call at {here}");
                     }
-                    self.console = Some(Console::new(listener, self.sockets / 24));
+                    self.console = Some(Console::new(listener, self.most.callers));
                 }
                 Err(why) => {
                     log!("console: {why}");
@@ -1723,7 +1878,7 @@
             match effect {
                 Effect::Connect(address) => {
                     let due = at + self.terms.connect_timeout.max(1_000_000);
-                    self.keeper = self.connect(at, address, Role::Keeper, due);
+                    self.keeper = self.connect(at, address, Role::Keeper, due).ok();
                     if self.keeper.is_none() {
                         let lost = self.membership.as_mut().map(|m| m.lost(at, "no connection"));
                         self.perform(at, lost.unwrap_or_default());
@@ -1886,6 +2041,12 @@
         self.core.deadlines.set(at, Due::Bulletin);
     }
 
+    /// The longest pause between calls on the bulletin. Danger: an event counts as told once the bulletin has it, and
+    /// one that comes just after the bulletin is back must be heeded within the settings' time: half of it may be slept.
+    fn longest_pause(&self) -> Micros {
+        self.terms.notice.map_or(BACKOFF.1, |notice| (notice / 2).clamp(LEAST_PAUSE, BACKOFF.1))
+    }
+
     /// Calls the bulletin after a pause, longer each time until it has told something.
     fn call_later(&mut self, at: Micros) {
         let pause = self.feed.backoff.min(self.longest_pause());
@@ -1915,7 +2076,7 @@
         let Some(address) = self.feed.address else { return };
         self.feed.heard = at;
         let due = at + self.terms.connect_timeout;
-        let Some(key) = self.connect(at, address, Role::Bulletin(Reader::default()), due) else {
+        let Ok(key) = self.connect(at, address, Role::Bulletin(Reader::default()), due) else {
             return self.call_later(at);
         };
         self.feed.conn = Some(key);
@@ -1925,6 +2086,14 @@
         }
     }
 
+    /// The number `next` follows the last event taken in. Danger: what is missing between, or cannot be read, may be a
+    /// purge. Stores hear of it; copies here would stay.
+    fn passed_over(&mut self, next: u64) {
+        if next > self.feed.last + 1 {
+            self.core.copies.iter_mut().for_each(Copies::forget_all);
+        }
+    }
+
     /// Applies the bulletin's events in their order, each once.
     fn told(&mut self, at: Micros, events: Vec<String>) -> Result<(), String> {
         (self.feed.heard, self.feed.backoff) = (at, BACKOFF.0);
@@ -1955,17 +2124,3 @@
         Ok(())
     }
 }
-    /// The longest pause between calls on the bulletin. Danger: an event counts as told once the bulletin has it, and
-    /// one that comes just after the bulletin is back must be heeded within the settings' time: half of it may be slept.
-    fn longest_pause(&self) -> Micros {
-        self.terms.notice.map_or(BACKOFF.1, |notice| (notice / 2).clamp(LEAST_PAUSE, BACKOFF.1))
-    }
-
-    /// The number `next` follows the last event taken in. Danger: what is missing between, or cannot be read, may be a
-    /// purge. Stores hear of it; copies here would stay.
-    fn passed_over(&mut self, next: u64) {
-        if next > self.feed.last + 1 {
-            self.core.copies.iter_mut().for_each(Copies::forget_all);
-        }
-    }
-
--- a/gateway/src/signed/mod.rs
+++ b/gateway/src/signed/mod.rs
@@ -7,7 +7,7 @@
 use crate::config::{self, Front, Terms};
 use crate::core::{Ask, Ticket};
 use crate::log;
-use crate::net::{Conn, Final, Gateway, Role};
+use crate::net::{Conn, Final, Gateway, Life, Role};
 use crate::slots::Key;
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use base64::Engine;
@@ -375,9 +375,11 @@
 /// Writes an answer and lets the next request on the connection have its turn.
 fn reply(gateway: &mut Gateway, at: Micros, key: Key, status: u16, headers: &[(&str, &str)], body: &[u8]) {
     let stopping = gateway.stopping();
-    let Some(Conn { role: Role::Web(session), output, ending, .. }) = gateway.conn(key) else { return };
+    let Some(Conn { role: Role::Web(session), output, life, .. }) = gateway.conn(key) else { return };
     let keep_alive = session.keep_alive && !stopping;
-    *ending |= !keep_alive;
+    if !keep_alive && *life == Life::Open {
+        *life = Life::Finishing;
+    }
     http::answer(&mut output.bytes, &Answer { status, headers, body, head: session.head, keep_alive });
     gateway.flush(at, key);
 }
--- a/gateway/tests/net/rare.rs
+++ b/gateway/tests/net/rare.rs
@@ -1,5 +1,6 @@
 //! Rare moments (`docs/design/rare-moments.md`): the bad order of two events is made to happen each time.
-use crate::scenario::{unix_ms, Scenario, Setup, ROW, SETTINGS};
+use crate::scenario::{entry, unix_ms, usual, Scenario, Setup, ROW, SECOND, SETTINGS};
+use std::time::Duration;
 
 fn scenario(setup: Setup) -> Scenario {
     let mut s = Scenario::new(setup);
@@ -16,6 +17,263 @@
     text.leak()
 }
 
+// Shutdown.
+
+/// More than the client's side takes unread, and less than the sockets hold.
+const ON_THEIR_WAY: usize = 4;
+
+/// Large answers that are all written as far as the gateway can tell, and of which the client has read nothing.
+fn answers_on_their_way(s: &mut Scenario, client: &str) {
+    for n in 1..=ON_THEIR_WAY {
+        s.run(&format!(
+            "{client} > serve {n} $ask call={client}w{n}
+             store < PULL {client}w{n}
+             store > {client}w{n} ok remark=HIT | #240000"
+        ));
+    }
+}
+
+#[test]
+fn at_a_plain_stop_a_request_that_crosses_the_end_takes_no_answers_along_and_goes_nowhere() {
+    let mut s = usual();
+    answers_on_their_way(&mut s, "c1");
+    s.run(
+        "c2 > isWell 1
+         c2 < well 1
+         term
+         c2 < closed
+         c1 > serve 99 $ask call=late
+         never PULL late",
+    );
+    for _ in 1..=ON_THEIR_WAY {
+        s.next_seq("c1", 240_000);
+    }
+    s.run("c1 < closed\nexit 0");
+}
+
+#[test]
+fn what_was_taken_before_a_stop_is_answered_before_the_platform_ends_the_process() {
+    let mut s = usual();
+    // The class gives 6 s; the platform ends the process 3 s and 0.7 s after it told it to stop.
+    s.run("c1 > serve 1 $ask call=aa\n c1 > isWell 2\n c1 < well 2\n term");
+    let told = unix_ms();
+    s.run("c1 < failed 1\n c1 < closed\n exit 0");
+    let took = unix_ms() - told;
+    assert!((2500..3700).contains(&took), "answered after {took} ms");
+    // Each attempt was given up, and none was begun after that.
+    let (begun, given_up) = (s.messages("PULL", "aa"), s.messages("KILL", "aa"));
+    assert!(begun > 0 && begun == given_up, "{begun} begun, {given_up} given up");
+}
+
+#[test]
+fn a_second_signal_to_stop_and_a_new_configuration_between_change_nothing() {
+    let mut s = usual();
+    s.run(
+        "bulletin < call last=1
+         c1 > serve 1 $ask call=aa
+         store < PULL aa
+         term
+         log < told to stop
+         bulletin move
+         edit config $old => $feed
+         hup
+         bulletin < call at=$feed last=1
+         term
+         c2 > serve 1 $ask call=bb
+         store < PULL bb
+         store > bb ok remark=HIT | new
+         c2 < served 1 | new
+         c2 < closed
+         c3 refused",
+    );
+    // What is taken stays; nobody new is.
+    s.run("store > aa ok remark=HIT | taken\n c1 < served 1 | taken\n c1 < closed\n exit 0");
+}
+
+// Clients that have gone.
+
+#[test]
+fn nothing_is_begun_for_a_client_that_left_before_its_requests_were_read() {
+    for end in ["close", "reset"] {
+        usual().set("end", end).run(
+            "c1 > isWell 1
+             c1 < well 1
+             pause
+             c1 > serve 2 $ask call=aa
+             c1 > serve 3 op=bid-status call=bb ttl=2000 row=$row block=0 family=1
+             c2 > serve 1 $ask call=cc
+             c1 $end
+             c2 $end
+             resume
+             c3 > isWell 1
+             c3 < well 1
+             never PULL aa
+             never PULL bb
+             never PULL cc",
+        );
+    }
+}
+
+#[test]
+fn what_waits_for_a_connection_ends_with_its_client_whatever_the_settings_say_of_withdrawing() {
+    // Both attempts' stores: one is not there, the other's connection comes up when the client has gone.
+    for cancel in ["true", "false"] {
+        for end in ["close", "reset", "forget"] {
+            let withdraw = format!("\"cancel\":{cancel}");
+            let edits = [
+                ("\"cancel\":true", &withdraw[..]),
+                ("\"connectTimeoutMs\":400", "\"connectTimeoutMs\":8000"),
+            ];
+            let mut s = scenario(Setup {
+                dead: &["a2"],
+                held: &["a1"],
+                settings: settings(&edits),
+                ..Setup::default()
+            });
+            s.set("end", if end == "forget" { "> forget 0 1" } else { end }).run(
+                "c1 > serve 1 $ask call=aa
+                 c2 > isWell 1
+                 c2 < well 1
+                 c1 $end
+                 c2 > isWell 2
+                 c2 < well 2
+                 store admit a1
+                 store < admitted a1
+                 never PULL aa",
+            );
+        }
+    }
+}
+
+#[test]
+fn a_request_of_the_second_front_that_waits_for_a_connection_ends_with_its_client() {
+    let edits =
+        [("\"cancel\":true", "\"cancel\":false"), ("\"connectTimeoutMs\":400", "\"connectTimeoutMs\":8000")];
+    let mut s =
+        scenario(Setup { dead: &["a2"], held: &["a1"], settings: settings(&edits), ..Setup::default() });
+    s.link("ok", crate::scenario::FILES, -10, 600, false).run(
+        "w1 > GET $ok
+         c2 > isWell 1
+         c2 < well 1
+         w1 close
+         c2 > isWell 2
+         c2 < well 2
+         store admit a1
+         store < admitted a1
+         never PULL *",
+    );
+}
+
+// Repeats.
+
+#[test]
+fn a_repeat_that_waited_past_the_window_of_its_key_is_not_sent() {
+    let edits = [
+        ("\"windowMs\":3000", "\"windowMs\":700"),
+        ("\"connectTimeoutMs\":400", "\"connectTimeoutMs\":8000"),
+    ];
+    let mut s = scenario(Setup { held: &["a1"], settings: settings(&edits), ..Setup::default() });
+    // One that goes to the store that is there; its repeat waits for the other.
+    let row = (1..40)
+        .find(|n| {
+            s.run(&format!(
+                "p{n} > serve 1 op=bid-submit call=p{n} ttl=3000 row={n:016x} block=0 family=1 dedupe=k{n} | a bid"
+            ));
+            s.asked_within(&format!("p{n}"), Duration::from_millis(300))
+        })
+        .expect("one goes to a2");
+    s.run(&format!("store > p{row} error\nwait 900\nstore admit a1\nstore < admitted a1"));
+    s.run(&format!("p{row} < busy 1 pushback 134\nnever PULL p{row}"));
+}
+
+#[test]
+fn a_write_does_not_go_out_on_a_connection_that_its_store_has_closed() {
+    let mut s = Scenario::new(Setup { settings: SECOND, dead: &["a2"], ..Setup::default() });
+    s.set("row", ROW).run(
+        "c1 > serve 1 op=meter-photo call=aa ttl=2000 row=$row family=1
+         store < PULL aa
+         store > aa ok remark=HIT | x
+         c1 < served 1 | x
+         pause
+         c1 > serve 2 op=submit-reading call=bb ttl=3000 row=$row family=1 | a reading
+         store close aa
+         resume
+         store < PULL bb | a reading
+         store > bb ok remark=MISS_ORIGIN | done
+         c1 < served 2 | done",
+    );
+}
+
+// Descriptors.
+
+#[test]
+fn without_a_descriptor_for_a_client_the_loop_rests_and_takes_clients_again_later() {
+    let mut s = scenario(Setup { nofile: Some(40), ..Setup::default() });
+    for n in 0..40 {
+        s.run(&format!("q{n} connect"));
+    }
+    s.run("log < cannot accept");
+    let before = s.ticks();
+    s.run("wait 1000");
+    let used = s.ticks() - before;
+    assert!(used < 50, "it used {used} hundredths of a second");
+    for n in 0..40 {
+        s.run(&format!("q{n} close"));
+    }
+    s.run("c1 > serve 1 $ask call=aa\n store < PULL aa\n store > aa ok remark=HIT | x\n c1 < served 1 | x");
+}
+
+#[test]
+fn a_shortage_of_descriptors_here_is_not_laid_to_the_stores() {
+    let mut s = scenario(Setup { nofile: Some(40), ..Setup::default() });
+    s.run("c1 > isWell 1\n c1 < well 1");
+    for n in 0..40 {
+        s.run(&format!("q{n} connect"));
+    }
+    s.run(
+        "log < cannot accept\n c1 > serve 2 $ask call=aa\n log < cannot connect\n c1 < busy 2 pushback 100",
+    );
+    for n in 0..40 {
+        s.run(&format!("q{n} close"));
+    }
+    // All stores are as good as they were.
+    s.run("c1 > isWell 3\n c1 < well 3\n c1 > serve 4 $ask call=bb\n store < PULL bb\n store > bb ok remark=HIT | x\n c1 < served 4 | x");
+}
+
+#[test]
+fn clients_that_fill_their_share_of_descriptors_do_not_keep_the_list_from_coming_back() {
+    let mut s = scenario(Setup { sockets: 64, nofile: Some(64), ..Setup::default() });
+    s.run("bulletin < call last=1\n bulletin vanish\n edit config $old => $feed\n hup\n log < the bulletin is lost");
+    for n in 0..80 {
+        s.run(&format!("q{n} > isWell 1\n q{n} < well 1"));
+    }
+    let drain = entry("a1", s.var("a1").parse().expect("an address"), "standard", "draining");
+    s.set("drain", &drain).run(
+        "bulletin rise
+         bulletin < call at=$feed last=1
+         bulletin > {\"no\":2,\"roster\":{\"seq\":2,\"whole\":false,\"hosts\":[$drain]}}
+         hup
+         log < is read again
+         bulletin close
+         bulletin < call last=2",
+    );
+}
+
+#[test]
+fn an_idle_client_that_makes_room_for_another_loses_no_answer_on_its_way() {
+    let mut s = scenario(Setup { sockets: 64, ..Setup::default() });
+    answers_on_their_way(&mut s, "c1");
+    // Thirteen fill the share of clients: the one that has been idle for longest has to go, and then the next.
+    for n in 0..14 {
+        s.run(&format!("q{n} > isWell 1\n q{n} < well 1"));
+    }
+    s.run("q0 < closed\n c1 > serve 99 $ask call=late\n never PULL late");
+    for _ in 1..=ON_THEIR_WAY {
+        s.next_seq("c1", 240_000);
+    }
+    s.run("c1 < closed");
+}
+
 // Starts, and the list.
 
 #[test]
