--- a/gateway/src/signed/mod.rs
+++ b/gateway/src/signed/mod.rs
@@ -419,26 +419,4 @@
 }
 
 #[cfg(test)]
-pub(crate) mod tests {
-    use super::*;
-
-    /// Two keys; the first one signs.
-    pub fn keys() -> Keys {
-        let key = |name: &str, byte| Secret::new(name.into(), vec![byte; 32]);
-        Keys(vec![key("new", 1), key("old", 2)])
-    }
-
-    #[test]
-    fn a_credential_is_only_the_whole_secret() {
-        let secret = Secret::new("desk".into(), b"0123456789abcdef".to_vec());
-        assert!(secret.is(b"0123456789abcdef"));
-        assert!(!secret.is(b"0123456789abcde") && !secret.is(b"") && !secret.is(b"0123456789abcdeg"));
-        assert_eq!(format!("{secret:?}"), "Secret(desk)");
-    }
-
-    #[test]
-    fn a_tag_matches_among_several_strong_or_weak() {
-        assert!(matches("\"a\", W/\"b\"", "b") && matches("*", "x"));
-        assert!(!matches("\"a\"", "b") && !matches("", "b"));
-    }
-}
+pub(crate) mod tests;
--- /dev/null
+++ b/gateway/src/thrift/tests.rs
@@ -0,0 +1,43 @@
+use super::*;
+
+#[test]
+fn a_length_is_never_taken_at_its_word() {
+    assert!(frame(&[0x7f, 0xff, 0xff, 0xff]).is_err() && frame(&[0xff; 4]).is_err());
+    assert_eq!(frame(&[0, 0, 0, 2, 7]), Ok(None));
+    let call = |rest: &[u8]| {
+        let head: &[u8] = &[0x80, 1, 0, 1, 0, 0, 0, 5, b's', b'e', b'r', b'v', b'e', 0, 0, 0, 9];
+        message(&[head, rest].concat()).map(|m| m.seq)
+    };
+    assert_eq!(call(&[0]), Ok(9));
+    for bad in [
+        &[13, 0, 1, 11, 11, 0x7f, 0xff, 0xff, 0xff][..],
+        &[11, 0, 2, 0xff, 0xff, 0xff, 0xff],
+        &[11, 0, 2, 0, 0, 0, 9, 1],
+        &[15, 0, 7, 12, 0x7f, 0xff, 0xff, 0xff],
+        &[99, 0, 1],
+        &[],
+    ] {
+        assert!(call(bad).is_err(), "{bad:?}");
+    }
+    // Structs within structs, deeper than any real one.
+    assert!(call(&[12, 0, 9].repeat(5000)).is_err());
+}
+
+#[test]
+fn a_size_is_read_as_a_plain_decimal_or_named_as_the_fault() {
+    assert_eq!(size("412.5"), Ok(412.5));
+    assert_eq!(size("0"), Ok(0.0));
+    for bad in ["", "-1", "nan", "inf", "1e5", "4 12", "soon", "1000000001", "0x10"] {
+        assert_eq!(size(bad), Err(format!("heap cannot be {bad:?}")), "{bad}");
+    }
+}
+
+#[test]
+fn a_busy_answer_tells_when_to_come_back_only_if_that_is_known() {
+    let mut out = Vec::new();
+    busy(&mut out, 3, 250);
+    assert!(out.windows(8).any(|w| w == b"pushback") && out.windows(3).any(|w| w == b"250"));
+    out.clear();
+    busy(&mut out, 3, 0);
+    assert!(!out.windows(8).any(|w| w == b"pushback"));
+}
--- a/lab/src/trial/cold.rs
+++ b/lab/src/trial/cold.rs
@@ -1,5 +1,5 @@
-//! `trial cold`: a cold box, the only one of its location, before 20 and 30 gateways that know nothing of each other, half of which are
-//! killed and started again while it warms. What matters is the sum of what they send to it.
+//! `trial cold`: a cold box, the only one of its location, before 20 and 30 gateways that know nothing of each other,
+//! half of which are killed and started again while it warms. What matters is the sum of what they send to it.
 use super::fleet::{spawn, Gateway};
 use super::spread::SETTINGS;
 use super::Outcome;
@@ -131,7 +131,7 @@
     let begun = std::time::Instant::now();
     let until = |ms: u64| std::thread::sleep(Duration::from_millis(ms).saturating_sub(begun.elapsed()));
     // Those that are killed are asked until then.
-    let stays = |at: usize| at % 2 == 0;
+    let stays = |at: usize| at.is_multiple_of(2);
     let span = |at: usize| if stays(at) { SCRIPT[2] } else { SCRIPT[1] };
     let mut loads: Vec<_> = running.iter().map(|g| world.ask(g, span(g.at))).collect();
     until(SCRIPT[0]);
