Begin no attempt for a client that has closed, also where its end is not read yet

Cause: net.rs send_waiting looked only at what had been read. A client's end that lay behind a store's answer in the same turn, or (second front) behind more than 1 MB that arm() leaves unread, was found out after its next attempt had gone out.

Change: client_left looks at the client's connection before the first byte of an attempt, unless it was read to its end in this turn: a peek, or where it is not read from, the system's word of the other side's end (rustix poll, RDHUP).

Result: two scenarios; with the call taken out both fail ("never PULL"). Ruled out on the way: a further attempt that has to dial anew meets the client's end first, so the scenario opens connections to both stores before.

--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -680,6 +680,12 @@
         Some((attempt.get.server, &self.requests.get(attempt.request)?.ask.call))
     }
 
+    /// The connection of the client for whom an attempt is made.
+    pub fn client(&self, key: Key) -> Option<Key> {
+        let request = self.attempts.get(key).and_then(|a| self.requests.get(a.request));
+        request.filter(|r| !r.answered).map(|r| r.ticket.client)
+    }
+
     /// Whether the store of an attempt was told of a copy that the client holds.
     pub fn offered_copy(&self, key: Key) -> bool {
         let request = self.attempts.get(key).and_then(|a| self.requests.get(a.request));
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -15,7 +15,7 @@
 use crate::shutdown::{Begun, Shutdown, ACCEPTING};
 use crate::signed::{self, Session};
 use crate::slots::{Key, Slots};
-use crate::sockets::{drain, exhausted, polled, polled_in_time, told_by};
+use crate::sockets::{closed, drain, exhausted, hung_up, polled, polled_in_time, told_by};
 use crate::thrift::{self, Calls};
 use crate::upgrade::{self, Upgrade};
 use larchway::{Micros, Note, ServerId, Settings, State, Status};
@@ -229,14 +229,6 @@
     }
 }
 
-/// Whether the other side has closed a connection, as far as has come in.
-fn closed(stream: &TcpStream) -> bool {
-    match stream.peek(&mut [0]) {
-        Ok(n) => n == 0,
-        Err(e) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
-    }
-}
-
 /// A store: its name, its address and the connections to it.
 struct Pool {
     store: Store,
@@ -1376,6 +1368,22 @@
         self.arm(key);
     }
 
+    /// Whether the client of an attempt has closed its connection, which is ended then. Danger: word of that may lie
+    /// among events that have not had their turn, or behind bytes that are not read, and an attempt must not begin.
+    fn client_left(&mut self, at: Micros, attempt: Key) -> bool {
+        let Some(client) = self.core.client(attempt) else { return false };
+        let Some(conn) = self.conns.get(client) else { return false };
+        // What came in this turn was read to its end.
+        if at < conn.heard + LONGEST_TURN {
+            return false;
+        }
+        let left = if conn.armed.0 { closed(&conn.stream) } else { hung_up(&conn.stream) };
+        if left {
+            self.close(at, client, Some("closed by the other side"));
+        }
+        left
+    }
+
     /// Writes the attempts that wait for a connection, each once all before it is written.
     fn send_waiting(&mut self, at: Micros, key: Key) {
         loop {
@@ -1386,7 +1394,7 @@
             let Role::Store(link) = &mut conn.role else { return };
             let Some(attempt) = link.waiting.pop_front() else { return };
             // Much may have happened while it waited.
-            if !self.core.may_begin(at, attempt) {
+            if self.client_left(at, attempt) || !self.core.may_begin(at, attempt) {
                 continue;
             }
             let Some(conn) = self.conns.get_mut(key) else { return };
--- a/gateway/src/sockets.rs
+++ b/gateway/src/sockets.rs
@@ -1,9 +1,10 @@
 //! Listening sockets, and the pipes that signals write to.
 use crate::log;
 use polling::{Event, PollMode, Poller};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io::{self, ErrorKind, Read};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
 use std::time::{Duration, Instant};
 
@@ -18,6 +19,21 @@
     matches!(e.raw_os_error(), Some(23 | 24 | 105 | 12 | 99))
 }
 
+/// Whether the other side has closed a connection, as far as has come in; what lies unread before its end is none.
+pub fn closed(stream: &TcpStream) -> bool {
+    match stream.peek(&mut [0]) {
+        Ok(n) => n == 0,
+        Err(e) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+    }
+}
+
+/// The same for a connection that is not read from: its end may lie behind bytes that stay where they are.
+pub fn hung_up(stream: &TcpStream) -> bool {
+    let over = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    let mut asked = [PollFd::new(stream, over)];
+    poll(&mut asked, Some(&Timespec::default())).is_ok_and(|n| n > 0) && asked[0].revents().intersects(over)
+}
+
 /// Listens at an address; `shared`: with the gateway's other processes, which must ask for it too.
 fn listen(address: SocketAddr, shared: bool) -> Result<TcpListener, (String, ErrorKind)> {
     let open = || -> io::Result<TcpListener> {
--- a/gateway/tests/net/rare.rs
+++ b/gateway/tests/net/rare.rs
@@ -164,6 +164,55 @@
     );
 }
 
+#[test]
+fn a_request_of_a_client_that_is_not_read_from_ends_with_it_too() {
+    let edits =
+        [("\"cancel\":true", "\"cancel\":false"), ("\"connectTimeoutMs\":400", "\"connectTimeoutMs\":8000")];
+    let mut s =
+        scenario(Setup { dead: &["a2"], held: &["a1"], settings: settings(&edits), ..Setup::default() });
+    s.link("ok", crate::scenario::FILES, -10, 600, false).run("w1 > GET $ok");
+    // More than is read before the answer to the first request, so that the client's end lies behind it.
+    s.run(&format!("w1 text {}", "x".repeat(1_500_000)));
+    s.run(
+        "c2 > isWell 1
+         c2 < well 1
+         w1 close
+         c2 > isWell 2
+         c2 < well 2
+         store admit a1
+         store < admitted a1
+         never PULL *",
+    );
+}
+
+#[test]
+fn no_further_attempt_is_made_for_a_client_whose_end_waits_behind_a_stores_answer() {
+    for end in ["close", "reset"] {
+        let mut s = usual();
+        // Connections to both stores are up, so that a further attempt would go out at once.
+        for n in 1..=16 {
+            s.run(&format!(
+                "c2 > serve {n} op=history-files call=p{n} ttl=6000 row={n:016x} block=0 family=1
+                 store < PULL p{n}
+                 store > p{n} ok remark=HIT | x
+                 c2 < served {n} | x"
+            ));
+        }
+        s.set("end", end).run(
+            "c1 > serve 1 $ask call=aa
+             store < PULL aa
+             pause
+             store > aa error
+             c1 $end
+             wait 150
+             resume
+             c2 > isWell 99
+             c2 < well 99
+             never PULL aa",
+        );
+    }
+}
+
 // Repeats.
 
 #[test]
