Decline no request for its size alone while its cache is not crowded

Change: such a request is declined only where the time taken is more than CROWDED times its sending time. Where the aim covers the size, nothing changes.

Left: with no aimStretch a large fill still counts as late (LATE), which withholds others.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -777,10 +777,11 @@
     fn in_time(&self, open: &Open, class: &Class, edge: f64, miss: f64) -> bool {
         let guess = self.link.map_or(1.0, |flows| (self.link_load() + 1.0) / flows);
         let link = self.link_told.or(guess, self.now, REPORTED.0);
-        let aim = class.aim_of(open.work);
+        let aim = class.aim_of(open.work) * if open.sized { IN_TIME.0 } else { IN_TIME.1 };
         let stretch = edge + miss * (link - edge).max(0.0);
         let least = open.least() * stretch + miss * self.penalty.or(FIRST_PENALTY).min(FIRST_PENALTY);
-        open.work * stretch <= aim * if open.sized { IN_TIME.0 } else { IN_TIME.1 }
+        // Danger: what is too large to be in time even alone is declined on the quietest day.
+        stretch <= if open.work > aim { CROWDED } else { aim / open.work.max(1.0) }
             && least <= open.req.ttl as f64
             || open.attempts.iter().any(|a| a.to.link || a.to.positive[0])
     }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -307,6 +307,25 @@
     Rig::new(set, fleet())
 }
 
+/// On a quiet day the largest of a class are answered as the others are, also where the aim does not grow with the size.
+#[test]
+fn no_request_is_declined_for_its_size_alone() {
+    for (aim_stretch, told) in [(0.0, true), (0.0, false), (1.0, true), (2.0, true)] {
+        let page = Class { aim: 250 * MS, aim_stretch, ..Class::default() };
+        let mut rig = Rig::new(Settings { classes: vec![page], ..settings() }, fleet());
+        for id in 0..60 {
+            rig.wait(3000);
+            // Sending times of 50 to 1,820 ms; where they are not told, they are found out by the first request.
+            let (ttl, time) = (3000 * MS, 50.0 + 30.0 * (id / 2) as f64);
+            let size_kb = if told { time } else { 0.0 };
+            let req = Request { id, object: id / 2, ttl, size_kb, ..Request::default() };
+            assert!(get(&rig.tell(Event::Request(req))).is_some(), "{time} ms, aim + {aim_stretch} times");
+            let took = (time * 1000.0) as Micros;
+            rig.tell(Event::Outcome(ended(id, 0, (Status::Ok, Note::Hit), took, true)));
+        }
+    }
+}
+
 #[test]
 fn an_unsafe_request_that_may_have_run_is_not_repeated() {
     let mut rig = with_effect(Effect::Unsafe, Group::All);
