--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -112,7 +112,7 @@
         14 => Status::ConnectFailed,
         10 => Status::Reset,
         1 => Status::Cancelled,
-        9 => Status::Moot,
+        9 => Status::NeverSent,
         5 => Status::Miss,
         _ => return Err(format!("outcome cannot be {code}")),
     })
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -205,7 +205,7 @@
         Status::ConnectFailed => Some(Evidence::Refused),
         Status::Reset => Some(Evidence::Reset),
         Status::Timeout => Some(Evidence::Silent),
-        Status::Cancelled | Status::Moot => None,
+        Status::Cancelled | Status::NeverSent => None,
         _ => Some(Evidence::Answered),
     }
 }
@@ -315,7 +315,7 @@
     fn seen_fill(&mut self, now: Micros, source: ServerId, (status, note): (Status, Note), took: Micros) {
         let usual = self.shield.as_ref().and_then(Shield::usual).unwrap_or(100_000);
         let Some((terms, seen)) = &mut self.watch else { return };
-        if !self.hubs.contains_key(&source) || matches!(status, Status::Cancelled | Status::Moot) {
+        if !self.hubs.contains_key(&source) || matches!(status, Status::Cancelled | Status::NeverSent) {
             return;
         }
         // What the cache held says nothing of the parent.
@@ -562,7 +562,7 @@
         let late: Vec<Key> =
             self.attempts.iter().filter(|(_, a)| a.begun.is_none() && void(a)).map(|(k, _)| k).collect();
         for key in late {
-            self.withdraw(now, key, Status::Moot);
+            self.withdraw(now, key, Status::NeverSent);
         }
     }
 
@@ -634,7 +634,7 @@
         let Some(attempt) = self.attempts.get(key) else { return false };
         let fit = self.requests.get(attempt.request).is_some_and(|r| !r.answered && !self.lapsed(now, r));
         if !fit {
-            self.withdraw(now, key, Status::Moot);
+            self.withdraw(now, key, Status::NeverSent);
         }
         fit
     }
@@ -666,7 +666,7 @@
         let Some(open) = self.requests.get(request) else { return };
         let unsent = |key: &Key| self.attempts.get(*key).is_some_and(|a| a.begun.is_none());
         let unsent: Vec<Key> = open.attempts.iter().copied().filter(unsent).collect();
-        unsent.into_iter().for_each(|key| self.withdraw(now, key, Status::Moot));
+        unsent.into_iter().for_each(|key| self.withdraw(now, key, Status::NeverSent));
     }
 
     /// The attempt, if it has not ended.
@@ -796,7 +796,7 @@
         if let (Some(carrier), Some(open)) = (attempt.carrier, self.requests.get(attempt.request)) {
             self.orders.push_back(Order::Kill { carrier, attempt: key, call: open.ask.call.clone() });
         }
-        self.outcome(now, key, if unsent { Status::Moot } else { status }, Note::None);
+        self.outcome(now, key, if unsent { Status::NeverSent } else { status }, Note::None);
     }
 
     fn sweep(&mut self, key: Key) {
@@ -892,7 +892,7 @@
         self.events.push_back(Event::Outcome(Outcome {
             id: attempt.request.0,
             attempt: attempt.number,
-            status: if attempt.begun.is_some() { Status::Cancelled } else { Status::Moot },
+            status: if attempt.begun.is_some() { Status::Cancelled } else { Status::NeverSent },
             latency: now.saturating_sub(attempt.at),
             closed: open.answered,
             note: Note::None,
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -15,7 +15,7 @@
 use crate::shutdown::{Begun, Shutdown, ACCEPTING};
 use crate::signed::{self, Session};
 use crate::slots::{Key, Slots};
-use crate::sockets::{closed, drain, exhausted, hung_up, polled, polled_in_time, told_by};
+use crate::sockets::{closed, drain, exhausted, hung_up, polled, polled_in_time, signal_pipe};
 use crate::thrift::{self, Calls};
 use crate::upgrade::{self, Upgrade};
 use larchway::{Micros, Note, ServerId, Settings, State, Status};
@@ -74,10 +74,10 @@
 const TURN: usize = 512 * 1024;
 /// µs of silence after which the bulletin counts as lost: it says something every second.
 const SILENT: Micros = 2_500_000;
-/// µs: first and longest pause between calls on the bulletin; see [`Gateway::longest_pause`].
+/// µs: first and longest pause between calls on the bulletin; see [`Gateway::longest_backoff`].
 const BACKOFF: (Micros, Micros) = (100_000, 2_000_000);
 /// µs between calls on the bulletin at least, however short the time is in which its news must be heeded.
-const LEAST_PAUSE: Micros = 25_000;
+const LEAST_BACKOFF: Micros = 25_000;
 
 /// Bytes on their way in or out.
 #[derive(Default)]
@@ -299,8 +299,8 @@
     seed: u64,
     drawn: u64,
     files: Files,
-    stop_told: UnixStream,
-    reload_told: UnixStream,
+    stop_signal: UnixStream,
+    reload_signal: UnixStream,
     conns: Slots<Conn>,
     pools: BTreeMap<ServerId, Pool>,
     feed: Feed,
@@ -327,8 +327,8 @@
     pub fn new(files: Files) -> Result<Self, String> {
         let Loaded { config, front, fleet, hierarchy, copies, spread, tier } = files.read()?;
         let poller = Poller::new().map_err(|e| format!("cannot poll: {e}"))?;
-        let stop_told = told_by(&poller, &[SIGTERM, SIGINT], SIGNAL)?;
-        let reload_told = told_by(&poller, &[SIGHUP], RELOAD)?;
+        let stop_signal = signal_pipe(&poller, &[SIGTERM, SIGINT], SIGNAL)?;
+        let reload_signal = signal_pipe(&poller, &[SIGHUP], RELOAD)?;
         let mut gateway = Gateway {
             poller,
             listener: None,
@@ -361,8 +361,8 @@
             seed: config.seed,
             drawn: 0,
             files,
-            stop_told,
-            reload_told,
+            stop_signal,
+            reload_signal,
             conns: Slots::default(),
             pools: BTreeMap::new(),
             feed: Feed::default(),
@@ -389,10 +389,10 @@
         gateway.take_in(at, config, fleet, hierarchy)?;
         gateway.told_first(now(), told);
         gateway.listener =
-            Some(polled_in_time(&gateway.poller, gateway.listens, PLATFORM, shared, &gateway.stop_told)?);
+            Some(polled_in_time(&gateway.poller, gateway.listens, PLATFORM, shared, &gateway.stop_signal)?);
         if let Some(front) = &gateway.front {
             gateway.second =
-                Some(polled_in_time(&gateway.poller, front.listen, SECOND, shared, &gateway.stop_told)?);
+                Some(polled_in_time(&gateway.poller, front.listen, SECOND, shared, &gateway.stop_signal)?);
         }
         gateway.tell_status();
         Ok(gateway)
@@ -423,7 +423,7 @@
             if let Some(hierarchy) = &mut self.hierarchy {
                 hierarchy.name(&config.name);
             }
-            self.tend_hierarchy(at);
+            self.check_hierarchy(at);
         }
         // What is lent is not in the configuration, and stays.
         let shares = self.peers.as_ref().and_then(Peers::shares);
@@ -440,7 +440,7 @@
             self.console_at = config.console;
             self.console = None;
         }
-        self.tend_console(at);
+        self.check_console(at);
         // One that was told to stop has left the fleet, and stays away from it.
         if let Some(fleet) = fleet.filter(|_| !self.shutdown.begun()) {
             let here = self.listener.as_ref().and_then(|l| l.local_addr().ok());
@@ -450,16 +450,16 @@
         }
         for item in config.items {
             if item.no > self.feed.last {
-                self.passed_over(item.no);
+                self.skipped_events(item.no);
                 self.feed.last = item.no;
                 self.tell(at, item.news);
             }
         }
-        self.passed_over(config.known + 1);
+        self.skipped_events(config.known + 1);
         self.feed.last = self.feed.last.max(config.known);
         if self.feed.address != config.bulletin {
             self.feed.address = config.bulletin;
-            self.call_anew(at);
+            self.reconnect_now(at);
         }
         Ok(())
     }
@@ -467,7 +467,7 @@
     /// Reads the configuration again, whole, and puts it in the place of the old one. One that cannot be used
     /// is logged by its faulty key and changes nothing.
     fn reload(&mut self, at: Micros) {
-        let signals = drain(&self.reload_told);
+        let signals = drain(&self.reload_signal);
         let done = self.files.read().and_then(|loaded| self.replace(at, loaded));
         self.core.tally.read(signals, done.is_ok());
         match done {
@@ -495,11 +495,11 @@
         };
         let rebound = listener.is_some() || second.is_some();
         if listener.is_some() {
-            self.deafen(at, PLATFORM);
+            self.close_listener(at, PLATFORM);
             (self.listener, self.listens) = (listener, config.listen);
         }
         if second.is_some() {
-            self.deafen(at, SECOND);
+            self.close_listener(at, SECOND);
             self.second = second;
         }
         self.front = front;
@@ -576,16 +576,16 @@
         self.core.deadlines.shift(&mut self.peers_due, due, Due::Peers);
     }
 
-    fn tend_peers(&mut self, at: Micros) {
+    fn check_peers(&mut self, at: Micros) {
         self.peers_due = None;
         let avoided = self.core.avoided(at).collect();
         let effects = self.peers.as_mut().map(|peers| peers.tick(at, avoided)).unwrap_or_default();
-        self.heed_peers(at, effects);
+        self.apply_peer_effects(at, effects);
         self.set_peers();
     }
 
     /// Carries out what other gateways' words come to.
-    fn heed_peers(&mut self, at: Micros, effects: Vec<peers::Effect>) {
+    fn apply_peer_effects(&mut self, at: Micros, effects: Vec<peers::Effect>) {
         for effect in effects {
             match effect {
                 peers::Effect::Shed(shares) => self.core.shed(at, shares),
@@ -654,7 +654,7 @@
                 self.tell_sent(at);
             }
             if self.shutdown.closing() {
-                self.half_close_resting(at);
+                self.half_close_idle(at);
             }
             if self.finished() {
                 log!("ends; the longest turn of the loop took {} ms", self.longest_turn.div_ceil(1000));
@@ -689,7 +689,7 @@
                     }
                     DATAGRAMS => {
                         let effects = self.peers.as_mut().map(|peers| peers.hear(at));
-                        self.heed_peers(at, effects.unwrap_or_default());
+                        self.apply_peer_effects(at, effects.unwrap_or_default());
                     }
                     UPGRADE => self.admit_process(at),
                     key if (PEERS..UPGRADE).contains(&key) => self.hear_process(at, key - PEERS),
@@ -714,7 +714,7 @@
     }
 
     fn stop(&mut self, at: Micros) {
-        drain(&self.stop_told);
+        drain(&self.stop_signal);
         let first = !self.shutdown.begun();
         match self.shutdown.signalled(at, self.company.successor()) {
             Begun::Accepting => log!("told to stop: taking requests for {} ms more", ACCEPTING / 1000),
@@ -749,16 +749,16 @@
     fn due(&mut self, at: Micros, due: Due) {
         match due {
             Due::Connection(key) => self.look(at, key),
-            Due::Bulletin => self.tend_feed(at),
-            Due::Membership => self.tend_membership(at),
-            Due::Peers => self.tend_peers(at),
+            Due::Bulletin => self.check_bulletin(at),
+            Due::Membership => self.check_membership(at),
+            Due::Peers => self.check_peers(at),
             Due::Console => {
                 self.console_due = None;
-                self.tend_console(at);
+                self.check_console(at);
             }
             Due::Hierarchy => {
                 self.hierarchy_due = None;
-                self.tend_hierarchy(at);
+                self.check_hierarchy(at);
             }
             Due::Cordon => {
                 self.cordon_due = None;
@@ -834,7 +834,7 @@
     }
 
     /// Takes in what waits at a listener, then closes it: what is left in its queue would be reset.
-    fn deafen(&mut self, at: Micros, which: usize) {
+    fn close_listener(&mut self, at: Micros, which: usize) {
         while self.accept(at, which) {}
         let listener = if which == PLATFORM { self.listener.take() } else { self.second.take() };
         // A listener that is dropped is no longer polled; there is nothing to do about an error here.
@@ -1173,7 +1173,7 @@
             Role::Bulletin(_) if self.feed.conn == Some(key) => {
                 log!("the bulletin is lost: {}", why.unwrap_or("closed"));
                 self.feed.conn = None;
-                self.call_later(at);
+                self.reconnect_later(at);
                 self.bulletin_heard(at, false);
             }
             Role::Bulletin(_) => {}
@@ -1358,7 +1358,7 @@
                     // Danger: a shortage here, laid to the stores, makes them all look gone and back, cold.
                     Err(undialled) => {
                         let here = matches!(undialled, Undialled::Here);
-                        let status = if here { Status::Moot } else { Status::ConnectFailed };
+                        let status = if here { Status::NeverSent } else { Status::ConnectFailed };
                         self.core.outcome(at, attempt, status, Note::None);
                         return;
                     }
@@ -1699,12 +1699,12 @@
     /// Listens no more.
     fn stop_listening(&mut self, at: Micros) {
         for which in [PLATFORM, SECOND] {
-            self.deafen(at, which);
+            self.close_listener(at, which);
         }
     }
 
     /// Half-closes clients' connections with nothing open, unsent or unread on them, so that clients turn elsewhere.
-    fn half_close_resting(&mut self, at: Micros) {
+    fn half_close_idle(&mut self, at: Micros) {
         let rests = |c: &Conn| c.rests() && c.input.rest().is_empty() && c.quiet();
         let resting: Vec<Key> = self.conns.iter().filter(|(_, c)| rests(c)).map(|(key, _)| key).collect();
         resting.into_iter().for_each(|key| self.half_close(at, key));
@@ -1730,7 +1730,7 @@
     // The console.
 
     /// Listens where operators call, as soon as that address is free, and looks at callers whose time has come.
-    fn tend_console(&mut self, at: Micros) {
+    fn check_console(&mut self, at: Micros) {
         let mut due = None;
         match (&mut self.console, self.console_at) {
             (None, Some(address)) => match polled(&self.poller, address, CONSOLE, false) {
@@ -1852,14 +1852,14 @@
         Gauges { known_stores: self.cordon.listed(), skipped_stores: skipped.len() }
     }
 
-    fn tend_membership(&mut self, at: Micros) {
+    fn check_membership(&mut self, at: Micros) {
         self.membership_due = None;
         let effects = self.membership.as_mut().map(|m| m.tick(at)).unwrap_or_default();
         self.perform(at, effects);
     }
 
     /// Tells the module how objects' homes are shared now, and sets when that changes next.
-    fn tend_hierarchy(&mut self, at: Micros) {
+    fn check_hierarchy(&mut self, at: Micros) {
         let Some(hierarchy) = &mut self.hierarchy else { return };
         if let Some(homes) = hierarchy.tick(at) {
             self.core.homes(at, homes);
@@ -1887,7 +1887,7 @@
         if let Some(hierarchy) = &mut self.hierarchy {
             suspects.into_iter().for_each(|parent| hierarchy.suspect(at, parent));
         }
-        self.tend_hierarchy(at);
+        self.check_hierarchy(at);
     }
 
     /// Whether a request that has been at these places may pass (RFC 8586); without a hierarchy nothing is known of it.
@@ -1941,13 +1941,13 @@
                 }
                 Effect::Lease(input) => {
                     let effects = self.peers.as_mut().map(|peers| peers.told(at, input));
-                    self.heed_peers(at, effects.unwrap_or_default());
+                    self.apply_peer_effects(at, effects.unwrap_or_default());
                 }
                 Effect::Change(node, data) => {
                     if let Some(hierarchy) = &mut self.hierarchy {
                         hierarchy.change(at, &node, &data);
                     }
-                    self.tend_hierarchy(at);
+                    self.check_hierarchy(at);
                 }
             }
         }
@@ -2029,7 +2029,7 @@
         let bulletin::News::Roster { whole, stores } = news else { return };
         if let Some(hierarchy) = &mut self.hierarchy {
             hierarchy.roster(at, stores);
-            self.tend_hierarchy(at);
+            self.check_hierarchy(at);
         }
         let named: BTreeSet<ServerId> = stores.iter().map(|s| s.host.server).collect();
         if *whole {
@@ -2079,19 +2079,19 @@
 
     /// The longest pause between calls on the bulletin. Danger: an event counts as told once the bulletin has it, and
     /// one that comes just after the bulletin is back must be heeded within the settings' time: half of it may be slept.
-    fn longest_pause(&self) -> Micros {
-        self.terms.notice.map_or(BACKOFF.1, |notice| (notice / 2).clamp(LEAST_PAUSE, BACKOFF.1))
+    fn longest_backoff(&self) -> Micros {
+        self.terms.notice.map_or(BACKOFF.1, |notice| (notice / 2).clamp(LEAST_BACKOFF, BACKOFF.1))
     }
 
     /// Calls the bulletin after a pause, longer each time until it has told something.
-    fn call_later(&mut self, at: Micros) {
-        let pause = self.feed.backoff.min(self.longest_pause());
+    fn reconnect_later(&mut self, at: Micros) {
+        let pause = self.feed.backoff.min(self.longest_backoff());
         self.set_feed(at + pause);
         self.feed.backoff = 2 * pause;
     }
 
     /// Leaves the bulletin's connection for a call at its present address, at once.
-    fn call_anew(&mut self, at: Micros) {
+    fn reconnect_now(&mut self, at: Micros) {
         if let Some(old) = self.feed.conn.take() {
             self.close(at, old, None);
         }
@@ -2102,7 +2102,7 @@
     }
 
     /// Calls the bulletin, or notices that it has gone silent.
-    fn tend_feed(&mut self, at: Micros) {
+    fn check_bulletin(&mut self, at: Micros) {
         if let Some(key) = self.feed.conn {
             if at >= self.feed.heard + SILENT {
                 return self.close(at, key, Some("it has gone silent"));
@@ -2113,7 +2113,7 @@
         self.feed.heard = at;
         let due = at + self.terms.connect_timeout;
         let Ok(key) = self.connect(at, address, Role::Bulletin(Reader::default()), due) else {
-            return self.call_later(at);
+            return self.reconnect_later(at);
         };
         self.feed.conn = Some(key);
         self.set_feed(at + SILENT);
@@ -2124,7 +2124,7 @@
 
     /// The number `next` follows the last event taken in. Danger: what is missing between, or cannot be read, may be a
     /// purge. Stores hear of it; copies here would stay.
-    fn passed_over(&mut self, next: u64) {
+    fn skipped_events(&mut self, next: u64) {
         if next > self.feed.last + 1 {
             self.core.copies.iter_mut().for_each(Copies::forget_all);
         }
@@ -2153,7 +2153,7 @@
             if item.no <= self.feed.last {
                 continue;
             }
-            self.passed_over(item.no);
+            self.skipped_events(item.no);
             self.feed.last = item.no;
             self.tell(at, item.news);
         }
--- a/gateway/src/resp.rs
+++ b/gateway/src/resp.rs
@@ -141,7 +141,7 @@
         "nothing" => Some(Status::Miss),
         "refused" => Some(Status::Full),
         "error" => Some(Status::Error),
-        "stale" => Some(Status::Moot),
+        "stale" => Some(Status::NeverSent),
         // A probe's answer (ECHO or METER), which ends no attempt; `no` is an answer like `yes`, not a fault.
         "yes" | "no" => None,
         other => return Err(format!("the word {other:?}")),
--- a/gateway/src/sockets.rs
+++ b/gateway/src/sockets.rs
@@ -61,7 +61,7 @@
 }
 
 /// A pipe that these signals write to, polled under a key.
-pub fn told_by(poller: &Poller, signals: &[i32], key: usize) -> Result<UnixStream, String> {
+pub fn signal_pipe(poller: &Poller, signals: &[i32], key: usize) -> Result<UnixStream, String> {
     let open = || -> io::Result<UnixStream> {
         let (told, teller) = UnixStream::pair()?;
         told.set_nonblocking(true)?;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -354,7 +354,7 @@
     /// Withdrawn.
     Cancelled,
     /// Never sent.
-    Moot,
+    NeverSent,
     /// Nothing suitable held, there or at its source.
     Miss,
 }
@@ -362,7 +362,7 @@
 impl Status {
     /// Whether this proves that the request did not run.
     pub fn never_ran(self) -> bool {
-        matches!(self, Status::Full | Status::ConnectFailed | Status::Moot | Status::Miss)
+        matches!(self, Status::Full | Status::ConnectFailed | Status::NeverSent | Status::Miss)
     }
 }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -285,7 +285,7 @@
     let Choice { edge, source, sibling, positive, .. } = attempt.to;
     let fill = source != edge && !positive[0];
     let blamed = match (outcome.status, outcome.note) {
-        (Status::Ok | Status::Moot | Status::Cancelled, _) | (_, Note::OriginFailed) => Blame::Nobody,
+        (Status::Ok | Status::NeverSent | Status::Cancelled, _) | (_, Note::OriginFailed) => Blame::Nobody,
         (_, Note::SourceRefused | Note::SourceLost) => Blame::Source,
         // Danger: a fill that dries up ends in an error too, late; laid to caches it empties a location.
         (Status::Error, _) if fill && outcome.latency >= attempt.patience => Blame::Link,
@@ -817,7 +817,7 @@
         if outcome.note == Note::OriginFailed {
             return self.give_up(id, PAUSE.1, actions);
         }
-        // Moot before the end: unsent, since its store was withdrawn or a purge was told while it waited.
+        // Never sent, before the end: its store was withdrawn or a purge was told while it waited.
         if self.now >= open.arrived + open.req.ttl {
             actions.push(Action::Fail(id));
             return self.close(id, actions);
@@ -878,7 +878,7 @@
         let mut returned = Vec::new();
         if let Some(s) = self.servers.get_mut(&edge) {
             s.out.step(-1.0, now, LOAD_SPAN);
-            if !matches!(outcome.status, Status::Cancelled | Status::Timeout | Status::Moot) {
+            if !matches!(outcome.status, Status::Cancelled | Status::Timeout | Status::NeverSent) {
                 s.heard = now;
             }
             if blame == Blame::Edge {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -759,10 +759,10 @@
     let first = get(&rig.ask(1)).expect("sent");
     // The store was withdrawn, or a purge told, while the attempt waited for its connection.
     rig.list(Scope::Changes, vec![Host { state: State::Draining, ..host(first.server, 1, 0) }]);
-    let second = get(&rig.answer(0, Status::Moot, Note::None)).expect("sent again");
+    let second = get(&rig.answer(0, Status::NeverSent, Note::None)).expect("sent again");
     assert_ne!(second.server, first.server);
     rig.wait(4000);
-    assert_eq!(finals(&rig.answer(1, Status::Moot, Note::None)), 1);
+    assert_eq!(finals(&rig.answer(1, Status::NeverSent, Note::None)), 1);
 }
 
 #[test]
