--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -290,18 +290,57 @@
     Ok(if price > 0.0 { most.min(SHARED) as usize } else { 1 })
 }
 
-/// The time in which something must be heeded, where it is told.
-fn notice(settings: &Value, part: &str, key: &str) -> Result<Option<Micros>, String> {
+/// The time in which news must be acted on, where it is told.
+const NOTICES: [(&str, &str); 2] = [("rules", "stopSendingWithinMs"), ("familyInfo", "noticeTimeMs")];
+/// What the module reads as a number from 0, and as a flag, where it is there. Danger: one of another type would count as
+/// absent, and a gateway would serve by the default without a word.
+const NUMBERS: [(&str, &str); 8] = [
+    ("limits", "maxRetryAfterMs"),
+    ("rules", "fallMs"),
+    ("rules", "fallMultiple"),
+    ("rules", "startCapacity"),
+    ("rules", "warmWithinMs"),
+    ("familyInfo", "parentBreaksAt"),
+    ("familyInfo", "parentFloor"),
+    ("familyInfo", "goneEverywhereMs"),
+];
+const FLAGS: [(&str, &str); 6] = [
+    ("limits", "cancel"),
+    ("limits", "mayDuplicate"),
+    ("limits", "retryAfter"),
+    ("limits", "probes"),
+    ("familyInfo", "canJoin"),
+    ("familyInfo", "mayPassBy"),
+];
+
+/// A number from 0, where it is told.
+fn told_number(settings: &Value, part: &str, key: &str) -> Result<Option<f64>, String> {
     match get(settings, part).and_then(|part| get(part, key)) {
         None | Some(Value::Null) => Ok(None),
         Some(v) => as_f64(v)
-            .filter(|ms| *ms >= 0.0 && ms.is_finite())
-            .map(|ms| Some(larchway::settings::micros(ms)))
+            .filter(|n| *n >= 0.0 && n.is_finite())
+            .map(Some)
             .ok_or_else(|| format!("settings.{part}.{key} must be a number from 0")),
     }
 }
 
+/// Whether all that the module would pass over, if it were of another type, is of its own.
+fn typed(settings: &Value) -> Result<(), String> {
+    for (part, key) in NUMBERS {
+        told_number(settings, part, key)?;
+    }
+    for (part, key) in FLAGS {
+        match get(settings, part).and_then(|part| get(part, key)) {
+            None | Some(Value::Null) => {}
+            Some(v) if as_bool(v).is_some() => {}
+            Some(_) => return Err(format!("settings.{part}.{key} must be true or false")),
+        }
+    }
+    Ok(())
+}
+
 fn terms(settings: &Value) -> Result<Terms, String> {
+    typed(settings)?;
     let none = Value::Null;
     let limits = get(settings, "limits").unwrap_or(&none);
     let span = |key: &str, default: f64| match get(limits, key) {
@@ -321,11 +360,12 @@
         connect_timeout: span("connectTimeoutMs", 400.0)?,
         idle: span("connIdleMs", 30_000.0)?,
         probes: get(limits, "probes").and_then(as_bool).unwrap_or(false),
-        notice: [("rules", "stopSendingWithinMs"), ("familyInfo", "noticeTimeMs")]
+        notice: NOTICES
             .into_iter()
-            .filter_map(|(part, key)| notice(settings, part, key).transpose())
+            .filter_map(|(part, key)| told_number(settings, part, key).transpose())
             .collect::<Result<Vec<_>, _>>()?
             .into_iter()
+            .map(larchway::settings::micros)
             .min(),
         ..Terms::default()
     })
--- a/gateway/tests/net/operations.rs
+++ b/gateway/tests/net/operations.rs
@@ -184,6 +184,16 @@
         ("\"upperColdMs\":21000", "\"upperColdMs\":\"21000\"", "settings.familyInfo.upperColdMs"),
         ("\"limits\":{\"cancel\"", "\"limit\":{\"cancel\"", "settings.limits"),
         ("\"locality\":1", "\"place\":1", "settings.locality"),
+        (
+            "\"noteLevel\":\"all\"",
+            "\"noteLevel\":\"all\",\"noticeTimeMs\":-1",
+            "settings.familyInfo.noticeTimeMs",
+        ),
+        (
+            "\"services\":[",
+            "\"rules\":{\"stopSendingWithinMs\":\"soon\"},\"services\":[",
+            "settings.rules.stopSendingWithinMs",
+        ),
         ("\"known\":{\"no\":1", "\"known\":{\"no\":\"1\"", "known.no"),
     ];
     // A place may write five lines a second to the log.
