Say where a request of after SIGTERM is not cut short, instead of by a name that is always false

Cause: read again; Core::request bound `cut` to false beside its time.

Change: the field is false there, with the reason. Nothing else changes.

--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -460,7 +460,7 @@
         }
         let ttl = ask.ttl.saturating_sub((ask.ttl / MARGIN.2).clamp(MARGIN.1, MARGIN.0));
         let left = self.last_answer.map_or(Micros::MAX, |last| last.saturating_sub(now));
-        let (ttl, cut) = (ttl.min(left), false);
+        let ttl = ttl.min(left);
         if let Some(found) = self.own_copy(now, &ask, ttl) {
             self.tally.taken();
             self.ended(ask.class, End::Passed);
@@ -481,7 +481,8 @@
             attempts: Vec::new(),
             out: 0,
             answered: false,
-            cut,
+            // Its own time already ends by then.
+            cut: false,
             ran: None,
         };
         let key = self.requests.insert(open);
