Look up an attempt's request, and watch a listener, in one function each

Cause: read again; core.rs looked an attempt's request up in three like places, and polled_in_time repeated what polled does.

Change: Core::request_of, sockets::watched. No behaviour changes.

--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -656,8 +656,7 @@
 
     /// Whether an attempt is one of a request that may not simply be repeated.
     pub fn writes(&self, key: Key) -> bool {
-        let request = self.attempts.get(key).and_then(|a| self.requests.get(a.request));
-        let class = request.and_then(|r| self.classes.get(r.ask.class));
+        let class = self.request_of(key).and_then(|r| self.classes.get(r.ask.class));
         class.is_some_and(|(_, terms)| terms.class.effect != Effect::Pure)
     }
 
@@ -683,14 +682,17 @@
 
     /// The connection of the client for whom an attempt is made.
     pub fn client(&self, key: Key) -> Option<Key> {
-        let request = self.attempts.get(key).and_then(|a| self.requests.get(a.request));
-        request.filter(|r| !r.answered).map(|r| r.ticket.client)
+        self.request_of(key).filter(|r| !r.answered).map(|r| r.ticket.client)
+    }
+
+    /// The request that an attempt is made for.
+    fn request_of(&self, key: Key) -> Option<&Open> {
+        self.attempts.get(key).and_then(|a| self.requests.get(a.request))
     }
 
     /// Whether the store of an attempt was told of a copy that the client holds.
     pub fn offered_copy(&self, key: Key) -> bool {
-        let request = self.attempts.get(key).and_then(|a| self.requests.get(a.request));
-        request.is_some_and(|r| r.ask.mine.is_some())
+        self.request_of(key).is_some_and(|r| r.ask.mine.is_some())
     }
 
     /// Whether an attempt that found its connection broken before a byte was written may try another one.
--- a/gateway/src/sockets.rs
+++ b/gateway/src/sockets.rs
@@ -85,10 +85,12 @@
 
 /// Listens at an address and polls it under a key.
 pub fn polled(poller: &Poller, address: SocketAddr, key: usize, shared: bool) -> Result<TcpListener, String> {
-    let listener = listen(address, shared).map_err(|(why, _)| why)?;
+    watched(poller, listen(address, shared).map_err(|(why, _)| why)?, key)
+}
+
+fn watched(poller: &Poller, listener: TcpListener, key: usize) -> Result<TcpListener, String> {
     let added = poller.add_with_mode(&listener, Event::readable(key), PollMode::Level);
-    added.map_err(|e| format!("cannot poll: {e}"))?;
-    Ok(listener)
+    added.map(|()| listener).map_err(|e| format!("cannot poll: {e}"))
 }
 
 /// The same at a start: the process before may still hold the address while it ends. `stop`: tells of SIGTERM.
@@ -109,10 +111,7 @@
                 log!("{why}; it is tried again");
             }
             Err((why, _)) => return Err(why),
-            Ok(listener) => {
-                let added = poller.add_with_mode(&listener, Event::readable(key), PollMode::Level);
-                return added.map(|()| listener).map_err(|e| format!("cannot poll: {e}"));
-            }
+            Ok(listener) => return watched(poller, listener, key),
         }
         std::thread::sleep(BIND_AGAIN);
     }
