--- a/gateway/tests/net/rare.rs
+++ b/gateway/tests/net/rare.rs
@@ -407,6 +407,54 @@
     }
 }
 
+#[test]
+fn a_whole_list_in_service_ends_all_use_of_a_store_that_it_leaves_out() {
+    let mut s = usual();
+    let known = |name: &str, class: &str, s: &Scenario| {
+        entry(name, s.var(name).parse().expect("an address"), class, "up")
+    };
+    let hosts = [known("a2", "standard", &s), known("b1", "parent", &s), known("c1", "origin", &s)].join(",");
+    s.set("hosts", &hosts).run(
+        "bulletin < call last=1
+         bulletin > {\"no\":2,\"roster\":{\"seq\":2,\"whole\":true,\"hosts\":[$hosts]}}
+         wait 50",
+    );
+    crate::platform::all_go_to_a2(&mut s);
+}
+
+#[test]
+fn a_drain_told_on_the_call_after_a_silence_is_heeded() {
+    let mut s = usual();
+    let drain = entry("a1", s.var("a1").parse().expect("an address"), "standard", "draining");
+    s.set("drain", &drain).run(
+        "bulletin < call last=1
+         bulletin mute
+         bulletin < call last=1
+         bulletin > {\"no\":2,\"roster\":{\"seq\":2,\"whole\":false,\"hosts\":[$drain]}}
+         wait 50",
+    );
+    crate::platform::all_go_to_a2(&mut s);
+}
+
+#[test]
+fn a_request_that_comes_a_byte_at_a_time_is_served_as_any_other() {
+    usual().run(
+        "c1 bytewise
+         c1 > serve 1 $ask call=aa
+         store < PULL aa
+         store > aa ok remark=HIT | one
+         c1 < served 1 | one
+         c1 > serve 2 $ask call=bb
+         c1 > serve 3 $ask call=cc
+         store < PULL cc
+         store > cc ok remark=HIT | three
+         c1 < served 3 | three
+         store < PULL bb
+         store > bb ok remark=HIT | two
+         c1 < served 2 | two",
+    );
+}
+
 // Another customer's settings.
 
 #[test]
--- a/gateway/tests/net/scenario/mod.rs
+++ b/gateway/tests/net/scenario/mod.rs
@@ -17,6 +17,7 @@
 //! pause    resume          the program stands still, and what comes meanwhile is there all at once
 //! c1 refused               a new connection to the platform's front is refused
 //! c1 reset                 the client ends its connection at once, by a reset
+//! c1 bytewise              what the client writes from now on goes out a byte at a time
 //! store admit a1           a store whose queue was full takes connections in; store < admitted NAME at=a1   one came
 //! store close aa           the store closes the connection of that request, as an idle one
 //! bulletin text id: 2\ndata  just these bytes, with line ends as \n
@@ -26,7 +27,7 @@
 pub mod ensemble;
 
 use socket2::{Domain, SockRef, Socket, Type};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
@@ -65,6 +66,8 @@
     last: String,
     asked: HashMap<String, TcpStream>,
     clients: BTreeMap<String, (TcpStream, Vec<u8>)>,
+    /// Clients whose bytes go out one at a time.
+    bytewise: BTreeSet<String>,
     logged: Receiver<String>,
     files: BTreeMap<String, (String, String)>,
     told: Sender<Heard>,
@@ -495,6 +498,7 @@
             last,
             asked,
             clients,
+            bytewise: BTreeSet::new(),
             logged,
             files,
             told,
@@ -656,6 +660,7 @@
             }
             [client, ">", "GET" | "HEAD" | "POST" | "PUT", ..] => self.send_http(client, head, body),
             [client, ">", rest @ ..] => self.send_call(client, rest, body),
+            [client, "bytewise"] => drop(self.bytewise.insert(client.to_string())),
             [client, "raw", digits] => self.write(client, &hex(digits)),
             [client, "text", ..] => {
                 let text = head.split_once("text ").expect("text").1.replace("\\r\\n", "\r\n");
@@ -785,7 +790,13 @@
     }
 
     fn write(&mut self, client: &str, bytes: &[u8]) {
-        self.client(client).0.write_all(bytes).expect("writes");
+        let pieces = if self.bytewise.contains(client) { 1 } else { bytes.len().max(1) };
+        for piece in bytes.chunks(pieces) {
+            // Without a delay of small writes each byte is a segment of its own.
+            let stream = &mut self.client(client).0;
+            stream.set_nodelay(true).expect("sets");
+            stream.write_all(piece).expect("writes");
+        }
     }
 
     fn send_call(&mut self, client: &str, words: &[&str], body: &[u8]) {
