Begin crates/distribution and trial capacity: the event form, and series with their fits

Cause: the size of two years needs measured slopes, and a mechanism that carries numbered events to all gateways; both are built in separate parts that share these types.

Change: larchway-distribution reads an event's number, subjects and digest; larchway-lab has the frame of trial capacity (cases, series, least-squares fit), with no case yet.

--- /dev/null
+++ b/crates/distribution/src/lib.rs
@@ -0,0 +1,5 @@
+//! How numbered events (purges, the list of stores, documents) reach all gateways, and how it is known that they did
+//! (`docs/design/event-distribution.md`). No I/O; the clock is an argument.
+pub mod event;
+
+pub use event::{Event, EventError, EventNumber, Subject};
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -27,7 +27,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "trial")]
 struct Trial {
-    /// which: membership, hierarchy, upgrade, spread, fleet, cold
+    /// which: membership, hierarchy, upgrade, spread, fleet, cold, capacity
     #[argh(positional)]
     name: String,
     /// decides on times and objects (default 1)
--- a/lab/src/trial/mod.rs
+++ b/lab/src/trial/mod.rs
@@ -1,4 +1,5 @@
 //! Trials: real processes of the daemon and stand-ins on loopback, failures, figures, and bounds that must hold.
+pub mod capacity;
 pub mod cold;
 pub mod fleet;
 pub mod hierarchy;
@@ -20,7 +21,7 @@
 }
 
 /// The trials by name.
-pub const NAMES: [&str; 6] = ["membership", "hierarchy", "upgrade", "spread", "fleet", "cold"];
+pub const NAMES: [&str; 7] = ["membership", "hierarchy", "upgrade", "spread", "fleet", "cold", "capacity"];
 
 /// Plays a trial.
 pub fn play(name: &str, seed: u64, only: Option<&str>) -> Result<Outcome, String> {
@@ -31,6 +32,7 @@
         "spread" => spread::play(seed, only),
         "fleet" => tier::play(seed, only),
         "cold" => cold::play(seed, only),
+        "capacity" => capacity::play(seed, only),
         other => Err(format!("there is no trial {other:?}; there are: {}", NAMES.join(", "))),
     }
 }
