Keep purges in one table ordered by expiry, and find what a group's purge concerns by group

Cause: the module and the gateway's own copies each remembered purges in a table of their own and walked all of it at each purge; the purge of a group walked all records and all copies. 10,000 purges were remembered at most, ten seconds at 1,000 a second.

Change: src/purges.rs holds the latest purge of each object and group with an order by expiry, at most 50,000 (50 s at 1,000 a second), beyond which the one that expires first turns into a floor that itself expires. It is used in both places. src/items.rs holds the records of objects with an index by group, and the copies have such an index too. What was learned names the floor as well. A purge no longer counts once its time is over, also where no later purge has come to drop it. The unit tests of the copies' purges moved to the table, with the same checks on the new bound.

Not measured in time yet.

--- a/crates/copies/src/lib.rs
+++ b/crates/copies/src/lib.rs
@@ -1,13 +1,13 @@
 //! Copies of a gateway's own (`docs/design/copies.md`): objects kept in memory as stores served them, which answer
 //! later requests without a store. No I/O; the clock is an argument.
-pub mod purges;
 pub mod uplink;
 
+use larchway::purges::{PurgeTable, PurgeTarget};
 use larchway::Micros;
-use purges::Purges;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use uplink::Uplink;
 
@@ -178,12 +178,19 @@
     pub counts: Counts,
 }
 
+/// All parts of an object, of any class.
+fn ids_of(object: u64) -> RangeInclusive<Id> {
+    Id { object, part: 0, class: 0 }..=Id { object, part: u64::MAX, class: usize::MAX }
+}
+
 /// The copies of a gateway. Segmented LRU: what is asked for again moves from the lower order to the upper one, whose
 /// oldest come back down; the oldest of the lower one go first.
 pub struct Copies {
     terms: CopiesFile,
     /// Bounded by `room`.
     entries: BTreeMap<Id, Entry>,
+    /// The same copies by group, so that the purge of a group touches that group alone.
+    by_group: BTreeSet<(u64, Id)>,
     /// By stamp: what was asked for once, and what was asked for again.
     orders: [BTreeMap<u64, Id>; 2],
     /// Bytes of both.
@@ -191,7 +198,7 @@
     stamp: u64,
     room: usize,
     uplink: Uplink,
-    purges: Purges,
+    purges: PurgeTable,
     word: Word,
     /// What became of requests.
     pub counts: Counts,
@@ -203,12 +210,13 @@
         Copies {
             terms,
             entries: BTreeMap::new(),
+            by_group: BTreeSet::new(),
             orders: Default::default(),
             used: [0; 2],
             stamp: 0,
             room: 0,
             uplink: Uplink::new(link),
-            purges: Purges::default(),
+            purges: PurgeTable::default(),
             word: Word::Lost,
             counts: Counts::default(),
         }
@@ -295,7 +303,8 @@
         if odd || too_large || held.is_some_and(|at| at >= issued) {
             return;
         }
-        if self.purges.void(id.object, group, issued) {
+        // One of the same moment as the purge may be from before it.
+        if self.purges.latest(now, id.object, group).is_some_and(|purged| issued <= purged) {
             return;
         }
         let again = self.drop_one(id).is_some_and(|old| old.again);
@@ -303,6 +312,7 @@
         self.counts.kept += 1;
         self.used[usize::from(again)] += cost;
         self.orders[usize::from(again)].insert(self.stamp, id);
+        self.by_group.insert((group, id));
         self.entries.insert(id, Entry { stamp: self.stamp, again, ..entry });
         self.push_out();
     }
@@ -310,19 +320,17 @@
     /// Word of a purge of an object or, with none, of a group: `issued` when it was purged, `keep` for how long older
     /// copies may still come from stores.
     pub fn purge(&mut self, now: Micros, object: Option<u64>, group: u64, issued: Micros, keep: Micros) {
-        self.purges.told(now, object, group, issued, keep);
-        let void = |e: &Entry| e.copy.issued <= issued;
-        let range =
-            |object| Id { object, part: 0, class: 0 }..=Id { object, part: u64::MAX, class: usize::MAX };
-        let ids: Vec<Id> = match object {
-            Some(object) => {
-                self.entries.range(range(object)).filter(|(_, e)| void(e)).map(|(id, _)| *id).collect()
-            }
-            None => {
-                let of = |e: &Entry| e.group == group && void(e);
-                self.entries.iter().filter(|(_, e)| of(e)).map(|(id, _)| *id).collect()
+        let target = PurgeTarget::new(object, group);
+        self.purges.record(now, target, issued, now + keep);
+        let ids: Vec<Id> = match target {
+            PurgeTarget::Object(object) => self.entries.range(ids_of(object)).map(|(id, _)| *id).collect(),
+            PurgeTarget::Group(group) => {
+                let (first, last) = (*ids_of(0).start(), *ids_of(u64::MAX).end());
+                self.by_group.range((group, first)..=(group, last)).map(|(_, id)| *id).collect()
             }
         };
+        let void = |id: &Id| self.entries.get(id).is_some_and(|entry| entry.copy.issued <= issued);
+        let ids: Vec<Id> = ids.into_iter().filter(void).collect();
         self.counts.purged += ids.len() as u64;
         ids.into_iter().for_each(|id| drop(self.drop_one(id)));
     }
@@ -331,6 +339,7 @@
     pub fn forget_all(&mut self) {
         self.counts.purged += self.entries.len() as u64;
         self.entries.clear();
+        self.by_group.clear();
         self.orders = Default::default();
         self.used = [0; 2];
     }
@@ -381,6 +390,7 @@
 
     fn drop_one(&mut self, id: Id) -> Option<Entry> {
         let entry = self.entries.remove(&id)?;
+        self.by_group.remove(&(entry.group, id));
         self.orders[usize::from(entry.again)].remove(&entry.stamp);
         self.used[usize::from(entry.again)] -= entry.cost();
         Some(entry)
--- /dev/null
+++ b/src/items.rs
@@ -0,0 +1,110 @@
+//! What is remembered of objects that were asked for, without any decision: bounded, the oldest go first, and found by
+//! group as well, so that the purge of a group touches that group alone.
+use crate::interface::{Micros, ObjectId, ServerId};
+use crate::purges::PurgeTarget;
+use crate::records::Item;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Requests in the order of the table: minutes of traffic of one router, a few MB.
+const MOST_REQUESTS: usize = 50_000;
+
+/// A part of an object.
+pub(crate) type ItemKey = (ObjectId, u64);
+
+/// The items, at most [`MOST_REQUESTS`]; at the bound those asked for longest ago are forgotten.
+#[derive(Default)]
+pub(crate) struct ItemTable {
+    items: BTreeMap<ItemKey, Item>,
+    by_group: BTreeSet<(u64, ItemKey)>,
+    /// One entry a request, the oldest first; an item goes with the entry of its last request.
+    order: VecDeque<(Micros, ItemKey)>,
+}
+
+impl ItemTable {
+    /// Counts a request; after a pause longer than `memory` it counts as the first. Returns the item's sending time.
+    pub fn count(&mut self, now: Micros, key: ItemKey, group: u64, memory: Micros) -> Option<f64> {
+        let item = self.items.entry(key).or_default();
+        let forgotten = now > item.last + memory;
+        item.seen = if forgotten { 1 } else { item.seen.saturating_add(1) };
+        item.last = now;
+        let old_group = std::mem::replace(&mut item.group, group);
+        let work = item.work;
+        if old_group != group {
+            self.by_group.remove(&(old_group, key));
+        }
+        if old_group != group || item.seen == 1 {
+            self.by_group.insert((group, key));
+        }
+        self.order.push_back((now, key));
+        self.evict();
+        work
+    }
+
+    /// An item, if it is known.
+    pub fn get(&self, key: &ItemKey) -> Option<&Item> {
+        self.items.get(key)
+    }
+
+    /// See [`ItemTable::get`].
+    pub fn get_mut(&mut self, key: &ItemKey) -> Option<&mut Item> {
+        self.items.get_mut(key)
+    }
+
+    /// Takes an item over, as the one asked for last.
+    pub fn insert(&mut self, key: ItemKey, item: Item) {
+        self.order.push_back((item.last, key));
+        self.by_group.insert((item.group, key));
+        let old = self.items.insert(key, item);
+        let group = self.items.get(&key).map(|item| item.group);
+        if let Some(old) = old.filter(|old| Some(old.group) != group) {
+            self.by_group.remove(&(old.group, key));
+        }
+    }
+
+    /// The items, those asked for last first.
+    pub fn latest(&self) -> impl Iterator<Item = (ItemKey, &Item)> + '_ {
+        let items = self.order.iter().rev().filter_map(|(at, key)| Some((at, *key, self.items.get(key)?)));
+        items.filter(|(at, _, item)| item.last == **at).map(|(_, key, item)| (key, item))
+    }
+
+    /// Drops the records of hits of what was purged.
+    pub fn purge(&mut self, target: PurgeTarget) {
+        match target {
+            PurgeTarget::Object(object) => {
+                let parts = self.items.range_mut((object, 0)..=(object, u64::MAX));
+                parts.for_each(|(_, item)| item.hits.clear());
+            }
+            PurgeTarget::Group(group) => {
+                let keys = self.by_group.range((group, (0, 0))..=(group, (u64::MAX, u64::MAX)));
+                for (_, key) in keys {
+                    self.items.get_mut(key).into_iter().for_each(|item| item.hits.clear());
+                }
+            }
+        }
+    }
+
+    /// Drops the records of hits at a server that has lost them.
+    pub fn forget_server(&mut self, id: ServerId) {
+        for item in self.items.values_mut() {
+            item.hits.retain(|&(server, _)| server != id);
+        }
+    }
+
+    fn evict(&mut self) {
+        while self.order.len() > MOST_REQUESTS {
+            let Some((at, key)) = self.order.pop_front() else { return };
+            if self.items.get(&key).is_some_and(|item| item.last <= at) {
+                self.remove(key);
+            }
+        }
+    }
+
+    fn remove(&mut self, key: ItemKey) {
+        if let Some(item) = self.items.remove(&key) {
+            self.by_group.remove(&(item.group, key));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,7 +16,9 @@
 //! ```
 mod helpers;
 mod interface;
+mod items;
 mod logic;
+pub mod purges;
 mod records;
 pub mod settings;
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,8 +5,10 @@
 //! cache plus at most one sibling minimize Eq. (11).
 use crate::helpers::{learned_flows, mean, miss_chance, mix, ranked, unit, Aged, Level, Told, Window};
 use crate::interface::*;
-use crate::records::{Choice, Item};
-use std::collections::{BTreeMap, VecDeque};
+use crate::items::ItemTable;
+use crate::purges::{PurgeTable, PurgeTarget};
+use crate::records::Choice;
+use std::collections::BTreeMap;
 
 mod learned;
 mod view;
@@ -14,8 +16,6 @@
 
 /// µs: how long a hit record counts; about as long as a cache keeps what nobody asks for.
 const RECORD_LIFE: Micros = 12_000_000;
-/// Entries in the record table: minutes of traffic of one router, a few MB.
-const TABLE_SIZE: usize = 50_000;
 /// Requests in an epoch of q (the paper's T): of a cache in a role, seconds of its traffic; of all caches.
 const EPOCH: (u32, u32) = (50, 8);
 /// Weight of the newest epoch in q (the paper's delta).
@@ -244,10 +244,8 @@
     born: Option<Micros>,
     servers: BTreeMap<ServerId, Server>,
     open: BTreeMap<RequestId, Open>,
-    items: BTreeMap<(ObjectId, u64), Item>,
-    order: VecDeque<(Micros, (ObjectId, u64))>,
-    /// When an object, or (with none) a group, was purged.
-    purges: BTreeMap<(u64, Option<ObjectId>), Micros>,
+    items: ItemTable,
+    purges: PurgeTable,
     /// By class, the aged sending time.
     work: Vec<Aged>,
     penalty: Aged,
@@ -331,7 +329,9 @@
             Event::Homes(homes) => self.homes = homes,
             Event::Shed(shares) => self.shed = shares.into_iter().collect(),
             Event::Suspected(id) => self.servers.get_mut(&id).into_iter().for_each(Server::suspect),
-            Event::Purged { age, group, object } => self.on_purge(now.saturating_sub(age), group, object),
+            Event::Purged { age, group, object } => {
+                self.on_purge(now.saturating_sub(age), PurgeTarget::new(object, group));
+            }
         }
         if !self.wake && !self.open.is_empty() {
             self.wake = true;
@@ -368,7 +368,7 @@
                 // Danger: records of a cache that starts empty would name it for fills that must fail.
                 let (out, flows) = (server.out, server.flows);
                 *server = Server { out, flows, told: self.now, ..Server::new(host) };
-                self.forget(id);
+                self.items.forget_server(id);
             } else {
                 server.host = host;
             }
@@ -384,35 +384,24 @@
     /// Danger: over weeks of replaced servers, what is kept of each grows without end.
     fn retire(&mut self, id: ServerId) {
         self.servers.remove(&id);
-        self.forget(id);
+        self.items.forget_server(id);
     }
 
-    /// Drops the records of hits at a server that has lost them.
-    fn forget(&mut self, id: ServerId) {
-        for item in self.items.values_mut() {
-            item.hits.retain(|&(server, _)| server != id);
-        }
+    /// For how long a purge is remembered: no answer is older than one long done, but fills may be slow.
+    fn remember_purges(&self) -> Micros {
+        3 * self.settings.purge_done
     }
 
-    fn on_purge(&mut self, at: Micros, group: u64, object: Option<ObjectId>) {
-        // No answer is older than a purge long done: keeping the word is free and covers slow fills.
-        let keep = 3 * self.settings.purge_done;
-        let now = self.now;
-        self.purges.retain(|_, at| now < *at + keep);
-        let known = self.purges.entry((object.map_or(group, |_| 0), object)).or_insert(at);
-        *known = at.max(*known);
-        let range = object.map_or((0, 0)..=(u64::MAX, u64::MAX), |o| (o, 0)..=(o, u64::MAX));
-        for (_, item) in self.items.range_mut(range).filter(|(_, i)| object.is_some() || i.group == group) {
-            item.hits.clear();
-        }
+    fn on_purge(&mut self, at: Micros, target: PurgeTarget) {
+        self.purges.record(self.now, target, at, at + self.remember_purges());
+        self.items.purge(target);
     }
 
     /// The oldest copy that will do. Danger: copies from before a purge linger for seconds after word of it.
     fn max_age(&self, req: &Request, class: &Class, grace: bool) -> Option<Micros> {
         let fresh = (class.fresh > 0).then(|| class.fresh + if grace { class.grace } else { 0 });
-        let purged =
-            [(req.group, None), (0, Some(req.object))].iter().filter_map(|k| self.purges.get(k)).max();
-        let since = purged.map(|&at| (self.now - at).saturating_sub(PURGE_MARGIN).max(1));
+        let purged = self.purges.latest(self.now, req.object, req.group);
+        let since = purged.map(|at| (self.now - at).saturating_sub(PURGE_MARGIN).max(1));
         fresh.into_iter().chain(since).min()
     }
 
@@ -422,17 +411,7 @@
             return actions.push(Action::Fail(id));
         }
         let key = (req.object, req.part);
-        let item = self.items.entry(key).or_default();
-        item.seen = if now > item.last + 4 * RECORD_LIFE { 1 } else { item.seen.saturating_add(1) };
-        (item.last, item.group) = (now, req.group);
-        let known = item.work;
-        self.order.push_back((now, key));
-        while let Some(&(at, old)) = self.order.front().filter(|_| self.order.len() > TABLE_SIZE) {
-            self.order.pop_front();
-            if self.items.get(&old).is_some_and(|i| i.last <= at) {
-                self.items.remove(&old);
-            }
-        }
+        let known = self.items.count(now, key, req.group, 4 * RECORD_LIFE);
         let sized = req.size_kb > 0.0 && self.settings.flow_kb_per_s > 0.0;
         let mut work = known.unwrap_or_else(|| self.work[req.class].or(FIRST_WORK));
         if sized {
@@ -923,7 +902,7 @@
                 }
             }
         }
-        returned.into_iter().for_each(|id| self.forget(id));
+        returned.into_iter().for_each(|id| self.items.forget_server(id));
         if outcome.status == Status::Ok && cacheable {
             if !hit && !sibling {
                 self.penalty.add(excess, AGEING);
--- a/src/logic/learned.rs
+++ b/src/logic/learned.rs
@@ -3,6 +3,7 @@
 use super::{Indicator, Router, LOAD_SPAN};
 use crate::helpers::{Aged, Level, Told, Window};
 use crate::interface::{Micros, ObjectId, ServerId};
+use crate::purges::PurgeTarget;
 use crate::records::Item;
 
 /// What was learned of one server.
@@ -33,7 +34,11 @@
 pub struct Learned {
     servers: Vec<Kept>,
     items: Vec<((ObjectId, u64), Item)>,
+    /// When an object, or (with none) a group, was purged.
     purges: Vec<((u64, Option<ObjectId>), Micros)>,
+    /// When copies of all objects became void.
+    #[cfg_attr(feature = "serde", serde(default))]
+    purge_floor: Option<Micros>,
     work: Vec<Aged>,
     penalty: Aged,
     unfilled: f64,
@@ -46,6 +51,14 @@
     seed: u64,
 }
 
+/// A purge's target as it is written down.
+fn written(target: PurgeTarget) -> (u64, Option<ObjectId>) {
+    match target {
+        PurgeTarget::Object(object) => (0, Some(object)),
+        PurgeTarget::Group(group) => (group, None),
+    }
+}
+
 impl Router {
     /// What is learned, with so many objects at most, those asked for last.
     pub fn learned(&self, now: Micros, objects: usize) -> Learned {
@@ -67,14 +80,12 @@
             pause: s.pause,
             retry_at: s.retry_at,
         });
-        // The order is that of the requests; an object stands in it once for each.
-        let latest = self.order.iter().rev();
-        let current = latest.filter(|(at, key)| self.items.get(key).is_some_and(|i| i.last == *at));
-        let items = current.take(objects).filter_map(|(_, key)| Some((*key, self.items.get(key)?.clone())));
+        let items = self.items.latest().take(objects).map(|(key, item)| (key, item.clone()));
         Learned {
             servers: servers.collect(),
             items: items.collect(),
-            purges: self.purges.iter().map(|(key, at)| (*key, *at)).collect(),
+            purges: self.purges.iter().map(|(target, at)| (written(target), at)).collect(),
+            purge_floor: self.purges.floor(),
             work: self.work.clone(),
             penalty: self.penalty,
             unfilled: self.unfilled,
@@ -127,11 +138,14 @@
         }
         // The latest came first.
         for (key, item) in learned.items.into_iter().rev() {
-            self.order.push_back((item.last, key));
             self.items.insert(key, item);
         }
-        for (key, at) in learned.purges {
-            self.purges.entry(key).and_modify(|known| *known = at.max(*known)).or_insert(at);
+        let remembered = self.remember_purges();
+        for ((group, object), at) in learned.purges {
+            self.purges.record(self.now, PurgeTarget::new(object, group), at, at + remembered);
+        }
+        if let Some(at) = learned.purge_floor {
+            self.purges.raise_floor(at, at + remembered);
         }
         self.seed = learned.seed;
         (self.penalty, self.unfilled) = (learned.penalty, learned.unfilled);
--- /dev/null
+++ b/src/purges.rs
@@ -0,0 +1,125 @@
+//! Purges remembered until no older copy can come back, ordered by expiry. Plain data: for how long a purge is
+//! remembered, and what follows from one, is decided by the user of the table.
+use crate::interface::{Micros, ObjectId};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Most purges remembered: those of 50 seconds at 1,000 a second. Purges are remembered for a few times the purge
+/// window (about 9 s at most), so the bound holds that rate; a full table takes about 5 MB.
+pub const MOST_PURGES: usize = 50_000;
+
+/// What a purge concerns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum PurgeTarget {
+    /// All copies of an object.
+    Object(ObjectId),
+    /// All copies of all objects of a group.
+    Group(u64),
+}
+
+impl PurgeTarget {
+    /// The object, or without one the whole group: an object's purge holds whatever its group is.
+    pub fn new(object: Option<ObjectId>, group: u64) -> Self {
+        object.map_or(PurgeTarget::Group(group), PurgeTarget::Object)
+    }
+}
+
+/// A remembered purge: copies given out at `issued` or before are void, `until` there can be no such copies any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Purge {
+    issued: Micros,
+    until: Micros,
+}
+
+impl Purge {
+    /// Both in one: neither moves back.
+    fn join(self, other: Purge) -> Purge {
+        Purge { issued: self.issued.max(other.issued), until: self.until.max(other.until) }
+    }
+}
+
+/// The latest purge of each object and group. Recording one costs O(log n), however many are remembered.
+#[derive(Debug, Default)]
+pub struct PurgeTable {
+    /// At most [`MOST_PURGES`]; at the bound the one that expires first turns into `floor`.
+    latest: BTreeMap<PurgeTarget, Purge>,
+    /// The same purges by the time until which they are remembered.
+    by_expiry: BTreeSet<(Micros, PurgeTarget)>,
+    /// Concerns all objects: purges that there is no room for, or that were missed.
+    floor: Option<Purge>,
+    /// Entries read, written or removed since the table was made.
+    touched: u64,
+}
+
+impl PurgeTable {
+    /// Records a purge, to be remembered until a time. Purges that expired before `now` are dropped.
+    pub fn record(&mut self, now: Micros, target: PurgeTarget, issued: Micros, until: Micros) {
+        self.expire(now);
+        let known = self.latest.get(&target).copied();
+        let new = Purge { issued, until };
+        let joined = known.map_or(new, |known| known.join(new));
+        if let Some(known) = known {
+            self.by_expiry.remove(&(known.until, target));
+        }
+        self.latest.insert(target, joined);
+        self.by_expiry.insert((joined.until, target));
+        self.touched += 1;
+        while self.latest.len() > MOST_PURGES {
+            let Some(purge) = self.remove_first() else { return };
+            self.raise_floor(purge.issued, purge.until);
+        }
+    }
+
+    /// Records that purges of anything up to `issued` may have been missed: all older copies are void, which is
+    /// remembered until a time.
+    pub fn raise_floor(&mut self, issued: Micros, until: Micros) {
+        let new = Purge { issued, until };
+        self.floor = Some(self.floor.map_or(new, |floor| floor.join(new)));
+    }
+
+    /// When the object was purged last, by itself, with its group, or by the floor; none if that is forgotten.
+    pub fn latest(&self, now: Micros, object: ObjectId, group: u64) -> Option<Micros> {
+        let targets = [PurgeTarget::Object(object), PurgeTarget::Group(group)];
+        let known = targets.iter().filter_map(|target| self.latest.get(target));
+        known.chain(&self.floor).filter(|purge| now < purge.until).map(|purge| purge.issued).max()
+    }
+
+    /// All purges remembered, with the time of each.
+    pub fn iter(&self) -> impl Iterator<Item = (PurgeTarget, Micros)> + '_ {
+        self.latest.iter().map(|(target, purge)| (*target, purge.issued))
+    }
+
+    /// The time up to which all copies are void, if there is one.
+    pub fn floor(&self) -> Option<Micros> {
+        self.floor.map(|floor| floor.issued)
+    }
+
+    /// How many are remembered.
+    pub fn len(&self) -> usize {
+        self.latest.len()
+    }
+
+    /// Whether none is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.latest.is_empty()
+    }
+
+    /// Entries read, written or removed since the table was made: what recording costs.
+    pub fn touched(&self) -> u64 {
+        self.touched
+    }
+
+    fn expire(&mut self, now: Micros) {
+        while self.by_expiry.first().is_some_and(|(until, _)| *until <= now) {
+            self.remove_first();
+        }
+    }
+
+    fn remove_first(&mut self) -> Option<Purge> {
+        let (_, target) = self.by_expiry.pop_first()?;
+        self.touched += 1;
+        self.latest.remove(&target)
+    }
+}
+
+#[cfg(test)]
+mod tests;
