--- /dev/null
+++ b/crates/distribution/src/batch.rs
@@ -0,0 +1,73 @@
+//! The bytes of the event stream: server-sent events as text, and the text in the encoding a subscriber accepts.
+use crate::event::EventNumber;
+use flate2::{Compress, Compression, FlushCompress};
+use larchway::Micros;
+use std::fmt::Write;
+use std::sync::Arc;
+
+/// Microseconds in a millisecond.
+const MICROS_PER_MILLISECOND: Micros = 1000;
+
+/// The gzip header that precedes the deflate pieces of a response (RFC 1952): no name, no time, unknown system.
+pub const GZIP_HEADER: [u8; 10] = [0x1f, 0x8b, 8, 0, 0, 0, 0, 0, 0, 255];
+
+/// Compression level used where the operator names none; measured in `docs/design/event-distribution.md`.
+pub const DEFAULT_GZIP_LEVEL: u32 = 6;
+
+/// Smallest room added to the output buffer of the compressor at a time, bytes.
+const OUTPUT_STEP: usize = 512;
+
+/// The content coding of a response body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Encoding {
+    /// The text itself.
+    Identity,
+    /// One gzip header, then raw deflate pieces, each ended by a full flush and so independent of all others.
+    Gzip,
+}
+
+/// Appends one server-sent event.
+pub fn write_event(text: &mut String, number: EventNumber, data: &str) {
+    let _ = write!(text, "id: {number}\ndata: {data}\n\n");
+}
+
+/// Appends a heartbeat: the time at which the root relay heard the source last, as a comment line in Unix ms.
+pub fn write_heartbeat(text: &mut String, heard: Micros) {
+    let _ = write!(text, ": heard {}\n\n", heard / MICROS_PER_MILLISECOND);
+}
+
+/// The data of an event that a later one has replaced. It keeps the numbers without holes. Its digest says nothing
+/// about the history: a subscriber verifies by the last event that came with its text.
+pub fn placeholder(number: EventNumber) -> String {
+    format!("{{\"no\":{number}}}")
+}
+
+/// Encodes one piece of a response body at the default level. The gzip header is not part of it.
+pub fn encode(text: &str, encoding: Encoding) -> Arc<[u8]> {
+    encode_at_level(text, encoding, DEFAULT_GZIP_LEVEL)
+}
+
+/// Encodes one piece of a response body; `level` is the gzip level, 0 to 9.
+pub fn encode_at_level(text: &str, encoding: Encoding, level: u32) -> Arc<[u8]> {
+    match encoding {
+        Encoding::Identity => Arc::from(text.as_bytes()),
+        Encoding::Gzip => Arc::from(deflate_piece(text.as_bytes(), level)),
+    }
+}
+
+/// Deflates with a compressor of its own, and ends on a byte boundary by a full flush.
+fn deflate_piece(input: &[u8], level: u32) -> Vec<u8> {
+    const RAW_DEFLATE: bool = false;
+    let mut compressor = Compress::new(Compression::new(level), RAW_DEFLATE);
+    let mut output = Vec::with_capacity(input.len() / 2 + OUTPUT_STEP);
+    loop {
+        let consumed = compressor.total_in() as usize;
+        // Only an invalid state or parameter makes this fail, and neither can be reached from here.
+        let _ = compressor.compress_vec(&input[consumed..], &mut output, FlushCompress::Full);
+        let all_read = compressor.total_in() as usize == input.len();
+        if all_read && output.len() < output.capacity() {
+            return output;
+        }
+        output.reserve(OUTPUT_STEP);
+    }
+}
--- a/crates/distribution/src/event.rs
+++ b/crates/distribution/src/event.rs
@@ -20,6 +20,19 @@
     Store(String),
 }
 
+/// Bytes of an index entry about a store beside its host name.
+const STORE_INDEX_BYTES: usize = 64;
+
+impl Subject {
+    /// Bytes that the subject takes beside its own size, for bounds on memory.
+    pub fn name_bytes(&self) -> usize {
+        match self {
+            Subject::Store(host) => 2 * (host.len() + STORE_INDEX_BYTES),
+            _ => 0,
+        }
+    }
+}
+
 /// Why the text of an event cannot be used.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EventError {
@@ -84,6 +97,11 @@
 }
 
 impl Event {
+    /// Whether it carries stores: the whole list or entries of it.
+    pub fn is_list(&self) -> bool {
+        self.subjects.iter().any(|subject| matches!(subject, Subject::Roster | Subject::Store(_)))
+    }
+
     /// Reads the text of an event: `no` with `roster`, `recall`, or what is not known here.
     pub fn read(data: &str) -> Result<Event, EventError> {
         let form: Form = serde_json::from_str(data).map_err(|e| EventError::Malformed(e.to_string()))?;
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -1,5 +1,11 @@
 //! How numbered events (purges, the list of stores, documents) reach all gateways, and how it is known that they did
 //! (`docs/design/event-distribution.md`). No I/O; the clock is an argument.
+pub mod batch;
 pub mod event;
+pub mod log;
+pub mod positions;
+pub mod relay;
+pub mod scope;
+pub mod stores;
 
 pub use event::{Event, EventError, EventNumber, Subject};
--- /dev/null
+++ b/crates/distribution/src/positions.rs
@@ -0,0 +1,245 @@
+//! How far the gateways have applied the events: reports that go up the tree of relays, constant in size.
+use crate::event::EventNumber;
+use larchway::Micros;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Gateways named in a report: those that are furthest behind.
+pub const FURTHEST: usize = 5;
+
+/// A gateway and how far it has applied the events.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Straggler {
+    /// Name of the gateway.
+    pub name: String,
+    /// Its last event applied.
+    pub applied: EventNumber,
+}
+
+/// How far all gateways below a relay, or one gateway, have applied the events.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PositionReport {
+    /// Every gateway has applied all events up to this one. Without meaning if there are no gateways.
+    pub applied: EventNumber,
+    /// Gateways counted in `applied`, those lost included.
+    pub gateways: u64,
+    /// Gateways that are gone, counted with their last position for a bounded time.
+    pub lost: u64,
+    /// The gateways furthest behind, the furthest first; at most [`FURTHEST`].
+    pub furthest: Vec<Straggler>,
+}
+
+impl PositionReport {
+    /// A gateway's report of itself.
+    pub fn of_gateway(name: &str, applied: EventNumber) -> PositionReport {
+        let itself = Straggler { name: name.to_string(), applied };
+        PositionReport { applied, gateways: 1, lost: 0, furthest: vec![itself] }
+    }
+}
+
+/// Bounds of [`Positions`].
+#[derive(Debug, Clone, Copy)]
+pub struct PositionTerms {
+    /// Time for which a subscriber that is gone is counted as lost.
+    pub lost_for: Micros,
+    /// Lost subscribers remembered at most; past it the one lost first is forgotten.
+    pub lost: usize,
+    /// Advances of the minimum remembered at most; past it the oldest is forgotten.
+    pub advances: usize,
+}
+
+/// The key of a subscriber in [`Positions`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Source {
+    Connected(u64),
+    /// By order of loss.
+    Lost(u64),
+}
+
+#[derive(Debug)]
+struct Entry {
+    name: Option<String>,
+    report: PositionReport,
+}
+
+#[derive(Debug)]
+struct LostSince {
+    order: u64,
+    at: Micros,
+}
+
+/// An advance of the minimum over all gateways.
+#[derive(Debug, Clone, Copy)]
+struct Advance {
+    applied: EventNumber,
+    at: Micros,
+}
+
+/// The last report of each subscriber, and what they say together. A report costs O(log n) for n subscribers.
+#[derive(Debug)]
+pub struct Positions {
+    terms: PositionTerms,
+    /// At most one a subscriber connected, and `PositionTerms::lost` others.
+    entries: BTreeMap<Source, Entry>,
+    /// All entries that count gateways, by their minimum.
+    by_applied: BTreeSet<(EventNumber, Source)>,
+    /// Who is lost, in order of loss; entries of subscribers that came back are skipped.
+    lost: VecDeque<LostSince>,
+    lost_by_name: BTreeMap<String, u64>,
+    next_lost: u64,
+    gateways: u64,
+    gateways_lost: u64,
+    /// Advances of the minimum, oldest first; at most `PositionTerms::advances`.
+    advances: VecDeque<Advance>,
+    /// The last advance forgotten: when events up to it were done is not known any more.
+    forgotten: EventNumber,
+}
+
+impl Positions {
+    /// No reports yet.
+    pub fn new(terms: PositionTerms) -> Positions {
+        Positions {
+            terms,
+            entries: BTreeMap::new(),
+            by_applied: BTreeSet::new(),
+            lost: VecDeque::new(),
+            lost_by_name: BTreeMap::new(),
+            next_lost: 0,
+            gateways: 0,
+            gateways_lost: 0,
+            advances: VecDeque::new(),
+            forgotten: 0,
+        }
+    }
+
+    /// Takes in a subscriber's report. One of the same name that is lost counts as this one from now on.
+    pub fn report(&mut self, now: Micros, subscriber: u64, name: Option<&str>, mut report: PositionReport) {
+        report.furthest.truncate(FURTHEST);
+        if let Some(order) = name.and_then(|name| self.lost_by_name.remove(name)) {
+            self.remove(Source::Lost(order));
+        }
+        let source = Source::Connected(subscriber);
+        self.remove(source);
+        self.insert(source, Entry { name: name.map(str::to_string), report });
+        self.expire(now);
+        self.note_advance(now);
+    }
+
+    /// A subscriber is gone: its gateways count as lost, with their last position, for a bounded time.
+    pub fn gone(&mut self, now: Micros, subscriber: u64) {
+        let Some(mut entry) = self.remove(Source::Connected(subscriber)) else { return };
+        if entry.report.gateways == 0 {
+            return;
+        }
+        entry.report.lost = entry.report.gateways;
+        let order = self.next_lost;
+        self.next_lost += 1;
+        if let Some(name) = &entry.name {
+            if let Some(earlier) = self.lost_by_name.insert(name.clone(), order) {
+                self.remove(Source::Lost(earlier));
+            }
+        }
+        self.lost.push_back(LostSince { order, at: now });
+        self.insert(Source::Lost(order), entry);
+        self.expire(now);
+    }
+
+    /// Forgets those that have been lost for long enough, or are too many.
+    pub fn expire(&mut self, now: Micros) {
+        while let Some(first) = self.lost.front() {
+            let expired = first.at + self.terms.lost_for <= now;
+            if !expired && self.lost.len() <= self.terms.lost {
+                break;
+            }
+            let order = first.order;
+            self.lost.pop_front();
+            self.forget_lost(order);
+        }
+        self.note_advance(now);
+    }
+
+    /// When the next lost subscriber is forgotten.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.lost.front().map(|first| first.at + self.terms.lost_for)
+    }
+
+    /// What all reports say together.
+    pub fn aggregate(&self) -> PositionReport {
+        let mut furthest: Vec<Straggler> = Vec::new();
+        for (_, source) in self.by_applied.iter().take(FURTHEST) {
+            let entry = &self.entries[source];
+            furthest.extend(entry.report.furthest.iter().cloned());
+        }
+        furthest.sort_by(|a, b| (a.applied, &a.name).cmp(&(b.applied, &b.name)));
+        furthest.truncate(FURTHEST);
+        PositionReport {
+            applied: self.minimum().unwrap_or(0),
+            gateways: self.gateways,
+            lost: self.gateways_lost,
+            furthest,
+        }
+    }
+
+    /// When the event was first known to be applied by every gateway; none if it is not yet, or that is forgotten.
+    pub fn done_everywhere(&self, number: EventNumber) -> Option<Micros> {
+        if number <= self.forgotten {
+            return None;
+        }
+        let place = self.advances.partition_point(|advance| advance.applied < number);
+        self.advances.get(place).map(|advance| advance.at)
+    }
+
+    /// Subscribers remembered, those lost included.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether there is no report.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn minimum(&self) -> Option<EventNumber> {
+        self.by_applied.first().map(|(applied, _)| *applied)
+    }
+
+    fn note_advance(&mut self, now: Micros) {
+        let Some(applied) = self.minimum() else { return };
+        let known = self.advances.back().map_or(self.forgotten, |advance| advance.applied);
+        if applied <= known {
+            return;
+        }
+        self.advances.push_back(Advance { applied, at: now });
+        if self.advances.len() > self.terms.advances {
+            if let Some(oldest) = self.advances.pop_front() {
+                self.forgotten = oldest.applied;
+            }
+        }
+    }
+
+    fn forget_lost(&mut self, order: u64) {
+        let Some(entry) = self.remove(Source::Lost(order)) else { return };
+        if let Some(name) = entry.name {
+            if self.lost_by_name.get(&name) == Some(&order) {
+                self.lost_by_name.remove(&name);
+            }
+        }
+    }
+
+    fn insert(&mut self, source: Source, entry: Entry) {
+        self.gateways += entry.report.gateways;
+        self.gateways_lost += entry.report.lost;
+        if entry.report.gateways > 0 {
+            self.by_applied.insert((entry.report.applied, source));
+        }
+        self.entries.insert(source, entry);
+    }
+
+    fn remove(&mut self, source: Source) -> Option<Entry> {
+        let entry = self.entries.remove(&source)?;
+        self.gateways -= entry.report.gateways;
+        self.gateways_lost -= entry.report.lost;
+        self.by_applied.remove(&(entry.report.applied, source));
+        Some(entry)
+    }
+}
--- /dev/null
+++ b/crates/distribution/src/stores.rs
@@ -0,0 +1,190 @@
+//! The list of stores as events carry it, and the whole list merged from them.
+use crate::event::EventNumber;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Most stores remembered. With more, the list counts as unknown and no snapshot is given until a whole list fits.
+pub const MAX_STORES: usize = 32_768;
+
+/// The state of a store in its entry that takes it off the list.
+const REMOVED: &str = "removed";
+
+/// One store's entry, its JSON text unchanged.
+#[derive(Debug, Clone)]
+pub struct StoreEntry {
+    /// Host name.
+    pub host: String,
+    /// Site, as text; none where the entry does not say.
+    pub site: Option<String>,
+    /// Class, as text; none where the entry does not say.
+    pub class: Option<String>,
+    /// Whether the store leaves the list by this entry.
+    pub removed: bool,
+    /// The entry as it came.
+    pub json: Arc<str>,
+}
+
+/// A list event: the whole list or a change to it.
+#[derive(Debug, Clone)]
+pub struct ListEvent {
+    /// Sequence number of the list.
+    pub sequence: u64,
+    /// Whether the entries are the whole list.
+    pub whole: bool,
+    /// The entries.
+    pub stores: Vec<StoreEntry>,
+}
+
+#[derive(Deserialize)]
+struct EventForm<'a> {
+    #[serde(borrow)]
+    roster: Option<ListForm<'a>>,
+}
+
+#[derive(Deserialize)]
+struct ListForm<'a> {
+    #[serde(default)]
+    seq: u64,
+    #[serde(default)]
+    whole: bool,
+    #[serde(default, borrow)]
+    hosts: Vec<&'a RawValue>,
+}
+
+#[derive(Deserialize)]
+struct StoreForm {
+    host: String,
+    #[serde(default)]
+    site: serde_json::Value,
+    #[serde(default)]
+    class: serde_json::Value,
+    health: Option<String>,
+}
+
+#[derive(Serialize)]
+struct EventOutput<'a> {
+    no: EventNumber,
+    roster: ListOutput<'a>,
+}
+
+#[derive(Serialize)]
+struct ListOutput<'a> {
+    seq: u64,
+    whole: bool,
+    hosts: Vec<&'a RawValue>,
+}
+
+/// A name or an index into the configured names, as text.
+fn place_text(value: serde_json::Value) -> Option<String> {
+    match value {
+        serde_json::Value::String(name) => Some(name),
+        serde_json::Value::Number(index) => Some(index.to_string()),
+        _ => None,
+    }
+}
+
+impl StoreEntry {
+    fn read(raw: &RawValue) -> Option<StoreEntry> {
+        let form: StoreForm = serde_json::from_str(raw.get()).ok()?;
+        Some(StoreEntry {
+            host: form.host,
+            site: place_text(form.site),
+            class: place_text(form.class),
+            removed: form.health.as_deref() == Some(REMOVED),
+            json: raw.get().into(),
+        })
+    }
+}
+
+impl ListEvent {
+    /// Reads the list out of an event's data; none where it carries none that can be read.
+    pub fn read(data: &str) -> Option<ListEvent> {
+        let list = serde_json::from_str::<EventForm>(data).ok()?.roster?;
+        let stores = list.hosts.into_iter().map(StoreEntry::read).collect::<Option<Vec<_>>>()?;
+        Some(ListEvent { sequence: list.seq, whole: list.whole, stores })
+    }
+
+    /// The data of an event under `number` that carries this list.
+    pub fn data(&self, number: EventNumber) -> String {
+        list_data(number, self.sequence, self.whole, self.stores.iter().map(|store| &*store.json))
+    }
+}
+
+/// The data of a list event made from entries in JSON.
+fn list_data<'a>(
+    number: EventNumber,
+    sequence: u64,
+    whole: bool,
+    entries: impl Iterator<Item = &'a str>,
+) -> String {
+    let hosts = entries.filter_map(|json| serde_json::from_str::<&RawValue>(json).ok()).collect();
+    let event = EventOutput { no: number, roster: ListOutput { seq: sequence, whole, hosts } };
+    serde_json::to_string(&event).unwrap_or_default()
+}
+
+/// The whole list of stores, merged from list events.
+#[derive(Debug, Clone, Default)]
+pub struct StoreList {
+    sequence: u64,
+    /// By host name; at most [`MAX_STORES`], see there.
+    stores: BTreeMap<String, StoreEntry>,
+    complete: bool,
+}
+
+impl StoreList {
+    /// Takes in a list event. Cost: O(log n) an entry.
+    pub fn apply(&mut self, event: ListEvent) {
+        self.sequence = event.sequence;
+        if event.whole {
+            self.stores.clear();
+            self.complete = true;
+        }
+        for store in event.stores {
+            self.apply_entry(store);
+        }
+    }
+
+    fn apply_entry(&mut self, store: StoreEntry) {
+        if store.removed {
+            self.stores.remove(&store.host);
+            return;
+        }
+        if self.stores.len() >= MAX_STORES && !self.stores.contains_key(&store.host) {
+            self.forget();
+            return;
+        }
+        self.stores.insert(store.host.clone(), store);
+    }
+
+    /// Forgets the list: it is unknown until the next whole one.
+    pub fn forget(&mut self) {
+        self.stores.clear();
+        self.complete = false;
+    }
+
+    /// Whether a whole list was seen and every change since.
+    pub fn is_complete(&self) -> bool {
+        self.complete
+    }
+
+    /// Number of stores on the list.
+    pub fn len(&self) -> usize {
+        self.stores.len()
+    }
+
+    /// Whether no store is listed.
+    pub fn is_empty(&self) -> bool {
+        self.stores.is_empty()
+    }
+
+    /// The whole list as one event, of the stores that pass `filter`; none while it is not known whole.
+    pub fn snapshot(&self, number: EventNumber, filter: impl Fn(&StoreEntry) -> bool) -> Option<String> {
+        if !self.complete {
+            return None;
+        }
+        let entries = self.stores.values().filter(|store| filter(store)).map(|store| &*store.json);
+        Some(list_data(number, self.sequence, true, entries))
+    }
+}
