Add the subscriber's state machine: sources, failover, cursor and digest, gaps, lag

Cause: a gateway knew one source of events and could not tell a source that is behind, or that tells another history, from its own; a relay needs the same towards its upstream.

Change: crates/distribution/src/subscriber.rs decides without I/O which source is dialled and when, which events are applied and what is missing. With one plain source it does what the gateway does today: 100 ms doubled up to a bound, left after 2.5 s of silence, a missing or unreadable event asked for once more and then passed over. Towards a plain source it verifies by an overlap of one event.

--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod relay;
 pub mod scope;
 pub mod stores;
+pub mod subscriber;
 
 pub use event::{Event, EventError, EventNumber, Subject};
--- /dev/null
+++ b/crates/distribution/src/subscriber/messages.rs
@@ -0,0 +1,132 @@
+//! What goes in and out of a subscriber, and its settings.
+use super::request::Subscription;
+use crate::event::EventNumber;
+use larchway::Micros;
+use std::net::SocketAddr;
+
+/// What stands at the addresses of a subscriber.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SourceKind {
+    /// The source of events itself. It ignores `If-Match`, and any byte from it shows that it lives.
+    Plain,
+    /// Relays: they compare histories, and send a heartbeat only when they have heard the source themselves.
+    Relay,
+}
+
+/// Settings of a subscriber.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SubscriberTerms {
+    /// Where events come from, in order of preference; none: nothing is dialled.
+    pub sources: Vec<SocketAddr>,
+    /// What stands there.
+    pub kind: SourceKind,
+    /// Whether the history of each source is compared with what was applied.
+    pub verify: bool,
+    /// Whether a history that all sources refuse is given up for theirs. It is reported as a gap, and begins with a
+    /// snapshot. Without it, the subscriber goes on asking.
+    pub restart_history: bool,
+    /// Whether gzip is accepted.
+    pub gzip: bool,
+    /// The scope that list events are reduced to, if any.
+    pub scope: Option<String>,
+    /// The longest pause between two attempts, µs; shorter than the time in which an event must be applied.
+    pub longest_backoff: Micros,
+}
+
+/// What happens to a subscriber.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Input<'a> {
+    /// The time of [`super::Subscriber::next_due`] has come.
+    Tick,
+    /// Bytes came in on the connection and could be read. Comes before the events and comments that they hold.
+    Heard,
+    /// An event, in the order of the stream.
+    Event(Received),
+    /// A comment line, without its colon.
+    Comment(&'a str),
+    /// The source answered with another status than 200.
+    Refused {
+        /// The status.
+        status: u16,
+        /// `Retry-After`, µs from now.
+        retry_after: Option<Micros>,
+    },
+    /// What came cannot be read as a stream of events.
+    Garbled,
+    /// The connection was closed by the other side, or could not be made.
+    Lost,
+    /// The connection could not even be begun.
+    NotDialled,
+}
+
+/// What a subscriber needs to know of an event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Received {
+    /// Its number; none if the event cannot be read.
+    pub number: Option<EventNumber>,
+    /// Digest of its data as the source told it; none for data that says nothing about the history: a placeholder, or a
+    /// list reduced to a scope.
+    pub digest: Option<u64>,
+    /// Whether it is a whole list, which relays send as a snapshot.
+    pub whole_list: bool,
+}
+
+/// Why a source is left.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaveReason {
+    /// It sent nothing, or no heartbeat, for too long.
+    Silent,
+    /// Events after the cursor are missing; they are asked for once more.
+    EventMissing,
+    /// An event cannot be read; it is asked for once more.
+    EventUnreadable,
+    /// It tells another history.
+    OtherHistory,
+    /// It does not have the event of the cursor.
+    Behind,
+    /// It answered with this status.
+    Refused(u16),
+    /// What it sent cannot be read.
+    Garbled,
+    /// The settings name other sources.
+    Reconfigured,
+}
+
+impl std::fmt::Display for LeaveReason {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            LeaveReason::Silent => write!(f, "it has gone silent"),
+            LeaveReason::EventMissing => write!(f, "an event is missing"),
+            LeaveReason::EventUnreadable => write!(f, "an event cannot be read"),
+            LeaveReason::OtherHistory => write!(f, "it tells another history"),
+            LeaveReason::Behind => write!(f, "it is behind"),
+            LeaveReason::Refused(status) => write!(f, "it answered {status}"),
+            LeaveReason::Garbled => write!(f, "what it sent cannot be read"),
+            LeaveReason::Reconfigured => write!(f, "the sources are others now"),
+        }
+    }
+}
+
+/// What the caller has to do, in order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Output {
+    /// Connect to the source and send the request. If that fails at once: [`Input::NotDialled`].
+    Dial(Subscription),
+    /// Close the connection. Events and comments that are still to be handed in from it are to be dropped.
+    Close(LeaveReason),
+    /// The source lived at that time, Unix µs.
+    Heard(Micros),
+    /// There is no connection any more on which the source could be heard.
+    Lost,
+    /// Events after `after` and before `next` are missing, and won't come: whatever they may have purged is void.
+    Gap {
+        /// The last event applied.
+        after: EventNumber,
+        /// The next event to be applied; none if the history begins anew, with any number.
+        next: Option<EventNumber>,
+    },
+    /// Apply the event just handed in.
+    Apply(EventNumber),
+    /// Pass over the event just handed in, which cannot be read: whatever it may have purged is void.
+    PassOver,
+}
--- /dev/null
+++ b/crates/distribution/src/subscriber/sources.rs
@@ -0,0 +1,115 @@
+//! Which source is dialled next, and when: failover to the others, then back-off.
+use larchway::{mix, Micros};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+/// First pause between two attempts, µs.
+pub const FIRST_BACKOFF: Micros = 100_000;
+/// Longest random pause before another source is dialled, µs: a relay's subscribers don't all arrive at once.
+const FAILOVER_JITTER: Micros = 50_000;
+
+/// The sources of a subscriber and how their attempts went.
+#[derive(Debug)]
+pub struct Sources {
+    addresses: Vec<SocketAddr>,
+    /// By source, when it may be dialled again at the earliest.
+    not_before: Vec<Micros>,
+    /// Sources that told another history since an event was last applied.
+    diverged: BTreeSet<usize>,
+    current: usize,
+    /// Attempts in a row that brought nothing.
+    failures: usize,
+    backoff: Micros,
+    longest_backoff: Micros,
+    seed: u64,
+    drawn: u64,
+}
+
+impl Sources {
+    /// Sources in order of preference.
+    pub fn new(addresses: Vec<SocketAddr>, longest_backoff: Micros, seed: u64) -> Sources {
+        Sources {
+            not_before: vec![0; addresses.len()],
+            addresses,
+            diverged: BTreeSet::new(),
+            current: 0,
+            failures: 0,
+            backoff: FIRST_BACKOFF,
+            longest_backoff,
+            seed,
+            drawn: 0,
+        }
+    }
+
+    /// The source that is connected, or dialled next.
+    pub fn current(&self) -> Option<SocketAddr> {
+        self.addresses.get(self.current).copied()
+    }
+
+    /// Sets the longest pause.
+    pub fn set_longest_backoff(&mut self, longest: Micros) {
+        self.longest_backoff = longest;
+    }
+
+    /// The current source has sent something.
+    pub fn succeeded(&mut self) {
+        self.failures = 0;
+        self.backoff = FIRST_BACKOFF;
+    }
+
+    /// An event of the current source was applied: its history is the own one.
+    pub fn agreed(&mut self) {
+        self.diverged.clear();
+    }
+
+    /// The current source tells another history. Returns whether all sources do.
+    pub fn disagreed(&mut self) -> bool {
+        self.diverged.insert(self.current);
+        self.diverged.len() == self.addresses.len()
+    }
+
+    /// The current source is not to be dialled before this time.
+    pub fn defer(&mut self, until: Micros) {
+        if let Some(not_before) = self.not_before.get_mut(self.current) {
+            *not_before = until;
+        }
+    }
+
+    /// Goes on to the next source. Returns when it is to be dialled.
+    pub fn fail(&mut self, now: Micros) -> Micros {
+        let count = self.addresses.len().max(1);
+        self.failures += 1;
+        let pause = if self.failures < count { self.jitter(FAILOVER_JITTER) } else { self.back_off() };
+        let earliest = now + pause;
+        let ring = (1..=count).map(|step| (self.current + step) % count);
+        let due = |index: &usize| self.not_before.get(*index).copied().unwrap_or(0).max(earliest);
+        // The first in the order of all that are allowed then; the first that will be, if none is.
+        let next = ring.min_by_key(due).unwrap_or(0);
+        self.current = next;
+        due(&next)
+    }
+
+    /// The pause, doubled each time; with others to fail over to, a random part of it is left out.
+    fn back_off(&mut self) -> Micros {
+        let pause = self.backoff.min(self.longest_backoff);
+        self.backoff = 2 * pause;
+        match self.addresses.len() {
+            0 | 1 => pause,
+            _ => pause / 2 + self.jitter(pause / 2),
+        }
+    }
+
+    fn jitter(&mut self, most: Micros) -> Micros {
+        self.drawn += 1;
+        mix(self.seed ^ mix(self.drawn)) % (most + 1)
+    }
+}
+
+/// The addresses in a random order that a seed decides: subscribers with other seeds spread over them.
+pub fn shuffled(mut addresses: Vec<SocketAddr>, seed: u64) -> Vec<SocketAddr> {
+    for last in (1..addresses.len()).rev() {
+        let chosen = mix(seed ^ mix(last as u64)) % (last as u64 + 1);
+        addresses.swap(last, chosen as usize);
+    }
+    addresses
+}
--- /dev/null
+++ b/crates/distribution/src/subscriber/tests.rs
@@ -0,0 +1,421 @@
+use super::*;
+use proptest::prelude::*;
+
+const SECOND: Micros = 1_000_000;
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn terms(kind: SourceKind, sources: u16) -> SubscriberTerms {
+    SubscriberTerms {
+        sources: (0..sources).map(address).collect(),
+        kind,
+        verify: kind == SourceKind::Relay,
+        restart_history: true,
+        gzip: false,
+        scope: None,
+        longest_backoff: 2 * SECOND,
+    }
+}
+
+fn received(number: EventNumber) -> Received {
+    Received { number: Some(number), digest: Some(1000 + number), whole_list: false }
+}
+
+/// A subscriber with its clock and the outputs of the last step.
+struct Rig {
+    now: Micros,
+    subscriber: Subscriber,
+    out: Vec<Output>,
+}
+
+impl Rig {
+    fn new(terms: SubscriberTerms, cursor: EventNumber) -> Rig {
+        Rig { now: SECOND, subscriber: Subscriber::new(SECOND, terms, cursor, 7), out: Vec::new() }
+    }
+
+    fn give(&mut self, input: Input<'_>) -> Vec<Output> {
+        self.subscriber.handle(self.now, input, &mut self.out);
+        std::mem::take(&mut self.out)
+    }
+
+    fn event(&mut self, number: EventNumber) -> Vec<Output> {
+        self.give(Input::Event(received(number)))
+    }
+
+    /// Waits for the next tick, which must dial; returns the pause and the request.
+    fn dialled(&mut self) -> (Micros, Subscription) {
+        let due = self.subscriber.next_due().expect("something is due");
+        let pause = due.saturating_sub(self.now);
+        self.now = self.now.max(due);
+        match &self.give(Input::Tick)[..] {
+            [Output::Dial(subscription)] => (pause, subscription.clone()),
+            other => panic!("no dial: {other:?}"),
+        }
+    }
+}
+
+#[test]
+fn a_plain_source_is_dialled_at_once_then_with_doubled_pauses_until_it_says_something() {
+    let mut rig = Rig::new(terms(SourceKind::Plain, 1), 4);
+    let (pause, request) = rig.dialled();
+    assert_eq!((pause, request.after, request.if_match), (0, 4, None));
+    let mut pauses = Vec::new();
+    for _ in 0..6 {
+        assert_eq!(rig.give(Input::Lost), [Output::Lost]);
+        pauses.push(rig.dialled().0 / 1000);
+    }
+    assert_eq!(pauses, [100, 200, 400, 800, 1600, 2000]);
+    assert_eq!(rig.give(Input::Heard), [Output::Heard(rig.now)]);
+    rig.give(Input::Lost);
+    assert_eq!(rig.dialled().0, FIRST_BACKOFF);
+}
+
+#[test]
+fn a_source_that_says_nothing_for_two_and_a_half_seconds_is_left() {
+    let mut rig = Rig::new(terms(SourceKind::Plain, 1), 0);
+    rig.dialled();
+    rig.now += SECOND;
+    rig.give(Input::Heard);
+    assert_eq!(rig.subscriber.next_due(), Some(rig.now + SILENT));
+    rig.now += SILENT - 1;
+    assert_eq!(rig.give(Input::Tick), []);
+    rig.now += 1;
+    assert_eq!(rig.give(Input::Tick), [Output::Close(LeaveReason::Silent), Output::Lost]);
+}
+
+#[test]
+fn what_is_missing_or_unreadable_is_asked_for_once_more_and_then_passed_over() {
+    let mut rig = Rig::new(terms(SourceKind::Plain, 1), 0);
+    let unreadable = Input::Event(Received { number: None, digest: None, whole_list: false });
+    rig.dialled();
+    assert_eq!(rig.event(1), [Output::Apply(1)]);
+    assert_eq!(rig.event(3), [Output::Close(LeaveReason::EventMissing), Output::Lost]);
+    assert_eq!(rig.dialled().1.after, 1);
+    assert_eq!(rig.event(3), [Output::Gap { after: 1, next: Some(3) }, Output::Apply(3)]);
+    assert_eq!(rig.event(2), [], "it comes too late");
+    assert_eq!(rig.give(unreadable), [Output::Close(LeaveReason::EventUnreadable), Output::Lost]);
+    rig.dialled();
+    assert_eq!(rig.give(unreadable), [Output::PassOver]);
+    assert_eq!(rig.event(5), [Output::Gap { after: 3, next: Some(5) }, Output::Apply(5)]);
+    assert_eq!(rig.subscriber.gaps(), 3);
+}
+
+#[test]
+fn the_next_relay_is_asked_with_the_cursor_and_its_digest() {
+    let mut rig = Rig::new(terms(SourceKind::Relay, 2), 0);
+    let first = rig.dialled().1;
+    assert_eq!((first.source, first.if_match), (address(0), None));
+    rig.give(Input::Heard);
+    rig.event(1);
+    rig.event(2);
+    let bare = Received { digest: None, ..received(3) };
+    assert_eq!(rig.give(Input::Event(bare)), [Output::Apply(3)]);
+    for (input, reason) in [
+        (Input::Refused { status: 503, retry_after: Some(9 * SECOND) }, LeaveReason::Refused(503)),
+        (Input::Garbled, LeaveReason::Garbled),
+    ] {
+        assert_eq!(rig.give(input), [Output::Close(reason), Output::Lost]);
+        let (pause, request) = rig.dialled();
+        assert!(pause <= FIRST_BACKOFF, "{pause}");
+        assert_eq!((request.after, request.if_match), (2, Some(1002)), "the last event with a digest");
+        assert_eq!(request.source, address(1), "the first one is left alone for nine seconds");
+    }
+}
+
+#[test]
+fn another_relay_is_dialled_at_once_and_all_of_them_only_after_a_pause() {
+    let mut rig = Rig::new(terms(SourceKind::Relay, 3), 0);
+    let mut asked = vec![rig.dialled().1.source];
+    let mut pauses = Vec::new();
+    for _ in 0..4 {
+        rig.give(Input::Lost);
+        let (pause, request) = rig.dialled();
+        asked.push(request.source);
+        pauses.push(pause);
+    }
+    assert_eq!(asked, [0, 1, 2, 0, 1].map(address));
+    assert!(pauses[..2].iter().all(|pause| *pause <= 50_000), "{pauses:?}");
+    assert!((50_000..=100_000).contains(&pauses[2]), "{pauses:?}");
+    assert!((100_000..=200_000).contains(&pauses[3]), "{pauses:?}");
+}
+
+#[test]
+fn a_history_that_all_relays_refuse_is_given_up_and_reported() {
+    let mut rig = Rig::new(terms(SourceKind::Relay, 2), 0);
+    rig.dialled();
+    rig.event(1);
+    let refused = Input::Refused { status: 412, retry_after: None };
+    assert_eq!(rig.give(refused), [Output::Close(LeaveReason::Refused(412)), Output::Lost]);
+    rig.dialled();
+    assert_eq!(rig.give(refused)[2..], [Output::Gap { after: 1, next: None }]);
+    assert_eq!((rig.dialled().1.after, rig.subscriber.cursor()), (0, 0));
+    // One that keeps its history goes on asking.
+    let mut rig = Rig::new(SubscriberTerms { restart_history: false, ..terms(SourceKind::Relay, 1) }, 0);
+    rig.dialled();
+    rig.event(1);
+    assert_eq!(rig.give(refused).len(), 2);
+    assert_eq!(rig.dialled().1.after, 1);
+}
+
+#[test]
+fn a_snapshot_is_a_gap_even_if_it_stands_for_the_next_number() {
+    let mut rig = Rig::new(terms(SourceKind::Relay, 1), 4);
+    rig.dialled();
+    let snapshot = Received { whole_list: true, ..received(5) };
+    let expected = [Output::Gap { after: 4, next: Some(5) }, Output::Apply(5)];
+    assert_eq!(rig.give(Input::Event(snapshot)), expected);
+    let list = Received { whole_list: true, ..received(6) };
+    assert_eq!(
+        rig.give(Input::Event(list)),
+        [Output::Apply(6)],
+        "a list in the middle is an event like others"
+    );
+    rig.give(Input::Lost);
+    assert_eq!((rig.dialled().1.if_match, rig.subscriber.cursor()), (None, 6));
+}
+
+#[test]
+fn a_plain_source_repeats_the_event_of_the_cursor_or_is_another() {
+    let verified = SubscriberTerms { verify: true, restart_history: false, ..terms(SourceKind::Plain, 1) };
+    let mut rig = Rig::new(verified, 0);
+    rig.dialled();
+    rig.event(1);
+    rig.event(2);
+    rig.give(Input::Lost);
+    assert_eq!(rig.dialled().1.after, 1);
+    assert_eq!(rig.give(Input::Heard), [], "it may be another one");
+    assert_eq!(rig.event(2), []);
+    assert_eq!(rig.event(3), [Output::Apply(3)]);
+    rig.give(Input::Lost);
+    rig.dialled();
+    let other = Received { digest: Some(9), ..received(3) };
+    let left = [Output::Close(LeaveReason::OtherHistory), Output::Lost];
+    assert_eq!(rig.give(Input::Event(other)), left);
+    rig.dialled();
+    // One that only has comments has not even that event.
+    rig.now += 2 * SECOND;
+    rig.give(Input::Heard);
+    rig.now += 2 * SECOND;
+    rig.give(Input::Heard);
+    assert!(!rig.subscriber.caught_up());
+    rig.now += SECOND;
+    assert_eq!(rig.give(Input::Tick), [Output::Close(LeaveReason::Behind), Output::Lost]);
+}
+
+#[test]
+fn lag_counts_from_the_time_that_the_heartbeat_names() {
+    let mut rig = Rig::new(terms(SourceKind::Relay, 1), 0);
+    rig.now = 50 * SECOND;
+    rig.dialled();
+    rig.give(Input::Heard);
+    assert_eq!(rig.give(Input::Comment(" hello")), []);
+    assert_eq!((rig.subscriber.lag(rig.now), rig.subscriber.caught_up()), (None, false));
+    assert_eq!(rig.give(Input::Comment(" heard 49500")), [Output::Heard(49_500_000)]);
+    assert_eq!(rig.subscriber.lag(rig.now), Some(SECOND / 2));
+    assert_eq!(rig.give(Input::Comment("heard 99000")), [Output::Heard(rig.now)], "a clock that is ahead");
+    rig.give(Input::Lost);
+    rig.now += 3 * SECOND;
+    assert_eq!((rig.subscriber.lag(rig.now), rig.subscriber.caught_up()), (Some(3 * SECOND), false));
+}
+
+/// A source as the harness of the random histories plays it.
+#[derive(Debug, Clone)]
+struct Origin {
+    /// Which history it tells: digests differ between them.
+    history: u64,
+    first: EventNumber,
+    last: EventNumber,
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Deliver(u8),
+    Skip,
+    Unreadable,
+    Heartbeat,
+    Lose,
+    Garble,
+    Grow { source: usize, events: u64 },
+    Forget { source: usize, events: u64 },
+    Replace { source: usize },
+    Wait(u64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        8 => (1..5u8).prop_map(Step::Deliver),
+        1 => Just(Step::Skip),
+        1 => Just(Step::Unreadable),
+        2 => Just(Step::Heartbeat),
+        1 => Just(Step::Lose),
+        1 => Just(Step::Garble),
+        4 => (0..3usize, 1..6u64).prop_map(|(source, events)| Step::Grow { source, events }),
+        1 => (0..3usize, 1..20u64).prop_map(|(source, events)| Step::Forget { source, events }),
+        1 => (0..3usize).prop_map(|source| Step::Replace { source }),
+        6 => (1..4_000u64).prop_map(Step::Wait),
+    ];
+    proptest::collection::vec(step, 1..250)
+}
+
+/// The harness: sources, the connection of the subscriber, and the naive record of what it did.
+struct World {
+    rig: Rig,
+    origins: Vec<Origin>,
+    connected: Option<usize>,
+    /// What the connection sends next.
+    queue: Vec<Received>,
+    next: EventNumber,
+    /// By number, whether it was applied (or else reported missing); begun anew with each history.
+    accounted: Vec<bool>,
+    /// The history of the last event applied, if it is known by more than a snapshot, and no gap came since.
+    history: Option<u64>,
+}
+
+impl World {
+    fn event(&self, source: usize, number: EventNumber) -> Received {
+        let digest = self.origins[source].history << 32 | number;
+        Received { number: Some(number), digest: Some(digest), whole_list: false }
+    }
+
+    fn carry_out(&mut self, handed: Option<Received>) {
+        for output in std::mem::take(&mut self.rig.out) {
+            match output {
+                Output::Dial(subscription) => self.answer(&subscription),
+                Output::Close(_) | Output::Lost => {
+                    self.connected = None;
+                    self.queue.clear();
+                }
+                Output::Heard(_) => {}
+                Output::Gap { after, next } => {
+                    assert_eq!(after, self.accounted.len() as u64, "a gap begins where the last event was");
+                    match next {
+                        Some(next) => self.accounted.resize(next as usize - 1, false),
+                        None => self.accounted.clear(),
+                    }
+                    self.history = None;
+                }
+                Output::Apply(number) => {
+                    let handed = handed.expect("an event was handed in");
+                    assert_eq!(handed.number, Some(number));
+                    assert_eq!(self.accounted.len() as u64 + 1, number, "in order, once, without a hole");
+                    self.accounted.push(true);
+                    let history = handed.digest.map(|digest| digest >> 32).filter(|_| !handed.whole_list);
+                    let same = self.history.is_none() || self.history == history;
+                    assert!(same, "without a gap, an event follows one of the same history");
+                    self.history = history;
+                }
+                Output::PassOver => assert_eq!(handed.map(|handed| handed.number), Some(None)),
+            }
+        }
+        assert_eq!(self.rig.subscriber.cursor(), self.accounted.len() as u64);
+    }
+
+    /// Answers as a relay does.
+    fn answer(&mut self, request: &Subscription) {
+        let source = usize::from(request.source.port());
+        let origin = self.origins[source].clone();
+        let known = self.event(source, request.after).digest;
+        let differs = request.if_match.is_some_and(|digest| Some(digest) != known);
+        // A log keeps the digest of the event before its first.
+        let inside = (origin.first - 1..=origin.last).contains(&request.after);
+        let status = if request.after > origin.last {
+            503
+        } else if differs && inside {
+            412
+        } else {
+            200
+        };
+        if status != 200 {
+            self.step(Input::Refused { status, retry_after: None }, None);
+            return;
+        }
+        self.connected = Some(source);
+        if request.after + 1 < origin.first {
+            let snapshot = Received { whole_list: true, ..self.event(source, origin.last) };
+            self.queue = vec![snapshot];
+            self.next = origin.last + 1;
+        } else {
+            self.next = request.after + 1;
+        }
+    }
+
+    fn step(&mut self, input: Input<'_>, handed: Option<Received>) {
+        self.rig.subscriber.handle(self.rig.now, input, &mut self.rig.out);
+        self.carry_out(handed);
+    }
+
+    fn deliver(&mut self) {
+        let Some(source) = self.connected else { return };
+        let event = match self.queue.pop() {
+            Some(event) => event,
+            None if self.next <= self.origins[source].last => {
+                self.next += 1;
+                self.event(source, self.next - 1)
+            }
+            None => return,
+        };
+        self.step(Input::Heard, None);
+        self.step(Input::Event(event), Some(event));
+    }
+
+    fn play(&mut self, step: &Step) {
+        match *step {
+            Step::Deliver(count) => (0..count).for_each(|_| self.deliver()),
+            Step::Skip => self.next += 1,
+            Step::Unreadable if self.connected.is_some() => {
+                let event = Received { number: None, digest: None, whole_list: false };
+                self.step(Input::Event(event), Some(event));
+            }
+            Step::Heartbeat if self.connected.is_some() => self.step(Input::Comment("heard 1"), None),
+            Step::Lose if self.connected.take().is_some() => self.step(Input::Lost, None),
+            Step::Garble if self.connected.is_some() => self.step(Input::Garbled, None),
+            Step::Unreadable | Step::Heartbeat | Step::Lose | Step::Garble => {}
+            Step::Grow { source, events } => self.origins[source].last += events,
+            Step::Forget { source, events } => {
+                let origin = &mut self.origins[source];
+                origin.first = (origin.first + events).min(origin.last);
+            }
+            Step::Replace { source } => {
+                self.origins[source] =
+                    Origin { history: self.origins[source].history + 1, first: 1, last: 1 };
+                if self.connected == Some(source) {
+                    self.connected = None;
+                    self.step(Input::Lost, None);
+                }
+            }
+            Step::Wait(milliseconds) => self.wait(milliseconds * 1000),
+        }
+    }
+
+    fn wait(&mut self, pause: Micros) {
+        let until = self.rig.now + pause;
+        while let Some(due) = self.rig.subscriber.next_due().filter(|due| *due <= until) {
+            self.rig.now = self.rig.now.max(due);
+            self.step(Input::Tick, None);
+        }
+        self.rig.now = until;
+    }
+}
+
+proptest! {
+    /// E1 and E2: whatever fails, events are applied in order and once, and each hole is reported.
+    #[test]
+    fn every_event_is_applied_once_in_order_or_reported_missing(steps in steps(), seed in any::<u64>()) {
+        let terms = SubscriberTerms { sources: shuffled((0..3).map(address).collect(), seed), ..terms(SourceKind::Relay, 3) };
+        let rig = Rig { now: SECOND, subscriber: Subscriber::new(SECOND, terms, 0, seed), out: Vec::new() };
+        let origins = vec![Origin { history: 1, first: 1, last: 3 }; 3];
+        let mut world = World { rig, origins, connected: None, queue: Vec::new(), next: 1, accounted: Vec::new(), history: None };
+        steps.iter().for_each(|step| world.play(step));
+        // Once all sources are well, it catches up.
+        let last = world.origins.iter().map(|origin| origin.last).max().unwrap_or(0).max(world.rig.subscriber.cursor());
+        world.origins = vec![Origin { history: 99, first: 1, last }; 3];
+        world.play(&Step::Lose);
+        for _ in 0..60 {
+            world.wait(SECOND);
+            (0..last + 1).for_each(|_| world.deliver());
+        }
+        prop_assert_eq!(world.rig.subscriber.cursor(), last);
+    }
+}
