Move JSON members and the wires' terms below both bulletin.rs and config.rs

Change: json_fields.rs holds the typed members of JSON objects, terms.rs holds Terms and ClassTerms; both import nothing of the daemon. No change of behaviour.

--- a/gateway/src/bulletin.rs
+++ b/gateway/src/bulletin.rs
@@ -1,5 +1,6 @@
 //! The bulletin: purges and changes to the list of stores, as numbered server-sent events over HTTP.
-use crate::config::{address, list, text, whole, Terms};
+use crate::json_fields::{address, list, text, whole};
+use crate::terms::Terms;
 use larchway::settings::{as_f64, as_u64, get, micros};
 use larchway::{Host, Micros, State};
 use miniserde::json::{self, Value};
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -1,15 +1,17 @@
 //! The only place that reads, checks and defaults configuration. Errors name the faulty key.
 use crate::bulletin::{self, Item};
 use crate::hierarchy::{self, HierarchyFile};
+use crate::json_fields::{address, list, parse, text, texts, whole};
 use crate::peers::{self, Addresses};
 use crate::signed::{token::Parties, Keys, Secret};
+use crate::terms::{ClassTerms, Terms};
 use larchway::settings::{as_bool, as_f64, as_u64, get, read_value};
 use larchway::{Class, Micros, Settings};
 use larchway_copies::CopiesFile;
 use larchway_fleet::{lease::Configured, FleetFile};
 use larchway_members::{format::Defaults, Policy};
 use larchway_spread::SpreadFile;
-use miniserde::json::{self, Value};
+use miniserde::json::Value;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -56,46 +58,6 @@
     pub shape: Shape,
 }
 
-/// A class as a request keeps it to its end.
-#[derive(Debug, Clone, PartialEq, Default)]
-pub struct ClassTerms {
-    /// What the module needs of it.
-    pub class: Class,
-    /// How long a client waits in all.
-    pub deadline: Micros,
-    /// Whether its requests carry an idempotency key.
-    pub keyed: bool,
-}
-
-/// Names and limits of the settings that concern the wires.
-#[derive(Debug, Clone, Default)]
-pub struct Terms {
-    /// Names of the classes, by slot.
-    pub classes: Vec<String>,
-    /// By slot, whether only requests under way have that class.
-    pub retired: Vec<bool>,
-    /// Attempts that a connection to a store carries before another one is opened.
-    pub streams: usize,
-    /// Names of the values in a store's report of its load.
-    pub report: Vec<String>,
-    /// By class, how long a client waits in all.
-    pub deadlines: Vec<Micros>,
-    /// By class, whether its requests carry an idempotency key.
-    pub keyed: Vec<bool>,
-    /// Names of the zones.
-    pub zones: Vec<String>,
-    /// Names of the machine kinds.
-    pub kinds: Vec<String>,
-    /// A connection not made by then has failed.
-    pub connect_timeout: Micros,
-    /// Stores close a connection that is idle for so long.
-    pub idle: Micros,
-    /// Whether stores may be probed.
-    pub probes: bool,
-    /// Within so long of word of it a drain or a purge must be heeded, the shorter of the two; none: not told.
-    pub notice: Option<Micros>,
-}
-
 /// The files besides the one that the environment names.
 #[derive(Debug, Clone, Default)]
 pub struct Files {
@@ -181,36 +143,6 @@
     }
 }
 
-impl Terms {
-    /// Takes the classes, in the order of their slots.
-    pub fn name<'a>(&mut self, classes: &mut dyn Iterator<Item = (&'a str, &'a ClassTerms, bool)>) {
-        (self.classes, self.retired, self.deadlines, self.keyed) = Default::default();
-        for (name, terms, current) in classes {
-            self.classes.push(name.to_string());
-            self.retired.push(!current);
-            self.deadlines.push(terms.deadline);
-            self.keyed.push(terms.keyed);
-        }
-    }
-
-    /// The slot of a class that new requests may have.
-    pub fn class(&self, name: &str) -> Option<usize> {
-        let retired = |at: usize| self.retired.get(at) == Some(&true);
-        self.classes.iter().enumerate().position(|(at, n)| n == name && !retired(at))
-    }
-
-    /// Whether these names can take the place of others while requests are open. Stores are kept by the places of
-    /// their zone and kind, so those names may be added behind the others but not changed.
-    pub fn extends(&self, old: &Terms) -> Result<(), String> {
-        for (key, new, old) in [("zones", &self.zones, &old.zones), ("models", &self.kinds, &old.kinds)] {
-            if !new.starts_with(old) {
-                return Err(format!("settings.{key} may only grow while the gateway runs"));
-            }
-        }
-        Ok(())
-    }
-}
-
 /// Reads the configuration named by the environment.
 fn from_env() -> Result<Config, String> {
     let path = std::env::var("EDGE_CONFIG").map_err(|_| "EDGE_CONFIG is not set".to_string())?;
@@ -220,59 +152,6 @@
     Ok(Config { scratch: std::env::var_os("TMPDIR").map(PathBuf::from), ..config })
 }
 
-/// Reads JSON text of any kind.
-pub fn parse(text: &str) -> Result<Value, String> {
-    let all: Value = json::from_str(text).map_err(|_| "the configuration is not JSON".to_string())?;
-    match all {
-        Value::Object(_) => Ok(all),
-        _ => Err("the configuration is not an object".into()),
-    }
-}
-
-/// A text member, if there is one.
-pub fn text<'a>(value: &'a Value, key: &str) -> Result<Option<&'a str>, String> {
-    match get(value, key) {
-        None | Some(Value::Null) => Ok(None),
-        Some(Value::String(text)) => Ok(Some(text)),
-        Some(_) => Err(format!("{key} must be a string")),
-    }
-}
-
-/// An address member, if there is one.
-pub fn address(value: &Value, key: &str) -> Result<Option<SocketAddr>, String> {
-    let parse = |t: &str| t.parse().map_err(|_| format!("{key}: {t:?} is not an address with a port"));
-    text(value, key)?.map(parse).transpose()
-}
-
-/// A list member; absent is empty.
-pub fn list<'a>(value: &'a Value, key: &str) -> Result<&'a [Value], String> {
-    match get(value, key) {
-        None | Some(Value::Null) => Ok(&[]),
-        Some(Value::Array(items)) => Ok(items),
-        Some(_) => Err(format!("{key} must be a list")),
-    }
-}
-
-/// A list of texts; absent is empty.
-pub fn texts(value: &Value, key: &str) -> Result<Vec<String>, String> {
-    let one = |v: &Value| match v {
-        Value::String(text) => Ok(text.clone()),
-        _ => Err(format!("{key} must hold strings")),
-    };
-    list(value, key)?.iter().map(one).collect()
-}
-
-/// A whole number member within bounds, with a default.
-pub fn whole(value: &Value, key: &str, default: u64, least: u64) -> Result<u64, String> {
-    match get(value, key) {
-        None | Some(Value::Null) => Ok(default),
-        Some(v) => {
-            let wrong = || format!("{key} must be a whole number, {least} at least");
-            as_u64(v).filter(|n| *n >= least).ok_or_else(wrong)
-        }
-    }
-}
-
 /// Attempts that a connection to a store carries before another one is opened. An answer holds up those behind it,
 /// so it is one where handshakes are free. Danger: where they are paid for and a hundred gateways open one for each
 /// attempt that meets another, the price is more than the wait, and stores run short of connections.
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -1,10 +1,10 @@
 //! Requests, attempts and outcomes: feeds the module its events and carries out its actions. Knows no wire and
 //! no socket; the clock is an argument. Each request gets its final answer exactly once.
 use crate::bulletin::{News, Store};
-use crate::config::ClassTerms;
 use crate::deadlines::{Deadlines, Due};
 use crate::hierarchy::InferFile;
 use crate::slots::{Key, Slots};
+use crate::terms::ClassTerms;
 use larchway::{
     Action, Effect, Event, Get, Homes, Learned, Members, Micros, Note, Outcome, Request, Router, Scope,
     ServerId, Settings, State, Status,
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -1,6 +1,6 @@
 //! The gateway daemon's command line.
 use argh::FromArgs;
-use larchway_gateway::{admin, config, hierarchy, signed, table};
+use larchway_gateway::{admin, config, hierarchy, signed, table, terms};
 use larchway_gateway::{clock, net::Gateway};
 use miniserde::json::{Number, Object, Value};
 use std::process::ExitCode;
@@ -196,7 +196,7 @@
 fn sign(args: &Sign) -> Result<(), String> {
     let front = config::front_file(&args.signed)?;
     // Links name no class that the file does not allow, so its list is all that is needed here.
-    let terms = config::Terms { classes: front.classes.clone(), ..config::Terms::default() };
+    let terms = terms::Terms { classes: front.classes.clone(), ..terms::Terms::default() };
     let text = |t: &str| Value::String(t.to_string());
     let number = |n: u64| Value::Number(Number::U64(n));
     let mut order = Object::new();
--- a/gateway/src/membership.rs
+++ b/gateway/src/membership.rs
@@ -1,9 +1,10 @@
 //! Who is there, for the daemon: joins the session with the ensemble (`larchway-keeper`) and the merge of all sources
 //! (`larchway-members`). Knows no socket: what the loop is to do comes back as [`Effect`]s.
 use crate::bulletin::{News, Store};
-use crate::config::{Ensemble, Terms};
+use crate::config::Ensemble;
 use crate::kept;
 use crate::log;
+use crate::terms::Terms;
 use larchway::{Micros, ServerId};
 use larchway_fleet::lease;
 use larchway_keeper::agent::{self, Agent, Fact, Registration};
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -2,7 +2,7 @@
 use crate::admin::{self, Admin, Turn};
 use crate::bulletin::{self, Reader, Store};
 use crate::clock::now;
-use crate::config::{Config, Ensemble, Files, Front, Loaded, Shape, Terms};
+use crate::config::{Config, Ensemble, Files, Front, Loaded, Shape};
 use crate::console::{self, Console};
 use crate::core::{Core, Order, Ticket};
 use crate::deadlines::Due;
@@ -16,6 +16,7 @@
 use crate::signed::{self, Session};
 use crate::slots::{Key, Slots};
 use crate::sockets::{closed, drain, exhausted, hung_up, polled, polled_in_time, signal_pipe};
+use crate::terms::Terms;
 use crate::thrift::{self, Calls};
 use crate::turn;
 use crate::upgrade::{self, Upgrade};
--- a/gateway/src/signed/mod.rs
+++ b/gateway/src/signed/mod.rs
@@ -4,11 +4,13 @@
 pub mod link;
 pub mod token;
 
-use crate::config::{self, Front, Terms};
+use crate::config::Front;
 use crate::core::{Ask, Ticket};
+use crate::json_fields;
 use crate::log;
 use crate::net::{Conn, Final, Gateway, Life, Role};
 use crate::slots::Key;
+use crate::terms::Terms;
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use base64::Engine;
 use hmac::{Hmac, Mac};
@@ -185,23 +187,23 @@
     second: u64,
 ) -> Result<(String, u64), (u16, String)> {
     let bad = |e: String| (400, e);
-    let path = config::text(order, "path").map_err(bad)?.ok_or_else(|| bad("path is missing".into()))?;
+    let path = json_fields::text(order, "path").map_err(bad)?.ok_or_else(|| bad("path is missing".into()))?;
     object(terms, front, path).map_err(|(status, why)| (status, format!("path: {why}")))?;
-    let span = config::whole(order, "expires_in", 3600, 1).map_err(bad)?;
+    let span = json_fields::whole(order, "expires_in", 3600, 1).map_err(bad)?;
     if span > front.longest {
         return Err(bad(format!("expires_in is {} at most", front.longest)));
     }
     let not_before = match get(order, "not_before") {
         None => None,
-        Some(_) => Some(config::whole(order, "not_before", 0, 0).map_err(bad)?),
+        Some(_) => Some(json_fields::whole(order, "not_before", 0, 0).map_err(bad)?),
     };
-    let method = config::text(order, "method").map_err(bad)?.unwrap_or("GET");
+    let method = json_fields::text(order, "method").map_err(bad)?.unwrap_or("GET");
     if method != "GET" && method != "HEAD" {
         return Err(bad("method must be GET or HEAD".into()));
     }
-    let key = config::text(order, "key").map_err(bad)?;
+    let key = json_fields::text(order, "key").map_err(bad)?;
     let expires = second + span;
-    let url = match config::text(order, "kind").map_err(bad)?.unwrap_or("url") {
+    let url = match json_fields::text(order, "kind").map_err(bad)?.unwrap_or("url") {
         "url" => {
             let grant = link::Grant { method, path, expires, not_before };
             format!("{}{}", front.base, link::issue(&front.keys, key, &grant).map_err(bad)?)
@@ -356,7 +358,8 @@
         return reply(gateway, at, key, 401, &challenge, b"an issuing credential is needed");
     };
     let order = std::str::from_utf8(request.body).map_err(|_| "it is not UTF-8".to_string());
-    let order = order.and_then(|text| config::parse(text).map_err(|_| "it is not a JSON object".to_string()));
+    let order =
+        order.and_then(|text| json_fields::parse(text).map_err(|_| "it is not a JSON object".to_string()));
     let issued = match order {
         Ok(order) => issue(&gateway.terms, front, &order, at / 1_000_000),
         Err(why) => Err((400, why)),
--- a/gateway/src/signed/token.rs
+++ b/gateway/src/signed/token.rs
@@ -1,6 +1,6 @@
 //! URI Signing tokens as in RFC 9246: a JWT, here with HS256, in the query or a cookie.
 use super::{Denied, Keys};
-use crate::config;
+use crate::json_fields;
 use larchway::settings::{as_f64, get};
 use miniserde::json::{self, Value};
 use regex::RegexBuilder;
@@ -58,7 +58,7 @@
 fn object(part: &str) -> Result<Value, Denied> {
     let bytes = super::decode(part).ok_or(Denied::Malformed)?;
     let text = std::str::from_utf8(&bytes).map_err(|_| Denied::Malformed)?;
-    config::parse(text).map_err(|_| Denied::Malformed)
+    json_fields::parse(text).map_err(|_| Denied::Malformed)
 }
 
 /// Whether a URI is within a container. A pattern must fit the whole URI, so that none grants more than it says.
@@ -85,10 +85,10 @@
     let head = object(head)?;
     let signature = super::decode(signature).ok_or(Denied::Signature)?;
     // The algorithm is this side's choice: a token may not pick none, or one with another kind of key.
-    if config::text(&head, "alg") != Ok(Some("HS256")) || get(&head, "crit").is_some() {
+    if json_fields::text(&head, "alg") != Ok(Some("HS256")) || get(&head, "crit").is_some() {
         return Err(Denied::Signature);
     }
-    let holds = match config::text(&head, "kid").map_err(|_| Denied::Malformed)? {
+    let holds = match json_fields::text(&head, "kid").map_err(|_| Denied::Malformed)? {
         Some(name) => keys.named(name).is_some_and(|k| k.holds(signed.as_bytes(), &signature)),
         None => keys.all().any(|k| k.holds(signed.as_bytes(), &signature)),
     };
@@ -96,7 +96,7 @@
         return Err(Denied::Signature);
     }
     let claims = object(claims)?;
-    let text = |key| config::text(&claims, key).map_err(|_| Denied::Malformed);
+    let text = |key| json_fields::text(&claims, key).map_err(|_| Denied::Malformed);
     let second_of = |key| match get(&claims, key) {
         None => Ok(None),
         Some(v) => as_f64(v).filter(|n| *n >= 0.0).map(Some).ok_or(Denied::Malformed),
@@ -107,7 +107,7 @@
     if get(&claims, "cdniv").is_some_and(|v| as_f64(v) != Some(1.0)) {
         return Err(Denied::Claim);
     }
-    let critical = config::texts(&claims, "cdnicrit").map_err(|_| Denied::Malformed)?;
+    let critical = json_fields::texts(&claims, "cdnicrit").map_err(|_| Denied::Malformed)?;
     if critical.iter().any(|c| !UNDERSTOOD.contains(&c.as_str())) {
         return Err(Denied::Claim);
     }
@@ -122,7 +122,7 @@
     let audience = match get(&claims, "aud") {
         None => Vec::new(),
         Some(Value::String(one)) => vec![one.clone()],
-        Some(_) => config::texts(&claims, "aud").map_err(|_| Denied::Malformed)?,
+        Some(_) => json_fields::texts(&claims, "aud").map_err(|_| Denied::Malformed)?,
     };
     if !audience.is_empty() && !audience.iter().any(|a| Some(a) == parties.audience.as_ref()) {
         return Err(Denied::Claim);
--- a/gateway/src/thrift.rs
+++ b/gateway/src/thrift.rs
@@ -1,9 +1,9 @@
 //! The platform's front: Thrift, framed transport, strict binary protocol.
-use crate::config::Terms;
 use crate::core::{Ask, Ticket};
 use crate::log;
 use crate::net::{Conn, Final, Gateway, Role};
 use crate::slots::Key;
+use crate::terms::Terms;
 use larchway::Micros;
 use std::collections::BTreeMap;
 
