Move the event stream out of net.rs into a driver without sockets, with a linear reader

Cause: net.rs knew the event stream's connection, its back-off and its order of events, and the reader drained its buffers line by line, which is quadratic in a large list or a large burst.

Change: events.rs joins the subscriber's state machine and the reader and hands back effects (dial, close, heard, lost, copies void, apply); it imports nothing of net.rs. event_stream.rs reads head, chunked coding, gzip coding, events and comments, with typed errors and bounds on what is buffered and decoded. The tests of the reader moved with it, unchanged in what they check. One difference: a configuration with another address now also tells membership that contact is lost.

--- a/gateway/src/bulletin.rs
+++ b/gateway/src/bulletin.rs
@@ -4,7 +4,6 @@
 use larchway::settings::{as_f64, as_u64, get, micros};
 use larchway::{Host, Micros, State};
 use miniserde::json::{self, Value};
-use std::net::SocketAddr;
 
 /// One numbered event.
 #[derive(Debug, Clone)]
@@ -94,106 +93,6 @@
     Ok(Item { no, news })
 }
 
-/// The call that asks for the events after a number.
-pub fn call(host: SocketAddr, last: u64) -> String {
-    format!(
-        "GET /bulletins HTTP/1.1\r\nHost: {host}\r\nAccept: text/event-stream\r\nLast-Event-ID: {last}\r\n\r\n"
-    )
-}
-
-/// Reads the answer to the call: a head, then events, plain or in chunks, until the connection ends.
-#[derive(Debug, Default)]
-pub struct Reader {
-    raw: Vec<u8>,
-    lines: Vec<u8>,
-    head: bool,
-    chunked: bool,
-    chunk: usize,
-    data: String,
-}
-
-/// Most bytes of one event or head: a full list of thousands of stores fits.
-const LONGEST: usize = 4 << 20;
-
-impl Reader {
-    /// Takes in what was read and returns the data of the events that are whole now.
-    pub fn take(&mut self, bytes: &[u8]) -> Result<Vec<String>, String> {
-        self.raw.extend_from_slice(bytes);
-        if !self.head {
-            let mut headers = [httparse::EMPTY_HEADER; 32];
-            let mut response = httparse::Response::new(&mut headers);
-            match response.parse(&self.raw).map_err(|e| format!("its head is malformed: {e}"))? {
-                httparse::Status::Partial if self.raw.len() > 65_536 => {
-                    return Err("its head is too long".into())
-                }
-                httparse::Status::Partial => return Ok(Vec::new()),
-                httparse::Status::Complete(end) => {
-                    if response.code != Some(200) {
-                        return Err(format!("it answered {}", response.code.unwrap_or(0)));
-                    }
-                    self.chunked = response.headers.iter().any(|h| {
-                        h.name.eq_ignore_ascii_case("transfer-encoding")
-                            && h.value.to_ascii_lowercase().ends_with(b"chunked")
-                    });
-                    self.head = true;
-                    self.raw.drain(..end);
-                }
-            }
-        }
-        self.unpack()?;
-        if self.lines.len().max(self.raw.len()).max(self.data.len()) > LONGEST {
-            return Err("an event is too long".into());
-        }
-        let mut whole = Vec::new();
-        while let Some(end) = self.lines.iter().position(|&b| b == b'\n') {
-            let line: Vec<u8> = self.lines.drain(..=end).collect();
-            let line = String::from_utf8_lossy(&line);
-            let line = line.trim_end_matches(['\n', '\r']);
-            if line.is_empty() {
-                if !self.data.is_empty() {
-                    whole.push(std::mem::take(&mut self.data));
-                }
-            } else if let Some(data) = line.strip_prefix("data:") {
-                if !self.data.is_empty() {
-                    self.data.push('\n');
-                }
-                self.data.push_str(data.strip_prefix(' ').unwrap_or(data));
-            }
-        }
-        Ok(whole)
-    }
-
-    fn unpack(&mut self) -> Result<(), String> {
-        if !self.chunked {
-            self.lines.append(&mut self.raw);
-            return Ok(());
-        }
-        loop {
-            if self.chunk > 0 {
-                let n = self.chunk.min(self.raw.len());
-                self.lines.extend(self.raw.drain(..n));
-                self.chunk -= n;
-                if self.chunk > 0 {
-                    return Ok(());
-                }
-            }
-            // The line break after a chunk is skipped with the blank before the next size.
-            let blank = self.raw.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
-            let Some(end) = self.raw[blank..].iter().position(|&b| b == b'\n') else { return Ok(()) };
-            let line = String::from_utf8_lossy(&self.raw[blank..blank + end]).into_owned();
-            let size = line.split(';').next().unwrap_or("").trim();
-            self.chunk = usize::from_str_radix(size, 16).map_err(|_| format!("{size:?} is no chunk size"))?;
-            self.raw.drain(..=blank + end);
-            if self.chunk == 0 {
-                return Err("it ended".into());
-            }
-            if self.chunk > LONGEST {
-                return Err("a chunk is too long".into());
-            }
-        }
-    }
-}
-
 /// Reads the data of one event.
 pub fn event(data: &str, terms: &Terms) -> Result<Item, String> {
     let value: Value = json::from_str(data).map_err(|_| "an event is not JSON".to_string())?;
--- a/gateway/src/bulletin/tests.rs
+++ b/gateway/src/bulletin/tests.rs
@@ -1,22 +1,5 @@
 use super::*;
 
-#[test]
-fn events_are_read_from_pieces_of_any_size_plain_or_in_chunks() {
-    let plain = "HTTP/1.1 200 OK\r\n\r\n: hello\r\n\r\nid: 4\ndata: {\"no\":4}\n\ndata:a\ndata: b\n\n";
-    let chunked =
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: {\"n\r\nE;x=y\r\no\":4}\n\ndata:a\n\r\n9\r\ndata: b\n\n\r\n";
-    for text in [plain, chunked] {
-        for size in [1, 3, 1000] {
-            let mut reader = Reader::default();
-            let pieces = text.as_bytes().chunks(size);
-            let events: Vec<String> = pieces.flat_map(|p| reader.take(p).expect("reads")).collect();
-            assert_eq!(events, ["{\"no\":4}", "a\nb"], "{size}");
-        }
-    }
-    assert!(Reader::default().take(b"HTTP/1.1 503 No\r\n\r\n").is_err());
-    assert!(Reader::default().take(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n").is_err());
-}
-
 #[test]
 fn entries_and_purges_are_read_and_faults_named() {
     let terms = Terms {
--- a/gateway/src/deadlines.rs
+++ b/gateway/src/deadlines.rs
@@ -14,8 +14,8 @@
     Module(u64),
     /// A connection should have come up, gone quiet or made progress: look at it.
     Connection(Key),
-    /// The bulletin has been silent, or it is time to call it again.
-    Bulletin,
+    /// The source of events has been silent, or it is time to dial it.
+    Events,
     /// Membership: the session's next call or ping, or a verdict on a store that time alone may change.
     Membership,
     /// The hierarchy: objects move a step on.
--- /dev/null
+++ b/gateway/src/event_stream/tests.rs
@@ -0,0 +1,118 @@
+use super::*;
+use flate2::{Compress, Compression, FlushCompress};
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\n\r\n";
+const GZIP_HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n\r\n";
+
+fn event(data: &str) -> Part {
+    Part::Event(data.to_string())
+}
+
+/// What is read of a stream that comes in pieces of this size.
+fn read(stream: &[u8], size: usize) -> Result<Vec<Part>, StreamError> {
+    let mut reader = StreamReader::default();
+    let mut parts = Vec::new();
+    for piece in stream.chunks(size) {
+        parts.extend(reader.take(piece)?);
+    }
+    Ok(parts)
+}
+
+/// A piece of a gzip body as a relay makes it: by a compressor of its own, ended by a full flush.
+fn deflated(text: &str) -> Vec<u8> {
+    let mut compressor = Compress::new(Compression::new(6), false);
+    let mut piece = Vec::with_capacity(text.len() + 1024);
+    compressor.compress_vec(text.as_bytes(), &mut piece, FlushCompress::Full).expect("deflates");
+    piece
+}
+
+/// A gzip response of these pieces.
+fn gzipped(pieces: &[&str]) -> Vec<u8> {
+    let mut stream = [GZIP_HEAD.as_bytes(), &[0x1f, 0x8b, 8, 0, 0, 0, 0, 0, 0, 255]].concat();
+    pieces.iter().for_each(|piece| stream.extend(deflated(piece)));
+    stream
+}
+
+#[test]
+fn events_are_read_from_pieces_of_any_size_plain_or_in_chunks() {
+    let plain = "HTTP/1.1 200 OK\r\n\r\n: hello\r\n\r\nid: 4\ndata: {\"no\":4}\n\ndata:a\ndata: b\n\n";
+    let chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: {\"n\r\nE;x=y\r\no\":4}\n\ndata:a\n\r\n9\r\ndata: b\n\n\r\n";
+    for text in [plain, chunked] {
+        for size in [1, 3, 1000] {
+            let parts = read(text.as_bytes(), size).expect("reads");
+            let events: Vec<Part> = parts.into_iter().filter(|part| matches!(part, Part::Event(_))).collect();
+            assert_eq!(events, [event("{\"no\":4}"), event("a\nb")], "{size}");
+        }
+    }
+    assert!(read(b"HTTP/1.1 503 No\r\n\r\n", 1000).is_err());
+    assert!(read(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 1000).is_err());
+}
+
+#[test]
+fn comments_come_in_their_place_among_events() {
+    let stream = format!("{HEAD}data: a\n\n: heard 17\n\n:\ndata: b\n\n");
+    let comment = |text: &str| Part::Comment(text.to_string());
+    for size in [1, 4, 1000] {
+        let parts = read(stream.as_bytes(), size).expect("reads");
+        assert_eq!(parts, [event("a"), comment(" heard 17"), comment(""), event("b")], "{size}");
+    }
+}
+
+#[test]
+fn gzip_of_separate_pieces_is_read_however_it_is_cut() {
+    let stream = gzipped(&["data: one\n\nda", "ta: two\n\n", ": heard 5\n\ndata: three\n\n"]);
+    for size in [1, 7, 100_000] {
+        let parts = read(&stream, size).expect("reads");
+        let expected = [event("one"), event("two"), Part::Comment(" heard 5".into()), event("three")];
+        assert_eq!(parts, expected, "{size}");
+    }
+}
+
+#[test]
+fn what_cannot_be_decoded_is_an_error() {
+    let mut spoilt = gzipped(&["data: one\n\n"]);
+    // A deflate block of the type that there is none of (RFC 1951, section 3.2.3).
+    spoilt.extend([0xff; 4]);
+    assert!(matches!(read(&spoilt, 1000), Err(StreamError::Decode(_))));
+    let no_gzip = format!("{GZIP_HEAD}data: one, and more of it\n\n");
+    assert!(matches!(read(no_gzip.as_bytes(), 1000), Err(StreamError::Decode(_))));
+    let other = "HTTP/1.1 200 OK\r\nContent-Encoding: br\r\n\r\n";
+    assert_eq!(read(other.as_bytes(), 1000), Err(StreamError::ContentCoding("br".into())));
+    // Zeros that deflate to a thousandth: more than is taken at once.
+    let zeros = format!("data: {}\n\n", "0".repeat(3 << 20));
+    let bomb = gzipped(&[zeros.as_str(); 12]);
+    assert!(bomb.len() < 100_000, "{}", bomb.len());
+    assert!(matches!(read(&bomb, bomb.len()), Err(StreamError::Decode(_))));
+    let long = gzipped(&[&format!("data: {}", "0".repeat(5 << 20))]);
+    assert_eq!(read(&long, long.len()), Err(StreamError::EventTooLong));
+}
+
+#[test]
+fn a_refusal_tells_its_status_and_when_to_come_again() {
+    let refused = |status, retry_after| Err(StreamError::Refused { status, retry_after });
+    let busy = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 3\r\n\r\n";
+    assert_eq!(read(busy.as_bytes(), 5), refused(503, Some(3_000_000)));
+    assert_eq!(read(b"HTTP/1.1 412 Precondition Failed\r\n\r\n", 1000), refused(412, None));
+}
+
+#[test]
+fn a_whole_list_of_4900_stores_is_read_from_pieces_of_any_size() {
+    let host = |n: u32| {
+        format!(
+            r#"{{"host":"s-{n:08x}","dial":"10.1.{}.{}:4100","site":"edge-{}","class":"std","health":"up","share":4,"born_ms":1764576000123}}"#,
+            n / 250,
+            n % 250,
+            n % 800
+        )
+    };
+    let hosts: Vec<String> = (0..4_900).map(host).collect();
+    let list = format!(r#"{{"no":1,"roster":{{"seq":1,"whole":true,"hosts":[{}]}}}}"#, hosts.join(","));
+    let list = format!("{HEAD}id: 1\ndata: {list}\n\n");
+    for size in [1_460, 8_192, 524_288] {
+        let parts = read(list.as_bytes(), size).expect("reads");
+        assert!(matches!(&parts[..], [Part::Event(data)] if data.len() > 500_000), "{size}");
+    }
+    let coded = gzipped(&[&list[HEAD.len()..]]);
+    assert_eq!(read(&coded, 8_192), read(list.as_bytes(), 8_192));
+}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod core;
 pub mod deadlines;
 pub mod descriptors;
+pub mod event_stream;
+pub mod events;
 pub mod hierarchy;
 pub mod json_fields;
 pub mod kept;
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -1,12 +1,13 @@
 //! The loop: connections in numbered slots, their buffers, and one poller.
 use crate::admin::{self, Admin, Turn};
-use crate::bulletin::{self, Reader, Store};
+use crate::bulletin::{self, Store};
 use crate::clock::now;
 use crate::config::{Config, Ensemble, Files, Front, Loaded, Shape};
 use crate::console::{self, Console};
 use crate::core::{Core, Order, Ticket};
 use crate::deadlines::Due;
 use crate::descriptors::Descriptors;
+use crate::events::{self, Events};
 use crate::hierarchy::{Hierarchy, HierarchyFile, ShieldReport};
 use crate::log;
 use crate::membership::{Effect, Membership, Own};
@@ -74,13 +75,6 @@
 const CLIENTS_HOLD: (usize, usize, usize) = (6, 4, 3);
 /// Bytes read from one connection before others get their turn.
 const TURN: usize = 512 * 1024;
-/// µs of silence after which the bulletin counts as lost: it says something every second.
-const SILENT: Micros = 2_500_000;
-/// µs: first and longest pause between calls on the bulletin; see [`Gateway::longest_backoff`].
-const BACKOFF: (Micros, Micros) = (100_000, 2_000_000);
-/// µs between calls on the bulletin at least, however short the time is in which its news must be heeded.
-const LEAST_BACKOFF: Micros = 25_000;
-
 /// Bytes on their way in or out.
 #[derive(Default)]
 pub struct Buffer {
@@ -119,8 +113,8 @@
     Web(Session),
     /// A connection to a store.
     Store(Link),
-    /// The bulletin.
-    Bulletin(Reader),
+    /// The source of events.
+    Events,
     /// A server of the ensemble.
     Keeper,
 }
@@ -233,21 +227,6 @@
     links: Vec<Key>,
 }
 
-/// The bulletin's state between connections.
-#[derive(Default)]
-struct Feed {
-    /// Where it is, if there is one.
-    address: Option<SocketAddr>,
-    /// Number of the last event taken in.
-    last: u64,
-    /// The number after which an event was missing or could not be read, when it was asked for again.
-    doubted: Option<u64>,
-    conn: Option<Key>,
-    heard: Micros,
-    backoff: Micros,
-    due: Micros,
-}
-
 /// The gateway.
 pub struct Gateway {
     poller: Poller,
@@ -300,7 +279,10 @@
     reload_signal: UnixStream,
     conns: Slots<Conn>,
     pools: BTreeMap<ServerId, Pool>,
-    feed: Feed,
+    /// The stream of events, its connection, and when it is to be looked at.
+    events: Events,
+    events_key: Option<Key>,
+    events_due: Option<Micros>,
     own_zone: usize,
     /// Names and limits of the wires.
     pub terms: Terms,
@@ -362,7 +344,9 @@
             reload_signal,
             conns: Slots::default(),
             pools: BTreeMap::new(),
-            feed: Feed::default(),
+            events: Events::new(now(), config.seed),
+            events_key: None,
+            events_due: None,
             own_zone: 0,
             core: Core::new(config.seed),
             memory: 0,
@@ -445,19 +429,10 @@
             let changes = self.hierarchy.as_ref().and_then(Hierarchy::path).map(String::from);
             self.set_up(at, fleet, Own { changes, name: config.name, listen, zone: self.own_zone });
         }
-        for item in config.items {
-            if item.no > self.feed.last {
-                self.skipped_events(item.no);
-                self.feed.last = item.no;
-                self.tell(at, item.news);
-            }
-        }
-        self.skipped_events(config.known + 1);
-        self.feed.last = self.feed.last.max(config.known);
-        if self.feed.address != config.bulletin {
-            self.feed.address = config.bulletin;
-            self.reconnect_now(at);
-        }
+        let effects = self.events.take_known(config.items, config.known);
+        self.apply_event_effects(at, effects);
+        let effects = self.events.configure(at, config.bulletin, self.terms.notice);
+        self.apply_event_effects(at, effects);
         Ok(())
     }
 
@@ -742,7 +717,7 @@
     fn due(&mut self, at: Micros, due: Due) {
         match due {
             Due::Connection(key) => self.look(at, key),
-            Due::Bulletin => self.check_bulletin(at),
+            Due::Events => self.check_events(at),
             Due::Membership => self.check_membership(at),
             Due::Peers => self.check_peers(at),
             Due::Console => {
@@ -865,7 +840,7 @@
         match role {
             Role::Store(_) => self.links += 1,
             Role::Client(_) | Role::Web(_) => self.clients += 1,
-            Role::Bulletin(_) | Role::Keeper => {}
+            Role::Events | Role::Keeper => {}
         }
         let (input, output) = (Buffer::default(), Buffer::default());
         let armed = (true, !life.up());
@@ -1035,11 +1010,10 @@
                     self.perform(at, effects.unwrap_or_default());
                     input.rest().len()
                 }
-                Role::Bulletin(reader) => {
-                    let n = input.rest().len();
-                    let told = reader.take(input.rest())?;
-                    self.told(at, told)?;
-                    n
+                Role::Events => {
+                    let effects = self.events.bytes(at, input.rest(), &self.terms);
+                    self.apply_event_effects(at, effects);
+                    input.rest().len()
                 }
             };
             if used == 0 {
@@ -1162,14 +1136,14 @@
             }
             // One that was left knows of it.
             Role::Keeper => {}
-            // One that was left for another address is no loss.
-            Role::Bulletin(_) if self.feed.conn == Some(key) => {
+            Role::Events if self.events_key == Some(key) => {
                 log!("the bulletin is lost: {}", why.unwrap_or("closed"));
-                self.feed.conn = None;
-                self.reconnect_later(at);
-                self.bulletin_heard(at, false);
+                self.events_key = None;
+                let effects = self.events.lost(at);
+                self.apply_event_effects(at, effects);
             }
-            Role::Bulletin(_) => {}
+            // One that was left knows of it.
+            Role::Events => {}
         }
     }
 
@@ -1863,8 +1837,51 @@
         self.core.deadlines.shift(&mut self.hierarchy_due, hierarchy.next_due(), Due::Hierarchy);
     }
 
-    fn bulletin_heard(&mut self, at: Micros, contact: bool) {
-        self.core.copies.iter_mut().for_each(|c| if contact { c.heard(at) } else { c.lost() });
+    fn check_events(&mut self, at: Micros) {
+        self.events_due = None;
+        let effects = self.events.tick(at);
+        self.apply_event_effects(at, effects);
+    }
+
+    /// Carries out what the stream of events comes to, and sets when it is to be looked at next.
+    fn apply_event_effects(&mut self, at: Micros, effects: Vec<events::Effect>) {
+        for effect in effects {
+            match effect {
+                events::Effect::Dial(address, request) => self.dial_events(at, address, &request),
+                events::Effect::Close(why) => {
+                    if let Some(key) = self.events_key.take() {
+                        log!("the bulletin is lost: {why}");
+                        self.close(at, key, None);
+                    }
+                }
+                events::Effect::Heard(when) => self.events_heard(at, Some(when)),
+                events::Effect::Lost => self.events_heard(at, None),
+                events::Effect::CopiesVoid => self.core.copies.iter_mut().for_each(Copies::forget_all),
+                events::Effect::Apply(news) => self.tell(at, news),
+            }
+        }
+        let due = self.events.next_due();
+        self.core.deadlines.shift(&mut self.events_due, due, Due::Events);
+    }
+
+    fn dial_events(&mut self, at: Micros, address: SocketAddr, request: &[u8]) {
+        let due = at + self.terms.connect_timeout;
+        self.events_key = self.connect(at, address, Role::Events, due).ok();
+        if let Some(conn) = self.events_key.and_then(|key| self.conns.get_mut(key)) {
+            conn.output.bytes.extend_from_slice(request);
+            return;
+        }
+        let effects = self.events.not_dialled(at);
+        self.apply_event_effects(at, effects);
+    }
+
+    /// The source of events lived at that time, or is not heard any more.
+    fn events_heard(&mut self, at: Micros, heard: Option<Micros>) {
+        let contact = heard.is_some();
+        self.core.copies.iter_mut().for_each(|copies| match heard {
+            Some(when) => copies.heard(when),
+            None => copies.lost(),
+        });
         if let Some(membership) = self.membership.as_mut().filter(|m| m.merges()) {
             let effects = membership.bulletin(at, contact);
             self.perform(at, effects);
@@ -2062,94 +2079,4 @@
             self.pools.remove(&id);
         }
     }
-
-    /// Sets when the bulletin is to be looked at.
-    fn set_feed(&mut self, at: Micros) {
-        self.core.deadlines.clear(self.feed.due, Due::Bulletin);
-        self.feed.due = at;
-        self.core.deadlines.set(at, Due::Bulletin);
-    }
-
-    /// The longest pause between calls on the bulletin. Danger: an event counts as told once the bulletin has it, and
-    /// one that comes just after the bulletin is back must be heeded within the settings' time: half of it may be slept.
-    fn longest_backoff(&self) -> Micros {
-        self.terms.notice.map_or(BACKOFF.1, |notice| (notice / 2).clamp(LEAST_BACKOFF, BACKOFF.1))
-    }
-
-    /// Calls the bulletin after a pause, longer each time until it has told something.
-    fn reconnect_later(&mut self, at: Micros) {
-        let pause = self.feed.backoff.min(self.longest_backoff());
-        self.set_feed(at + pause);
-        self.feed.backoff = 2 * pause;
-    }
-
-    /// Leaves the bulletin's connection for a call at its present address, at once.
-    fn reconnect_now(&mut self, at: Micros) {
-        if let Some(old) = self.feed.conn.take() {
-            self.close(at, old, None);
-        }
-        // What another address has to tell is not known yet.
-        self.core.copies.iter_mut().for_each(Copies::lost);
-        self.feed.backoff = BACKOFF.0;
-        self.set_feed(at);
-    }
-
-    /// Calls the bulletin, or notices that it has gone silent.
-    fn check_bulletin(&mut self, at: Micros) {
-        if let Some(key) = self.feed.conn {
-            if at >= self.feed.heard + SILENT {
-                return self.close(at, key, Some("it has gone silent"));
-            }
-            return self.set_feed(self.feed.heard + SILENT);
-        }
-        let Some(address) = self.feed.address else { return };
-        self.feed.heard = at;
-        let due = at + self.terms.connect_timeout;
-        let Ok(key) = self.connect(at, address, Role::Bulletin(Reader::default()), due) else {
-            return self.reconnect_later(at);
-        };
-        self.feed.conn = Some(key);
-        self.set_feed(at + SILENT);
-        if let Some(conn) = self.conns.get_mut(key) {
-            conn.output.bytes.extend_from_slice(bulletin::call(address, self.feed.last).as_bytes());
-        }
-    }
-
-    /// The number `next` follows the last event taken in. Danger: what is missing between, or cannot be read, may be a
-    /// purge. Stores hear of it; copies here would stay.
-    fn skipped_events(&mut self, next: u64) {
-        if next > self.feed.last + 1 {
-            self.core.copies.iter_mut().for_each(Copies::forget_all);
-        }
-    }
-
-    /// Applies the bulletin's events in their order, each once.
-    fn told(&mut self, at: Micros, events: Vec<String>) -> Result<(), String> {
-        (self.feed.heard, self.feed.backoff) = (at, BACKOFF.0);
-        self.bulletin_heard(at, true);
-        for data in events {
-            let item = bulletin::event(&data, &self.terms);
-            let next = item.as_ref().is_ok_and(|item| item.no <= self.feed.last + 1);
-            // What is missing or spoilt is asked for again, once. If it comes no better, it stays so however often
-            // it is asked for, and the others must not wait for it.
-            if !next && self.feed.doubted.replace(self.feed.last) != Some(self.feed.last) {
-                return Err(item.err().unwrap_or_else(|| "an event is missing".to_string()));
-            }
-            let item = match item {
-                Ok(item) => item,
-                Err(why) => {
-                    log!("an event of the bulletin is passed over: {why}");
-                    self.core.copies.iter_mut().for_each(Copies::forget_all);
-                    continue;
-                }
-            };
-            if item.no <= self.feed.last {
-                continue;
-            }
-            self.skipped_events(item.no);
-            self.feed.last = item.no;
-            self.tell(at, item.news);
-        }
-        Ok(())
-    }
 }
