--- a/crates/distribution/src/log.rs
+++ b/crates/distribution/src/log.rs
@@ -99,11 +99,8 @@
 pub enum Logged<'a> {
     /// The event, not replaced.
     Current(&'a Event),
-    /// Replaced by a later one; whether it carried stores.
-    Replaced {
-        /// Whether it carried stores.
-        list: bool,
-    },
+    /// Replaced by a later one.
+    Replaced,
 }
 
 /// Where a log's range begins: the event before the first.
@@ -113,6 +110,8 @@
     digest: Option<u64>,
     /// Whether the digest is that of a snapshot's text, which differs between relays.
     snapshot: bool,
+    /// Whether it carried stores.
+    list: bool,
 }
 
 /// The ordered log. An append costs O(log n) for n events, amortized.
@@ -178,10 +177,27 @@
     pub fn get(&self, number: EventNumber) -> Option<Logged<'_>> {
         Some(match self.slot(number)? {
             Slot::Current(current) => Logged::Current(&current.event),
-            Slot::Replaced { list, .. } => Logged::Replaced { list: *list },
+            Slot::Replaced { .. } => Logged::Replaced,
         })
     }
 
+    /// The event of this number, if it is in the log's range and not replaced.
+    pub fn current(&self, number: EventNumber) -> Option<&Event> {
+        match self.slot(number)? {
+            Slot::Current(current) => Some(&current.event),
+            Slot::Replaced { .. } => None,
+        }
+    }
+
+    /// Whether the event of this number, in the log's range or the last before it, carried stores.
+    pub fn is_list(&self, number: EventNumber) -> bool {
+        match self.slot(number) {
+            Some(Slot::Current(current)) => current.event.is_list(),
+            Some(Slot::Replaced { list, .. }) => *list,
+            None => number == self.base.number && self.base.list,
+        }
+    }
+
     /// The digest of this event's data as the source told it, if the log has seen that.
     pub fn digest(&self, number: EventNumber) -> Option<u64> {
         if number == self.base.number && !self.base.snapshot {
@@ -228,11 +244,11 @@
         self.bytes = 0;
         let list = ListEvent::read(&event.data);
         if let Some(list) = list.filter(|list| list.whole) {
-            self.base = Base { number: event.number, digest: Some(event.digest), snapshot: true };
+            self.base = Base { number: event.number, digest: Some(event.digest), snapshot: true, list: true };
             self.stores.apply(list);
             return;
         }
-        self.base = Base { number: event.number.saturating_sub(1), digest: None, snapshot: false };
+        self.base = Base { number: event.number.saturating_sub(1), ..Base::default() };
         self.stores.forget();
         self.push(event);
     }
@@ -344,6 +360,7 @@
 
     fn evict_first(&mut self) {
         let number = self.first();
+        let list = self.is_list(number);
         let Some(slot) = self.slots.pop_front() else { return };
         let digest = match slot {
             Slot::Replaced { digest, .. } => {
@@ -356,7 +373,7 @@
                 Some(current.event.digest)
             }
         };
-        self.base = Base { number, digest, snapshot: false };
+        self.base = Base { number, digest, snapshot: false, list };
     }
 
     fn forget_subjects(&mut self, event: &Event) {
--- /dev/null
+++ b/crates/distribution/src/relay/encoder.rs
@@ -0,0 +1,120 @@
+//! Turns events into encoded pieces, and counts what that took.
+use crate::batch::{encode_at_level, placeholder, write_event, write_heartbeat, Encoding};
+use crate::event::{Event, EventNumber};
+use crate::log::Logged;
+use crate::scope::Scope;
+use larchway::Micros;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// The place of a scope in the relay's terms.
+pub(super) type ScopeIndex = usize;
+
+/// Which form of the same events a piece holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct PieceKey {
+    /// None for the unfiltered list, and for pieces without list events, which all scopes share.
+    pub scope: Option<ScopeIndex>,
+    pub encoding: Encoding,
+}
+
+/// An event on its way into a piece. Its text is shared with the log.
+#[derive(Debug, Clone)]
+pub(super) struct Line {
+    pub number: EventNumber,
+    /// None for an event that a later one has replaced.
+    pub data: Option<Arc<str>>,
+    pub list: bool,
+}
+
+impl Line {
+    pub(super) fn of_event(event: &Event) -> Line {
+        Line { number: event.number, data: Some(event.data.clone()), list: event.is_list() }
+    }
+
+    pub(super) fn of_logged(number: EventNumber, logged: Logged<'_>) -> Line {
+        match logged {
+            Logged::Current(event) => Line::of_event(event),
+            Logged::Replaced => Line { number, data: None, list: false },
+        }
+    }
+
+    /// Bytes of its text.
+    pub(super) fn bytes(&self) -> usize {
+        self.data.as_ref().map_or(0, |data| data.len())
+    }
+}
+
+/// What a relay has encoded so far.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RelayStatistics {
+    /// Pieces of live batches.
+    pub batches_encoded: u64,
+    /// Catch-up pages.
+    pub pages_encoded: u64,
+    /// Snapshots.
+    pub snapshots_encoded: u64,
+    /// Bytes of event text that went into all of them.
+    pub text_bytes: u64,
+    /// Bytes that came out.
+    pub encoded_bytes: u64,
+}
+
+/// Scopes and level of one relay.
+#[derive(Debug)]
+pub(super) struct Encoder {
+    gzip_level: u32,
+    scopes: Vec<Scope>,
+    by_name: BTreeMap<String, ScopeIndex>,
+    pub statistics: RelayStatistics,
+}
+
+impl Encoder {
+    pub(super) fn new(gzip_level: u32, scopes: &BTreeMap<String, Scope>) -> Encoder {
+        let by_name = scopes.keys().cloned().enumerate().map(|(index, name)| (name, index)).collect();
+        let statistics = RelayStatistics::default();
+        Encoder { gzip_level, scopes: scopes.values().cloned().collect(), by_name, statistics }
+    }
+
+    pub(super) fn scope_index(&self, name: &str) -> Option<ScopeIndex> {
+        self.by_name.get(name).copied()
+    }
+
+    pub(super) fn scope(&self, index: ScopeIndex) -> &Scope {
+        &self.scopes[index]
+    }
+
+    /// Encodes events and then, if any, a heartbeat.
+    pub(super) fn encode(&mut self, lines: &[Line], heard: Option<Micros>, key: PieceKey) -> Arc<[u8]> {
+        let mut text = String::new();
+        for line in lines {
+            write_event(&mut text, line.number, &self.data(line, key.scope));
+        }
+        if let Some(heard) = heard {
+            write_heartbeat(&mut text, heard);
+        }
+        self.encode_text(&text, key.encoding)
+    }
+
+    /// Encodes one event under its data.
+    pub(super) fn encode_event(&mut self, number: EventNumber, data: &str, encoding: Encoding) -> Arc<[u8]> {
+        let mut text = String::new();
+        write_event(&mut text, number, data);
+        self.encode_text(&text, encoding)
+    }
+
+    fn data(&self, line: &Line, scope: Option<ScopeIndex>) -> Arc<str> {
+        match (&line.data, scope) {
+            (None, _) => placeholder(line.number).into(),
+            (Some(data), Some(scope)) if line.list => self.scopes[scope].filter(line.number, data).into(),
+            (Some(data), _) => data.clone(),
+        }
+    }
+
+    fn encode_text(&mut self, text: &str, encoding: Encoding) -> Arc<[u8]> {
+        let piece = encode_at_level(text, encoding, self.gzip_level);
+        self.statistics.text_bytes += text.len() as u64;
+        self.statistics.encoded_bytes += piece.len() as u64;
+        piece
+    }
+}
--- a/crates/distribution/src/relay/messages.rs
+++ b/crates/distribution/src/relay/messages.rs
@@ -25,10 +25,12 @@
     pub batch_bytes: usize,
     /// Sealed batches remembered at most; a subscriber further behind goes back to catch-up pages.
     pub ring: usize,
+    /// Bytes of the sealed batches' texts and encoded pieces at most; the oldest batch is dropped.
+    pub ring_bytes: usize,
     /// Events in a catch-up page; pages begin at multiples of it, plus one.
     pub page_events: u64,
-    /// Encoded pages and snapshots remembered at most; the one used longest ago is dropped.
-    pub cached_pages: usize,
+    /// Bytes of encoded pages and snapshots remembered at most; the one used longest ago is dropped.
+    pub cache_bytes: usize,
     /// Subscribers that catch up at the same time at most; others wait, first come first served.
     pub catch_up_at_once: usize,
     /// Subscribers that wait for catch-up at most; past it they are turned away as [`RejectReason::Busy`].
@@ -64,8 +66,9 @@
             batch: 250 * MILLISECOND,
             batch_bytes: 256 << 10,
             ring: 256,
+            ring_bytes: 16 << 20,
             page_events: 1000,
-            cached_pages: 256,
+            cache_bytes: 16 << 20,
             catch_up_at_once: 64,
             waiting: 16_384,
             admit_wait: 5 * SECOND,
--- /dev/null
+++ b/crates/distribution/src/relay/subscribers.rs
@@ -0,0 +1,169 @@
+//! The subscribers of a relay: where each one is, their deadlines, and the queue for catch-up.
+use super::encoder::{PieceKey, ScopeIndex};
+use super::messages::{Hello, SubscriberId};
+use super::ring::BatchNumber;
+use crate::batch::Encoding;
+use crate::event::EventNumber;
+use larchway::Micros;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Bytes of state a subscriber beside its name and its entries in the ordered tables.
+pub const SUBSCRIBER_BYTES: usize = std::mem::size_of::<Subscriber>();
+
+/// Where a subscriber reads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Place {
+    /// It waits for catch-up; its place in the queue.
+    Waiting(u64),
+    /// It reads a snapshot next, then pages.
+    Snapshot,
+    /// It reads pages of the log.
+    CatchUp,
+    /// It reads this batch next.
+    Live(BatchNumber),
+}
+
+impl Place {
+    pub(super) fn catches_up(self) -> bool {
+        matches!(self, Place::Snapshot | Place::CatchUp)
+    }
+}
+
+#[derive(Debug)]
+pub(super) struct Subscriber {
+    pub cursor: EventNumber,
+    pub place: Place,
+    pub encoding: Encoding,
+    pub scope: Option<ScopeIndex>,
+    pub name: Option<Box<str>>,
+    /// Its request, while it waits.
+    pub hello: Option<Box<Hello>>,
+    pub header_sent: bool,
+    /// Whether it has gone back to catch-up before.
+    pub fell_behind: bool,
+    /// When it pulled something last.
+    pub progress: Micros,
+    due: Micros,
+}
+
+impl Subscriber {
+    pub(super) fn piece_key(&self) -> PieceKey {
+        PieceKey { scope: self.scope, encoding: self.encoding }
+    }
+}
+
+/// All subscribers. Each step costs O(log n).
+#[derive(Debug, Default)]
+pub(super) struct Subscribers {
+    /// At most `RelayTerms::subscribers`; the caller checks before it inserts.
+    by_id: BTreeMap<SubscriberId, Subscriber>,
+    /// One deadline a subscriber.
+    deadlines: BTreeSet<(Micros, SubscriberId)>,
+    /// Those that wait, first come first.
+    queue: BTreeMap<u64, SubscriberId>,
+    next_in_queue: u64,
+    catching_up: usize,
+}
+
+impl Subscribers {
+    pub(super) fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    pub(super) fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    pub(super) fn catching_up(&self) -> usize {
+        self.catching_up
+    }
+
+    pub(super) fn get(&self, id: SubscriberId) -> Option<&Subscriber> {
+        self.by_id.get(&id)
+    }
+
+    pub(super) fn get_mut(&mut self, id: SubscriberId) -> Option<&mut Subscriber> {
+        self.by_id.get_mut(&id)
+    }
+
+    pub(super) fn ids(&self) -> Vec<SubscriberId> {
+        self.by_id.keys().copied().collect()
+    }
+
+    /// Adds a subscriber; the caller sets its deadline.
+    pub(super) fn insert(
+        &mut self,
+        id: SubscriberId,
+        hello: &Hello,
+        scope: Option<ScopeIndex>,
+        place: Place,
+    ) {
+        self.remove(id);
+        self.catching_up += usize::from(place.catches_up());
+        let subscriber = Subscriber {
+            cursor: hello.cursor.unwrap_or(0),
+            place,
+            encoding: hello.encoding,
+            scope,
+            name: hello.name.as_deref().map(Box::from),
+            hello: None,
+            header_sent: hello.encoding == Encoding::Identity,
+            fell_behind: false,
+            progress: 0,
+            due: Micros::MAX,
+        };
+        self.by_id.insert(id, subscriber);
+    }
+
+    /// Adds a subscriber at the end of the queue for catch-up.
+    pub(super) fn insert_waiting(&mut self, id: SubscriberId, hello: Hello, scope: Option<ScopeIndex>) {
+        let place = self.next_in_queue;
+        self.next_in_queue += 1;
+        self.insert(id, &hello, scope, Place::Waiting(place));
+        self.queue.insert(place, id);
+        if let Some(subscriber) = self.by_id.get_mut(&id) {
+            subscriber.hello = Some(Box::new(hello));
+        }
+    }
+
+    pub(super) fn remove(&mut self, id: SubscriberId) -> Option<Subscriber> {
+        let subscriber = self.by_id.remove(&id)?;
+        self.deadlines.remove(&(subscriber.due, id));
+        if let Place::Waiting(place) = subscriber.place {
+            self.queue.remove(&place);
+        }
+        self.catching_up -= usize::from(subscriber.place.catches_up());
+        Some(subscriber)
+    }
+
+    /// The one that waits longest.
+    pub(super) fn first_waiting(&self) -> Option<SubscriberId> {
+        self.queue.first_key_value().map(|(_, id)| *id)
+    }
+
+    pub(super) fn set_place(&mut self, id: SubscriberId, place: Place) {
+        let Some(subscriber) = self.by_id.get_mut(&id) else { return };
+        if let Place::Waiting(waited) = subscriber.place {
+            self.queue.remove(&waited);
+        }
+        self.catching_up += usize::from(place.catches_up());
+        self.catching_up -= usize::from(subscriber.place.catches_up());
+        subscriber.place = place;
+    }
+
+    pub(super) fn set_deadline(&mut self, id: SubscriberId, due: Micros) {
+        let Some(subscriber) = self.by_id.get_mut(&id) else { return };
+        self.deadlines.remove(&(subscriber.due, id));
+        subscriber.due = due;
+        self.deadlines.insert((due, id));
+    }
+
+    pub(super) fn next_due(&self) -> Option<Micros> {
+        self.deadlines.first().map(|(due, _)| *due)
+    }
+
+    /// The subscriber whose deadline came first, if that is over.
+    pub(super) fn expired(&self, now: Micros) -> Option<SubscriberId> {
+        self.deadlines.first().filter(|(due, _)| *due <= now).map(|(_, id)| *id)
+    }
+}
