--- /dev/null
+++ b/crates/distribution/tests/common/mod.rs
@@ -0,0 +1,247 @@
+//! Events for the tests, and a subscriber that reads what a relay sends.
+#![allow(dead_code)]
+use flate2::{Decompress, FlushDecompress};
+use larchway::Micros;
+use larchway_distribution::batch::{Encoding, GZIP_HEADER};
+use larchway_distribution::relay::{Hello, Input, Output, Relay, SubscriberId};
+use larchway_distribution::{Event, EventNumber};
+use std::collections::BTreeMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+pub const MILLISECOND: Micros = 1000;
+pub const SECOND: Micros = 1_000_000;
+
+/// Unix ms at which the first purge of a test is issued.
+pub const ISSUED_FROM: u64 = 1_764_576_000_000;
+
+pub fn read(data: &str) -> Event {
+    Event::read(data).expect("an event of a test")
+}
+
+/// A purge of an object, issued `number` ms after the first.
+pub fn purge(number: EventNumber, object: u64) -> Event {
+    let issued = ISSUED_FROM + number;
+    read(&format!("{{\"no\":{number},\"recall\":{{\"item\":\"{object:016x}\",\"issued\":{issued}}}}}"))
+}
+
+pub fn group_purge(number: EventNumber, group: u64) -> Event {
+    let issued = ISSUED_FROM + number;
+    read(&format!("{{\"no\":{number},\"recall\":{{\"lot\":{group},\"issued\":{issued}}}}}"))
+}
+
+/// One store's entry; its site goes by its number.
+pub fn store_json(store: u64, health: &str) -> String {
+    let site = ["east", "west", "north"][store as usize % 3];
+    format!("{{\"host\":\"s-{store:08x}\",\"dial\":\"10.1.0.9:4100\",\"site\":\"{site}\",\"class\":\"std\",\"health\":\"{health}\"}}")
+}
+
+pub fn list(number: EventNumber, whole: bool, entries: &[String]) -> Event {
+    let hosts = entries.join(",");
+    read(&format!(
+        "{{\"no\":{number},\"roster\":{{\"seq\":{number},\"whole\":{whole},\"hosts\":[{hosts}]}}}}"
+    ))
+}
+
+pub fn hello(cursor: EventNumber) -> Hello {
+    Hello { cursor: Some(cursor), digest: None, encoding: Encoding::Identity, scope: None, name: None }
+}
+
+/// What came over a stream, decoded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Received {
+    Event { number: EventNumber, data: String },
+    Heartbeat { heard_ms: u64 },
+}
+
+/// Reads the text of a stream; what is not whole yet stays in `text`.
+pub fn parse(text: &mut String) -> Vec<Received> {
+    let mut received = Vec::new();
+    while let Some(end) = text.find("\n\n") {
+        let block: String = text.drain(..end + 2).collect();
+        received.push(parse_block(block.trim_end()));
+    }
+    received
+}
+
+fn parse_block(block: &str) -> Received {
+    if let Some(heard) = block.strip_prefix(": heard ") {
+        return Received::Heartbeat { heard_ms: heard.parse().expect("a time") };
+    }
+    let (id, data) = block.split_once('\n').expect("id and data");
+    let number = id.strip_prefix("id: ").expect("an id").parse().expect("a number");
+    Received::Event { number, data: data.strip_prefix("data: ").expect("data").to_string() }
+}
+
+/// Decodes a gzip body that never ends.
+pub struct GzipReader {
+    header: Vec<u8>,
+    inflate: Decompress,
+}
+
+impl GzipReader {
+    pub fn new() -> GzipReader {
+        GzipReader { header: Vec::new(), inflate: Decompress::new(false) }
+    }
+
+    pub fn read(&mut self, bytes: &[u8]) -> String {
+        let missing = GZIP_HEADER.len() - self.header.len();
+        let (header, body) = bytes.split_at(missing.min(bytes.len()));
+        self.header.extend_from_slice(header);
+        assert_eq!(self.header, GZIP_HEADER[..self.header.len()]);
+        let mut text = Vec::new();
+        let mut read = 0;
+        while read < body.len() {
+            let before = self.inflate.total_in();
+            text.reserve(4096);
+            self.inflate.decompress_vec(&body[read..], &mut text, FlushDecompress::Sync).expect("deflate");
+            read += (self.inflate.total_in() - before) as usize;
+        }
+        loop {
+            let before = text.len();
+            text.reserve(4096);
+            self.inflate.decompress_vec(&[], &mut text, FlushDecompress::Sync).ok();
+            if text.len() == before {
+                return String::from_utf8(text).expect("text");
+            }
+        }
+    }
+}
+
+/// What a subscriber holds: the last time each object and group was purged, and its list of stores.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct View {
+    pub cursor: EventNumber,
+    /// Digest of the last event that came with its text, and its number.
+    pub verified: Option<(EventNumber, u64)>,
+    /// By object or group text: the number of the last purge applied.
+    pub purged: BTreeMap<String, EventNumber>,
+    /// All copies from before this event are void.
+    pub floor: EventNumber,
+    pub stores: BTreeMap<String, String>,
+    pub applied: u64,
+}
+
+impl View {
+    /// Applies an event; one that it has already is skipped.
+    pub fn apply(&mut self, number: EventNumber, data: &str) {
+        if number <= self.cursor {
+            return;
+        }
+        let jumped = number > self.cursor + 1;
+        if jumped {
+            self.floor = number;
+        }
+        self.cursor = number;
+        self.applied += 1;
+        let value: serde_json::Value = serde_json::from_str(data).expect("JSON");
+        assert_eq!(value["no"], number);
+        if value.get("recall").is_some() || value.get("roster").is_some() {
+            self.verified = (!jumped).then(|| (number, xxh3_64(data.as_bytes())));
+        }
+        if let Some(recall) = value.get("recall") {
+            let subject = recall.get("item").or(recall.get("lot")).expect("a subject").to_string();
+            self.purged.insert(subject, number);
+        }
+        if let Some(list) = value.get("roster") {
+            self.apply_list(list);
+        }
+    }
+
+    fn apply_list(&mut self, list: &serde_json::Value) {
+        if list["whole"] == true {
+            self.stores.clear();
+        }
+        for entry in list["hosts"].as_array().expect("hosts") {
+            let host = entry["host"].as_str().expect("a host").to_string();
+            if entry["health"] == "removed" {
+                self.stores.remove(&host);
+            } else {
+                self.stores.insert(host, entry.to_string());
+            }
+        }
+    }
+}
+
+/// A subscriber with its connection.
+pub struct Reader {
+    pub id: SubscriberId,
+    pub gzip: Option<GzipReader>,
+    pub text: String,
+    pub view: View,
+    pub heartbeats: Vec<u64>,
+    pub bytes: usize,
+}
+
+impl Reader {
+    pub fn new(id: SubscriberId, encoding: Encoding) -> Reader {
+        let gzip = (encoding == Encoding::Gzip).then(GzipReader::new);
+        Reader { id, gzip, text: String::new(), view: View::default(), heartbeats: Vec::new(), bytes: 0 }
+    }
+
+    /// Pulls one chunk; false if there was none.
+    pub fn pull(&mut self, relay: &mut Relay, now: Micros) -> bool {
+        let Some(chunk) = relay.next_chunk(now, self.id) else { return false };
+        self.take(&chunk);
+        true
+    }
+
+    pub fn pull_all(&mut self, relay: &mut Relay, now: Micros) {
+        while self.pull(relay, now) {}
+    }
+
+    fn take(&mut self, chunk: &[u8]) {
+        self.bytes += chunk.len();
+        let text = match &mut self.gzip {
+            Some(gzip) => gzip.read(chunk),
+            None => String::from_utf8(chunk.to_vec()).expect("text"),
+        };
+        self.text.push_str(&text);
+        for received in parse(&mut self.text) {
+            match received {
+                Received::Event { number, data } => self.view.apply(number, &data),
+                Received::Heartbeat { heard_ms } => self.heartbeats.push(heard_ms),
+            }
+        }
+        assert!(self.text.is_empty(), "a chunk ends with a whole event");
+    }
+}
+
+/// A relay with its clock.
+pub struct Driver {
+    pub relay: Relay,
+    pub now: Micros,
+    pub out: Vec<Output>,
+}
+
+impl Driver {
+    pub fn new(relay: Relay) -> Driver {
+        Driver { relay, now: SECOND, out: Vec::new() }
+    }
+
+    pub fn input(&mut self, input: Input) -> Vec<Output> {
+        self.relay.handle(self.now, input, &mut self.out);
+        std::mem::take(&mut self.out)
+    }
+
+    /// Lets time pass, with a tick whenever one is due.
+    pub fn pass(&mut self, time: Micros) -> Vec<Output> {
+        let end = self.now + time;
+        let mut out = Vec::new();
+        while let Some(due) = self.relay.next_due().filter(|due| *due <= end) {
+            self.now = self.now.max(due);
+            out.extend(self.input(Input::Tick));
+        }
+        self.now = end;
+        out
+    }
+
+    /// Makes the relay ready.
+    pub fn heartbeat(&mut self) -> Vec<Output> {
+        let heard = self.now;
+        self.input(Input::Heartbeat { heard })
+    }
+
+    pub fn subscribe(&mut self, id: SubscriberId, hello: Hello) -> Vec<Output> {
+        self.input(Input::Subscribe { id, hello })
+    }
+}
--- /dev/null
+++ b/crates/distribution/tests/event.rs
@@ -0,0 +1,53 @@
+//! What `Event::read` makes of the bulletin's forms.
+use larchway_distribution::{Event, EventError, Subject};
+
+#[test]
+fn reads_each_form_of_the_bulletin() {
+    let store = Subject::Store("s-1".to_string());
+    let cases = [
+        (r#"{"no":1,"roster":{"seq":1,"whole":true,"hosts":[{"host":"s-1"}]}}"#, vec![Subject::Roster], None),
+        (r#"{"no":2,"roster":{"seq":2,"hosts":[{"host":"s-1","health":"removed"}]}}"#, vec![store], None),
+        (
+            r#"{"no":42,"recall":{"item":"7f3a9c21e0b4d655","issued":1764576000123}}"#,
+            vec![Subject::Object(0x7f3a_9c21_e0b4_d655)],
+            Some(1_764_576_000_123_000),
+        ),
+        (
+            r#"{"no":43,"recall":{"lot":17,"issued":1764576000480}}"#,
+            vec![Subject::Group(17)],
+            Some(1_764_576_000_480_000),
+        ),
+        (r#"{"no":44}"#, vec![], None),
+        (r#"{"no":45,"document":{"name":"a"}}"#, vec![], None),
+    ];
+    for (data, subjects, issued) in cases {
+        let event = Event::read(data).unwrap_or_else(|error| panic!("{data}: {error}"));
+        assert_eq!(event.subjects, subjects, "{data}");
+        assert_eq!(event.issued, issued, "{data}");
+        assert_eq!(&*event.data, data);
+    }
+}
+
+#[test]
+fn refuses_what_cannot_be_read() {
+    let malformed = [
+        "",
+        "[]",
+        "{}",
+        r#"{"no":-1}"#,
+        r#"{"no":1,"recall":{"lot":1}}"#,
+        r#"{"no":1,"roster":{"hosts":[{}]}}"#,
+    ];
+    for data in malformed {
+        assert!(matches!(Event::read(data), Err(EventError::Malformed(_))), "{data}");
+    }
+    let object = Event::read(r#"{"no":1,"recall":{"item":"zz","issued":1}}"#);
+    assert_eq!(object, Err(EventError::Object("zz".to_string())));
+}
+
+#[test]
+fn digest_tells_texts_apart() {
+    let one = Event::read(r#"{"no":1}"#).map(|event| event.digest);
+    let other = Event::read(r#"{"no":1 }"#).map(|event| event.digest);
+    assert_ne!(one, other);
+}
