Play random histories of two relays and four subscribers against a naive log

Cause: E1 and E2 had no test on the relay.

Change: a property test with feeds from a compacted log, gaps, restarts, lost upstreams, slow pulls, moves between relays, gzip and scopes.

--- /dev/null
+++ b/crates/distribution/tests/relay_histories.rs
@@ -0,0 +1,338 @@
+//! Random histories of two relays and several subscribers against a naive log that keeps everything: E1 and E2 of
+//! `docs/design/event-distribution.md`.
+mod common;
+use common::{group_purge, list, purge, read, store_json, Driver, Reader, View, MILLISECOND, SECOND};
+use larchway_distribution::batch::{placeholder, Encoding};
+use larchway_distribution::log::{EventLog, LogLimits, Logged};
+use larchway_distribution::relay::{Hello, Input, Output, RejectReason, Relay, RelayTerms};
+use larchway_distribution::scope::Scope;
+use larchway_distribution::{Event, EventNumber};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+const RELAYS: usize = 2;
+const SUBSCRIBERS: usize = 4;
+const SCOPE: &str = "east-only";
+
+#[derive(Debug, Clone)]
+enum Step {
+    Purge(u64),
+    Group(u64),
+    Store(u64, &'static str),
+    Whole(Vec<u64>),
+    /// The relay reads so many events; from a log that is compacted or not.
+    Feed {
+        relay: usize,
+        events: u64,
+        compacted: bool,
+    },
+    /// The relay was away for too long and gets a snapshot.
+    Gap {
+        relay: usize,
+    },
+    /// The relay is started anew, and has the whole history or begins with a snapshot.
+    Restart {
+        relay: usize,
+        snapshot: bool,
+    },
+    UpstreamLost {
+        relay: usize,
+    },
+    Connect {
+        subscriber: usize,
+        relay: usize,
+    },
+    Disconnect {
+        subscriber: usize,
+    },
+    Pull {
+        subscriber: usize,
+        chunks: usize,
+    },
+    Pass {
+        milliseconds: u64,
+    },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let relay = 0..RELAYS;
+    let subscriber = 0..SUBSCRIBERS;
+    prop_oneof![
+        8 => (0..6_u64).prop_map(Step::Purge),
+        2 => (0..2_u64).prop_map(Step::Group),
+        3 => (0..6_u64, prop_oneof![Just("up"), Just("removed")]).prop_map(|(store, state)| Step::Store(store, state)),
+        1 => prop::collection::vec(0..6_u64, 0..5).prop_map(Step::Whole),
+        6 => (relay.clone(), 1..12_u64, any::<bool>())
+            .prop_map(|(relay, events, compacted)| Step::Feed { relay, events, compacted }),
+        1 => relay.clone().prop_map(|relay| Step::Gap { relay }),
+        1 => (relay.clone(), any::<bool>()).prop_map(|(relay, snapshot)| Step::Restart { relay, snapshot }),
+        1 => relay.clone().prop_map(|relay| Step::UpstreamLost { relay }),
+        4 => (subscriber.clone(), relay).prop_map(|(subscriber, relay)| Step::Connect { subscriber, relay }),
+        2 => subscriber.clone().prop_map(|subscriber| Step::Disconnect { subscriber }),
+        8 => (subscriber, 1..4_usize).prop_map(|(subscriber, chunks)| Step::Pull { subscriber, chunks }),
+        4 => (1..400_u64).prop_map(|milliseconds| Step::Pass { milliseconds }),
+    ]
+}
+
+fn terms(events: usize, ring: usize) -> RelayTerms {
+    let east = Scope { sites: vec!["east".to_string()], classes: Vec::new() };
+    RelayTerms {
+        log: LogLimits { events, bytes: 1 << 20 },
+        ring,
+        page_events: 4,
+        batch: 100 * MILLISECOND,
+        catch_up_at_once: 2,
+        admit_wait: 2 * SECOND,
+        scopes: BTreeMap::from([(SCOPE.to_string(), east)]),
+        ..RelayTerms::default()
+    }
+}
+
+/// One subscriber, and the connection that it has.
+struct Client {
+    reader: Reader,
+    scope: Option<String>,
+    encoding: Encoding,
+    relay: Option<usize>,
+    accepted: bool,
+}
+
+struct World {
+    terms: RelayTerms,
+    history: Vec<Event>,
+    /// The source's own log: compacted, never evicted.
+    source: EventLog,
+    relays: Vec<Driver>,
+    clients: Vec<Client>,
+    next_id: u64,
+}
+
+impl World {
+    fn new(terms: RelayTerms) -> World {
+        let client = |index: usize| {
+            let encoding = if index.is_multiple_of(2) { Encoding::Identity } else { Encoding::Gzip };
+            let scope = (index >= 2).then(|| SCOPE.to_string());
+            Client { reader: Reader::new(0, encoding), scope, encoding, relay: None, accepted: false }
+        };
+        World {
+            relays: (0..RELAYS).map(|_| Driver::new(Relay::new(terms.clone()))).collect(),
+            clients: (0..SUBSCRIBERS).map(client).collect(),
+            history: Vec::new(),
+            source: EventLog::new(LogLimits { events: 1 << 20, bytes: 1 << 30 }),
+            next_id: 1,
+            terms,
+        }
+    }
+
+    fn append(&mut self, event: Event) {
+        self.source.append(event.clone()).expect("in order");
+        self.history.push(event);
+    }
+
+    fn next(&self) -> EventNumber {
+        self.history.len() as EventNumber + 1
+    }
+
+    /// An event as the source's log has it, or as it was.
+    fn event(&self, number: EventNumber, compacted: bool) -> Event {
+        match self.source.get(number) {
+            Some(Logged::Replaced) if compacted => read(&placeholder(number)),
+            _ => self.history[number as usize - 1].clone(),
+        }
+    }
+
+    fn input(&mut self, relay: usize, input: Input) {
+        let out = self.relays[relay].input(input);
+        self.note(relay, out);
+    }
+
+    fn note(&mut self, relay: usize, out: Vec<Output>) {
+        for output in out {
+            match output {
+                Output::Accept(id) => self.client(relay, id).accepted = true,
+                Output::Cut { id, .. } => self.client(relay, id).relay = None,
+                Output::Reject { id, reason, .. } => {
+                    // All relays tell one history here.
+                    assert_ne!(reason, RejectReason::OtherHistory);
+                    self.client(relay, id).relay = None;
+                }
+                Output::StopServing(reason) => panic!("{reason}"),
+                Output::Ready | Output::Report(_) => {}
+            }
+        }
+    }
+
+    fn client(&mut self, relay: usize, id: u64) -> &mut Client {
+        let connected = |client: &&mut Client| client.reader.id == id && client.relay == Some(relay);
+        self.clients.iter_mut().find(connected).expect("a subscriber that is connected")
+    }
+
+    fn feed(&mut self, relay: usize, events: u64, compacted: bool) {
+        let last = self.relays[relay].relay.log().last();
+        let end = (last + events).min(self.next() - 1);
+        for number in last + 1..=end {
+            let event = self.event(number, compacted);
+            self.input(relay, Input::Event(event));
+        }
+        if end == self.next() - 1 {
+            let heard = self.relays[relay].now;
+            self.input(relay, Input::Heartbeat { heard });
+        }
+    }
+
+    /// The source's snapshot under the number before its last, then the last event.
+    fn feed_snapshot(&mut self, relay: usize) {
+        let last = self.next() - 1;
+        let shows = self.relays[relay].relay.log().last() + 2;
+        if last <= shows || !self.source.stores().is_complete() {
+            return;
+        }
+        let data = self.source.stores().snapshot(last - 1, |_| true).expect("a whole list");
+        self.input(relay, Input::UpstreamGap(read(&data)));
+        self.feed(relay, 1, false);
+    }
+
+    fn restart(&mut self, relay: usize, snapshot: bool) {
+        for client in self.clients.iter_mut().filter(|client| client.relay == Some(relay)) {
+            client.relay = None;
+        }
+        let now = self.relays[relay].now;
+        self.relays[relay] = Driver { now, ..Driver::new(Relay::new(self.terms.clone())) };
+        if snapshot {
+            self.feed_snapshot(relay);
+        }
+    }
+
+    fn disconnect(&mut self, index: usize) {
+        let client = &mut self.clients[index];
+        let Some(relay) = client.relay.take() else { return };
+        let id = client.reader.id;
+        self.input(relay, Input::Gone(id));
+    }
+
+    fn connect(&mut self, index: usize, relay: usize) {
+        self.disconnect(index);
+        let id = self.next_id;
+        self.next_id += 1;
+        let client = &mut self.clients[index];
+        let mut view = std::mem::take(&mut client.reader.view);
+        // It resumes after the last event that came with its text.
+        let digest = view.verified.map(|(number, digest)| {
+            view.cursor = number;
+            digest
+        });
+        let cursor = Some(view.cursor);
+        client.reader = Reader { view, ..Reader::new(id, client.encoding) };
+        client.relay = Some(relay);
+        client.accepted = false;
+        let scope = client.scope.clone();
+        let hello = Hello { cursor, digest, encoding: client.encoding, scope, name: None };
+        self.input(relay, Input::Subscribe { id, hello });
+    }
+
+    fn pull(&mut self, index: usize, chunks: usize) {
+        let client = &mut self.clients[index];
+        let Some(relay) = client.relay.filter(|_| client.accepted) else { return };
+        let driver = &mut self.relays[relay];
+        for _ in 0..chunks {
+            if !client.reader.pull(&mut driver.relay, driver.now) {
+                break;
+            }
+        }
+        self.input(relay, Input::Tick);
+    }
+
+    fn pass(&mut self, milliseconds: u64) {
+        for relay in 0..RELAYS {
+            let out = self.relays[relay].pass(milliseconds * MILLISECOND);
+            self.note(relay, out);
+        }
+    }
+
+    fn run(&mut self, step: &Step) {
+        let number = self.next();
+        match step {
+            Step::Purge(object) => self.append(purge(number, *object)),
+            Step::Group(group) => self.append(group_purge(number, *group)),
+            Step::Store(store, health) => self.append(list(number, false, &[store_json(*store, health)])),
+            Step::Whole(stores) => {
+                let entries: Vec<_> = stores.iter().map(|store| store_json(*store, "up")).collect();
+                self.append(list(number, true, &entries));
+            }
+            Step::Feed { relay, events, compacted } => self.feed(*relay, *events, *compacted),
+            Step::Gap { relay } => self.feed_snapshot(*relay),
+            Step::Restart { relay, snapshot } => self.restart(*relay, *snapshot),
+            Step::UpstreamLost { relay } => self.input(*relay, Input::UpstreamLost),
+            Step::Connect { subscriber, relay } => self.connect(*subscriber, *relay),
+            Step::Disconnect { subscriber } => self.disconnect(*subscriber),
+            Step::Pull { subscriber, chunks } => self.pull(*subscriber, *chunks),
+            Step::Pass { milliseconds } => self.pass(*milliseconds),
+        }
+    }
+
+    /// Faults end: both relays read everything, two more events come, every subscriber reads to the end.
+    fn settle(&mut self) {
+        for _ in 0..3 {
+            let number = self.next();
+            self.append(purge(number, 99));
+            for relay in 0..RELAYS {
+                self.feed(relay, u64::MAX >> 1, false);
+            }
+            self.pass(200);
+            for index in 0..SUBSCRIBERS {
+                self.settle_client(index);
+            }
+        }
+    }
+
+    fn settle_client(&mut self, index: usize) {
+        for attempt in 0..6 {
+            if self.clients[index].relay.is_none() {
+                self.connect(index, attempt % RELAYS);
+            }
+            self.pull(index, usize::MAX);
+            self.pass(200);
+        }
+    }
+}
+
+fn in_scope(stores: &BTreeMap<String, String>, scope: Option<&String>) -> BTreeMap<String, String> {
+    let east = |entry: &String| scope.is_none() || entry.contains("\"site\":\"east\"");
+    stores
+        .iter()
+        .filter(|(_, entry)| east(entry))
+        .map(|(host, entry)| (host.clone(), entry.clone()))
+        .collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, ..ProptestConfig::default() })]
+
+    #[test]
+    fn every_subscriber_ends_with_the_naive_state_or_a_floor(
+        steps in prop::collection::vec(step(), 1..120),
+        events in 3..60_usize,
+        ring in 1..8_usize,
+    ) {
+        let mut world = World::new(terms(events, ring));
+        let first: Vec<_> = (0..4).map(|store| store_json(store, "up")).collect();
+        world.append(list(1, true, &first));
+        for step in &steps {
+            world.run(step);
+        }
+        world.settle();
+        let mut naive = View::default();
+        for event in &world.history {
+            naive.apply(event.number, &event.data);
+        }
+        for client in &world.clients {
+            let view = &client.reader.view;
+            prop_assert_eq!(view.cursor, naive.cursor, "caught up");
+            prop_assert_eq!(&view.stores, &in_scope(&naive.stores, client.scope.as_ref()));
+            for (subject, number) in &naive.purged {
+                let applied = view.purged.get(subject) == Some(number);
+                prop_assert!(applied || view.floor >= *number, "purge {number} of {subject}: {view:?}");
+            }
+        }
+    }
+}
