--- a/crates/distribution/src/positions.rs
+++ b/crates/distribution/src/positions.rs
@@ -62,12 +62,6 @@
     report: PositionReport,
 }
 
-#[derive(Debug)]
-struct LostSince {
-    order: u64,
-    at: Micros,
-}
-
 /// An advance of the minimum over all gateways.
 #[derive(Debug, Clone, Copy)]
 struct Advance {
@@ -83,8 +77,8 @@
     entries: BTreeMap<Source, Entry>,
     /// All entries that count gateways, by their minimum.
     by_applied: BTreeSet<(EventNumber, Source)>,
-    /// Who is lost, in order of loss; entries of subscribers that came back are skipped.
-    lost: VecDeque<LostSince>,
+    /// When each one was lost, in order of loss; at most `PositionTerms::lost`.
+    lost: BTreeMap<u64, Micros>,
     lost_by_name: BTreeMap<String, u64>,
     next_lost: u64,
     gateways: u64,
@@ -102,7 +96,7 @@
             terms,
             entries: BTreeMap::new(),
             by_applied: BTreeSet::new(),
-            lost: VecDeque::new(),
+            lost: BTreeMap::new(),
             lost_by_name: BTreeMap::new(),
             next_lost: 0,
             gateways: 0,
@@ -116,7 +110,7 @@
     pub fn report(&mut self, now: Micros, subscriber: u64, name: Option<&str>, mut report: PositionReport) {
         report.furthest.truncate(FURTHEST);
         if let Some(order) = name.and_then(|name| self.lost_by_name.remove(name)) {
-            self.remove(Source::Lost(order));
+            self.remove_lost(order);
         }
         let source = Source::Connected(subscriber);
         self.remove(source);
@@ -136,23 +130,21 @@
         self.next_lost += 1;
         if let Some(name) = &entry.name {
             if let Some(earlier) = self.lost_by_name.insert(name.clone(), order) {
-                self.remove(Source::Lost(earlier));
+                self.remove_lost(earlier);
             }
         }
-        self.lost.push_back(LostSince { order, at: now });
+        self.lost.insert(order, now);
         self.insert(Source::Lost(order), entry);
         self.expire(now);
     }
 
     /// Forgets those that have been lost for long enough, or are too many.
     pub fn expire(&mut self, now: Micros) {
-        while let Some(first) = self.lost.front() {
-            let expired = first.at + self.terms.lost_for <= now;
+        while let Some((&order, &at)) = self.lost.first_key_value() {
+            let expired = at + self.terms.lost_for <= now;
             if !expired && self.lost.len() <= self.terms.lost {
                 break;
             }
-            let order = first.order;
-            self.lost.pop_front();
             self.forget_lost(order);
         }
         self.note_advance(now);
@@ -160,7 +152,7 @@
 
     /// When the next lost subscriber is forgotten.
     pub fn next_due(&self) -> Option<Micros> {
-        self.lost.front().map(|first| first.at + self.terms.lost_for)
+        self.lost.first_key_value().map(|(_, at)| at + self.terms.lost_for)
     }
 
     /// What all reports say together.
@@ -180,7 +172,7 @@
         }
     }
 
-    /// When the event was first known to be applied by every gateway; none if it is not yet, or that is forgotten.
+    /// Since when the event is known to be applied by every gateway; none if it is not, or that is forgotten.
     pub fn done_everywhere(&self, number: EventNumber) -> Option<Micros> {
         if number <= self.forgotten {
             return None;
@@ -205,6 +197,10 @@
 
     fn note_advance(&mut self, now: Micros) {
         let Some(applied) = self.minimum() else { return };
+        // A gateway that appears with an older position has not applied what the others have.
+        while self.advances.back().is_some_and(|advance| advance.applied > applied) {
+            self.advances.pop_back();
+        }
         let known = self.advances.back().map_or(self.forgotten, |advance| advance.applied);
         if applied <= known {
             return;
@@ -218,7 +214,7 @@
     }
 
     fn forget_lost(&mut self, order: u64) {
-        let Some(entry) = self.remove(Source::Lost(order)) else { return };
+        let Some(entry) = self.remove_lost(order) else { return };
         if let Some(name) = entry.name {
             if self.lost_by_name.get(&name) == Some(&order) {
                 self.lost_by_name.remove(&name);
@@ -226,6 +222,11 @@
         }
     }
 
+    fn remove_lost(&mut self, order: u64) -> Option<Entry> {
+        self.lost.remove(&order);
+        self.remove(Source::Lost(order))
+    }
+
     fn insert(&mut self, source: Source, entry: Entry) {
         self.gateways += entry.report.gateways;
         self.gateways_lost += entry.report.lost;
--- a/crates/distribution/src/relay.rs
+++ b/crates/distribution/src/relay.rs
@@ -111,7 +111,7 @@
         &self.positions
     }
 
-    /// When an event was first known to be applied everywhere below.
+    /// Since when an event is known to be applied everywhere below.
     pub fn done_everywhere(&self, number: EventNumber) -> Option<Micros> {
         self.positions.done_everywhere(number)
     }
