--- a/crates/distribution/tests/relay.rs
+++ b/crates/distribution/tests/relay.rs
@@ -353,7 +353,7 @@
 fn a_full_batch_does_not_wait_for_its_time() {
     let mut driver = ready(RelayTerms { batch_bytes: 300, batch: 100 * SECOND, ..terms() }, 1);
     let sealed =
-        (2..10).filter(|number| driver.input(Input::Event(purge(*number, 1))).contains(&Output::Ready));
+        (2..12).filter(|number| driver.input(Input::Event(purge(*number, 1))).contains(&Output::Ready));
     assert_eq!(sealed.count(), 2);
 }
 
