Check failover by exhaustion: a source, two relays, a subscriber, and planted faults

Change: a stateright model that rebuilds the program's relay at each step, with kills, cuts, gaps, another history, compaction and eviction; four planted faults. The assertion is made at compile time.

--- /dev/null
+++ b/crates/distribution/tests/failover_model.rs
@@ -0,0 +1,454 @@
+//! E1 to E3 of `docs/design/event-distribution.md` by exhaustion: a source, two relays as the program has them, a
+//! subscriber, and whatever can go wrong between them, in every order. Planted faults must be found.
+mod common;
+use common::{list, parse, purge, read, store_json, Driver, Received};
+use larchway_distribution::batch::{placeholder, Encoding};
+use larchway_distribution::log::LogLimits;
+use larchway_distribution::relay::{Hello, Input, Output, RejectReason, Relay, RelayTerms, SubscriberId};
+use larchway_distribution::{Event, EventNumber};
+use stateright::{Checker, HasDiscoveries, Model, Property};
+use std::collections::{BTreeMap, BTreeSet};
+use xxhash_rust::xxh3::xxh3_64;
+
+const RELAYS: usize = 2;
+const SUBSCRIBER: SubscriberId = 1;
+
+/// A fault planted to see that the model finds it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Planted {
+    Nothing,
+    /// A relay passes heartbeats though it has not read all events.
+    HeartbeatWhileBehind,
+    /// A subscriber moves between relays without saying what its history is.
+    NoDigest,
+    /// A relay's log loses a purge that no later one replaces.
+    PurgeLostByCompaction,
+    /// A subscriber that is given a snapshot keeps the copies of before.
+    SnapshotWithoutFloor,
+}
+
+/// Which of the source's two histories: that of before it was killed, or that with which it came back.
+type History = u8;
+
+struct World {
+    planted: Planted,
+    /// Events of a history at most.
+    events: EventNumber,
+    /// Kills, cuts and gaps at most.
+    faults: u8,
+    histories: [Vec<Event>; 2],
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Source {
+    history: History,
+    last: EventNumber,
+}
+
+/// What a relay has read: enough to make the program's relay again.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct RelayState {
+    history: History,
+    /// The number of the snapshot its log began with, if it did.
+    snapshot: Option<EventNumber>,
+    last: EventNumber,
+    /// Whether it is connected and has been caught up since.
+    ready: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
+struct Subscriber {
+    cursor: EventNumber,
+    /// The last event that came with its text, and its digest.
+    known: Option<(EventNumber, u64)>,
+    history: Option<History>,
+    /// By object: the last purge applied in this history.
+    purged: BTreeMap<String, EventNumber>,
+    /// Copies from before this event are void.
+    floor: EventNumber,
+    connected: Option<usize>,
+    /// By relay: whether it told another history since this subscriber was last accepted.
+    refused: [bool; RELAYS],
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
+struct Seen {
+    /// E1 or E3: after a heartbeat, a purge that the source had told before it is neither applied nor under the floor.
+    missed_purge: bool,
+    /// E2: events of two histories were applied with no floor between.
+    mixed_histories: bool,
+    /// E2: an event was applied after a later one.
+    out_of_order: bool,
+    heartbeat: bool,
+    floor: bool,
+    reset: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct State {
+    source: Source,
+    relays: Vec<RelayState>,
+    subscriber: Subscriber,
+    seen: Seen,
+    faults: u8,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum Action {
+    Append,
+    /// The source is killed and comes back with another history.
+    RestartSource,
+    Read(usize),
+    /// The relay was away for long, and is given a snapshot.
+    ReadSnapshot(usize),
+    Heartbeat(usize),
+    KillRelay(usize),
+    /// The relay's connection to the source breaks.
+    CutRelay(usize),
+    /// The subscriber connects and reads one chunk, or all.
+    Connect(usize, Chunks),
+    Deliver,
+    CutSubscriber,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Chunks {
+    One,
+    All,
+}
+
+/// Two histories of the same numbers: a list first, then purges of two objects in turn.
+fn history(which: History, events: EventNumber) -> Vec<Event> {
+    let first = list(1, true, &[store_json(u64::from(which), "up")]);
+    let object = |number| u64::from(which) * 10 + number % 2;
+    std::iter::once(first).chain((2..=events).map(|number| purge(number, object(number)))).collect()
+}
+
+/// Which history an event's data is of; none for a placeholder.
+fn history_of(data: &str) -> Option<History> {
+    let of_second =
+        data.contains("s-00000001") || data.contains("000000000000000a") || data.contains("000000000000000b");
+    let of_first = data.contains("recall") || data.contains("roster");
+    of_first.then_some(History::from(of_second))
+}
+
+impl World {
+    fn new(planted: Planted, events: EventNumber, faults: u8) -> World {
+        World { planted, events, faults, histories: [history(0, events), history(1, events)] }
+    }
+
+    /// The program's relay, with all that this one has read.
+    fn relay(&self, state: &RelayState) -> Driver {
+        let terms = RelayTerms {
+            log: LogLimits { events: 3, bytes: 1 << 20 },
+            batch: 1,
+            ring: 1,
+            page_events: 2,
+            ..RelayTerms::default()
+        };
+        let mut driver = Driver::new(Relay::new(terms));
+        let mut next = 1;
+        if let Some(number) = state.snapshot {
+            let store = store_json(u64::from(state.history), "up");
+            driver.input(Input::UpstreamGap(list(number, true, &[store])));
+            driver.pass(1);
+            next = number + 1;
+        }
+        for number in next..=state.last {
+            driver.input(Input::Event(self.event(state.history, number)));
+            driver.pass(1);
+        }
+        if state.ready {
+            driver.heartbeat();
+            driver.pass(1);
+        }
+        driver
+    }
+
+    /// An event as relays read it.
+    fn event(&self, history: History, number: EventNumber) -> Event {
+        let lost = self.planted == Planted::PurgeLostByCompaction && number == self.events;
+        if lost {
+            return read(&placeholder(number));
+        }
+        self.histories[history as usize][number as usize - 1].clone()
+    }
+
+    fn may_heartbeat(&self, state: &State, relay: usize) -> bool {
+        let read = &state.relays[relay];
+        let caught_up = read.history == state.source.history && read.last == state.source.last;
+        caught_up || (self.planted == Planted::HeartbeatWhileBehind && read.last > 0)
+    }
+
+    fn read(&self, state: &mut State, relay: usize) {
+        let read = &mut state.relays[relay];
+        if read.history != state.source.history && read.last > 0 {
+            // It compares the digest of its last event first, and stops serving.
+            *read = RelayState { history: state.source.history, snapshot: None, last: 0, ready: false };
+            state.disconnect_from(relay);
+            return;
+        }
+        read.history = state.source.history;
+        read.last += 1;
+    }
+
+    fn heartbeat(&self, state: &mut State, relay: usize) {
+        state.relays[relay].ready = true;
+        let subscriber = &state.subscriber;
+        if subscriber.connected != Some(relay) || subscriber.cursor != state.relays[relay].last {
+            return;
+        }
+        state.seen.heartbeat = true;
+        let told = &self.histories[state.source.history as usize][..state.source.last as usize];
+        let mut last_purges = BTreeMap::new();
+        for event in told.iter().filter(|event| event.issued.is_some()) {
+            last_purges.insert(object(&event.data), event.number);
+        }
+        let same_history = subscriber.history == Some(state.source.history);
+        let covered = |(object, number): (&String, &EventNumber)| {
+            same_history && (subscriber.purged.get(object) == Some(number) || subscriber.floor >= *number)
+        };
+        state.seen.missed_purge |= !last_purges.iter().all(covered);
+    }
+
+    fn connect(&self, state: &mut State, relay: usize, chunks: Chunks) {
+        let subscriber = &mut state.subscriber;
+        if subscriber.known.is_none() && subscriber.cursor > 0 && self.planted != Planted::NoDigest {
+            // Nothing tells which history it was in: it begins anew, and all its copies are void.
+            *subscriber = Subscriber { refused: subscriber.refused, ..Subscriber::default() };
+        }
+        let (cursor, digest) = match subscriber.known {
+            Some((number, digest)) if self.planted != Planted::NoDigest => (number, Some(digest)),
+            _ => (subscriber.cursor, None),
+        };
+        subscriber.cursor = cursor;
+        let hello =
+            Hello { cursor: Some(cursor), digest, encoding: Encoding::Identity, scope: None, name: None };
+        let mut driver = self.relay(&state.relays[relay]);
+        match driver.subscribe(SUBSCRIBER, hello)[..] {
+            [Output::Accept(_)] => {
+                state.subscriber.connected = Some(relay);
+                state.subscriber.refused = [false; RELAYS];
+                self.pull(state, &mut driver, chunks);
+            }
+            [Output::Reject { reason: RejectReason::OtherHistory, .. }] => self.refused(state, relay),
+            _ => {}
+        }
+    }
+
+    /// If all relays tell another history, the subscriber takes it over, and all its copies are void.
+    fn refused(&self, state: &mut State, relay: usize) {
+        state.subscriber.refused[relay] = true;
+        if state.subscriber.refused == [true; RELAYS] {
+            state.subscriber = Subscriber::default();
+            state.seen.reset = true;
+        }
+    }
+
+    /// A connection that goes on: the cursor is one of this relay's.
+    fn deliver(&self, state: &mut State, relay: usize) {
+        let mut driver = self.relay(&RelayState { ready: true, ..state.relays[relay].clone() });
+        let hello = Hello {
+            cursor: Some(state.subscriber.cursor),
+            digest: None,
+            encoding: Encoding::Identity,
+            scope: None,
+            name: None,
+        };
+        driver.subscribe(SUBSCRIBER, hello);
+        self.pull(state, &mut driver, Chunks::All);
+    }
+
+    fn pull(&self, state: &mut State, driver: &mut Driver, chunks: Chunks) {
+        let mut text = String::new();
+        while let Some(chunk) = driver.relay.next_chunk(driver.now, SUBSCRIBER) {
+            text.push_str(std::str::from_utf8(&chunk).expect("text"));
+            if chunks == Chunks::One {
+                break;
+            }
+        }
+        for received in parse(&mut text) {
+            if let Received::Event { number, data } = received {
+                self.apply(state, number, &data);
+            }
+        }
+    }
+
+    fn apply(&self, state: &mut State, number: EventNumber, data: &str) {
+        let subscriber = &mut state.subscriber;
+        if number <= subscriber.cursor {
+            return;
+        }
+        let jumped = number > subscriber.cursor + 1;
+        let history = history_of(data);
+        if jumped {
+            state.seen.floor = true;
+            subscriber.known = None;
+            if self.planted != Planted::SnapshotWithoutFloor {
+                subscriber.floor = number;
+                subscriber.purged.clear();
+                subscriber.history = history;
+            }
+        }
+        let mixes = history.is_some() && subscriber.history.is_some() && history != subscriber.history;
+        state.seen.mixed_histories |= mixes;
+        state.seen.out_of_order |= subscriber.purged.values().any(|applied| *applied >= number);
+        subscriber.history = subscriber.history.or(history);
+        subscriber.cursor = number;
+        if history.is_some() && !jumped {
+            subscriber.known = Some((number, xxh3_64(data.as_bytes())));
+        }
+        if data.contains("recall") {
+            subscriber.purged.insert(object(data), number);
+        }
+    }
+}
+
+fn object(data: &str) -> String {
+    let value: serde_json::Value = serde_json::from_str(data).expect("JSON");
+    value["recall"]["item"].as_str().expect("an object").to_string()
+}
+
+impl State {
+    fn disconnect_from(&mut self, relay: usize) {
+        if self.subscriber.connected == Some(relay) {
+            self.subscriber.connected = None;
+        }
+    }
+}
+
+impl Model for World {
+    type State = State;
+    type Action = Action;
+
+    fn init_states(&self) -> Vec<State> {
+        let relay = RelayState { history: 0, snapshot: None, last: 0, ready: false };
+        vec![State {
+            source: Source { history: 0, last: 1 },
+            relays: vec![relay; RELAYS],
+            subscriber: Subscriber::default(),
+            seen: Seen::default(),
+            faults: 0,
+        }]
+    }
+
+    fn actions(&self, state: &State, actions: &mut Vec<Action>) {
+        let may_fail = state.faults < self.faults;
+        if state.source.last < self.events {
+            actions.push(Action::Append);
+        }
+        if may_fail && state.source.history == 0 {
+            actions.push(Action::RestartSource);
+        }
+        for (relay, read) in state.relays.iter().enumerate() {
+            let other = read.history != state.source.history && read.last > 0;
+            if other || read.last < state.source.last {
+                actions.push(Action::Read(relay));
+            }
+            if may_fail && !other && read.last + 2 < state.source.last {
+                actions.push(Action::ReadSnapshot(relay));
+            }
+            if self.may_heartbeat(state, relay) {
+                actions.push(Action::Heartbeat(relay));
+            }
+            if may_fail && read.last > 0 {
+                actions.push(Action::KillRelay(relay));
+            }
+            if may_fail && read.ready {
+                actions.push(Action::CutRelay(relay));
+            }
+            if state.subscriber.connected.is_none() && read.ready {
+                actions.push(Action::Connect(relay, Chunks::One));
+                actions.push(Action::Connect(relay, Chunks::All));
+            }
+        }
+        if let Some(relay) = state.subscriber.connected {
+            if state.relays[relay].last > state.subscriber.cursor {
+                actions.push(Action::Deliver);
+            }
+            if may_fail {
+                actions.push(Action::CutSubscriber);
+            }
+        }
+    }
+
+    fn next_state(&self, last: &State, action: Action) -> Option<State> {
+        let mut state = last.clone();
+        let fault = |state: &mut State| state.faults += 1;
+        match action {
+            Action::Append => state.source.last += 1,
+            Action::RestartSource => {
+                fault(&mut state);
+                state.source = Source { history: 1, last: 1 };
+                state.relays.iter_mut().for_each(|relay| relay.ready = false);
+            }
+            Action::Read(relay) => self.read(&mut state, relay),
+            Action::ReadSnapshot(relay) => {
+                fault(&mut state);
+                let number = state.source.last - 1;
+                let history = state.source.history;
+                let last = state.source.last;
+                state.relays[relay] = RelayState { history, snapshot: Some(number), last, ready: false };
+            }
+            Action::Heartbeat(relay) => self.heartbeat(&mut state, relay),
+            Action::KillRelay(relay) => {
+                fault(&mut state);
+                let history = state.source.history;
+                state.relays[relay] = RelayState { history, snapshot: None, last: 0, ready: false };
+                state.disconnect_from(relay);
+            }
+            Action::CutRelay(relay) => {
+                fault(&mut state);
+                state.relays[relay].ready = false;
+            }
+            Action::Connect(relay, chunks) => self.connect(&mut state, relay, chunks),
+            Action::Deliver => {
+                let relay = state.subscriber.connected?;
+                self.deliver(&mut state, relay);
+            }
+            Action::CutSubscriber => {
+                fault(&mut state);
+                state.subscriber.connected = None;
+            }
+        }
+        (state != *last).then_some(state)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("E1, E3: no purge is missed before a heartbeat", |_, s: &State| {
+                !s.seen.missed_purge
+            }),
+            Property::always("E2: histories do not mix", |_, s: &State| !s.seen.mixed_histories),
+            Property::always("E2: events apply in order, once", |_, s: &State| !s.seen.out_of_order),
+            Property::sometimes("a heartbeat arrives", |_, s: &State| s.seen.heartbeat),
+            Property::sometimes("a floor arrives", |_, s: &State| s.seen.floor),
+            Property::sometimes("a new history is taken over", |_, s: &State| s.seen.reset),
+        ]
+    }
+}
+
+const MISSED_PURGE: &str = "E1, E3: no purge is missed before a heartbeat";
+const MIXED_HISTORIES: &str = "E2: histories do not mix";
+
+#[test]
+fn the_invariants_hold_in_every_order() {
+    let checker = World::new(Planted::Nothing, 5, 3).checker().threads(3).spawn_bfs().join();
+    println!("{} states", checker.unique_state_count());
+    checker.assert_properties();
+}
+
+#[test]
+fn each_planted_fault_is_found() {
+    let cases = [
+        (Planted::HeartbeatWhileBehind, MISSED_PURGE),
+        (Planted::NoDigest, MIXED_HISTORIES),
+        (Planted::PurgeLostByCompaction, MISSED_PURGE),
+        (Planted::SnapshotWithoutFloor, MISSED_PURGE),
+    ];
+    for (planted, property) in cases {
+        let found = HasDiscoveries::AllOf(BTreeSet::from([property]));
+        let checker = World::new(planted, 5, 3).checker().threads(3).finish_when(found).spawn_bfs().join();
+        assert!(checker.discovery(property).is_some(), "{planted:?} is not found");
+    }
+}
--- a/crates/distribution/tests/scale.rs
+++ b/crates/distribution/tests/scale.rs
@@ -158,7 +158,7 @@
 
 #[test]
 fn a_subscriber_adds_its_own_state_and_nothing_else() {
-    assert!(SUBSCRIBER_BYTES <= 160, "{SUBSCRIBER_BYTES}");
+    const { assert!(SUBSCRIBER_BYTES <= 160) };
     let counts = sizes(100).map(|subscribers| {
         let mut driver = relay(terms(), 100);
         subscribe(&mut driver, subscribers, 100);
