Bound what reports and event numbers can say; model a cursor kept without a digest

Change: numbers past 2^53 - 1 are refused, reports are cut to stated bounds; a fifth planted fault, the cursor kept without a digest.

Result: the model finds that fault (histories mix), so such a subscriber has to begin anew with all copies void.

--- a/crates/distribution/src/event.rs
+++ b/crates/distribution/src/event.rs
@@ -7,6 +7,9 @@
 /// The number of an event: 1 for the first of a history, each next one larger by 1.
 pub type EventNumber = u64;
 
+/// The largest number of an event: the largest integer that every JSON reader keeps exact (RFC 8259, section 6).
+pub const MAX_EVENT_NUMBER: EventNumber = (1 << 53) - 1;
+
 /// What an event concerns: a later event about the same subject replaces an earlier one.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Subject {
@@ -40,12 +43,15 @@
     Malformed(String),
     /// An object's name is not hexadecimal.
     Object(String),
+    /// The number is past [`MAX_EVENT_NUMBER`].
+    Number(EventNumber),
 }
 
 impl std::fmt::Display for EventError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             EventError::Malformed(why) => write!(f, "an event cannot be read: {why}"),
+            EventError::Number(number) => write!(f, "no: {number} is past {MAX_EVENT_NUMBER}"),
             EventError::Object(text) => write!(f, "item: {text:?} is no object"),
         }
     }
@@ -105,6 +111,9 @@
     /// Reads the text of an event: `no` with `roster`, `recall`, or what is not known here.
     pub fn read(data: &str) -> Result<Event, EventError> {
         let form: Form = serde_json::from_str(data).map_err(|e| EventError::Malformed(e.to_string()))?;
+        if form.no > MAX_EVENT_NUMBER {
+            return Err(EventError::Number(form.no));
+        }
         let issued = form.recall.as_ref().map(|recall| (recall.issued * 1000.0) as Micros);
         let subjects = match (form.roster, form.recall) {
             (Some(RosterForm { whole: true, .. }), _) => vec![Subject::Roster],
--- a/crates/distribution/src/positions.rs
+++ b/crates/distribution/src/positions.rs
@@ -7,6 +7,12 @@
 /// Gateways named in a report: those that are furthest behind.
 pub const FURTHEST: usize = 5;
 
+/// Bytes of a gateway's name in a report at most; longer ones are cut.
+pub const MAX_NAME_BYTES: usize = 128;
+
+/// Gateways counted for one report at most: a report that says more is wrong, and must not make the sums overflow.
+const MAX_GATEWAYS_A_REPORT: u64 = 1 << 32;
+
 /// A gateway and how far it has applied the events.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Straggler {
@@ -32,9 +38,28 @@
 impl PositionReport {
     /// A gateway's report of itself.
     pub fn of_gateway(name: &str, applied: EventNumber) -> PositionReport {
+        let name = bounded_name(name);
         let itself = Straggler { name: name.to_string(), applied };
         PositionReport { applied, gateways: 1, lost: 0, furthest: vec![itself] }
     }
+
+    /// The report within the bounds that this module states, whoever made it.
+    fn bounded(mut self) -> PositionReport {
+        self.furthest.truncate(FURTHEST);
+        for straggler in &mut self.furthest {
+            straggler.name.truncate(bounded_name(&straggler.name).len());
+        }
+        self.gateways = self.gateways.min(MAX_GATEWAYS_A_REPORT);
+        self.lost = self.lost.min(self.gateways);
+        self
+    }
+}
+
+/// The longest beginning of a name that fits [`MAX_NAME_BYTES`].
+fn bounded_name(name: &str) -> &str {
+    let fits = |end: &usize| *end <= MAX_NAME_BYTES;
+    let ends = name.char_indices().map(|(start, letter)| start + letter.len_utf8());
+    &name[..ends.take_while(fits).last().unwrap_or(0)]
 }
 
 /// Bounds of [`Positions`].
@@ -107,8 +132,9 @@
     }
 
     /// Takes in a subscriber's report. One of the same name that is lost counts as this one from now on.
-    pub fn report(&mut self, now: Micros, subscriber: u64, name: Option<&str>, mut report: PositionReport) {
-        report.furthest.truncate(FURTHEST);
+    pub fn report(&mut self, now: Micros, subscriber: u64, name: Option<&str>, report: PositionReport) {
+        let name = name.map(bounded_name);
+        let report = report.bounded();
         if let Some(order) = name.and_then(|name| self.lost_by_name.remove(name)) {
             self.remove_lost(order);
         }
--- a/crates/distribution/tests/event.rs
+++ b/crates/distribution/tests/event.rs
@@ -1,4 +1,5 @@
 //! What `Event::read` makes of the bulletin's forms.
+use larchway_distribution::event::MAX_EVENT_NUMBER;
 use larchway_distribution::{Event, EventError, Subject};
 
 #[test]
@@ -41,6 +42,10 @@
     for data in malformed {
         assert!(matches!(Event::read(data), Err(EventError::Malformed(_))), "{data}");
     }
+    let largest = MAX_EVENT_NUMBER;
+    assert!(Event::read(&format!("{{\"no\":{largest}}}")).is_ok());
+    let past = largest + 1;
+    assert_eq!(Event::read(&format!("{{\"no\":{past}}}")), Err(EventError::Number(past)));
     let object = Event::read(r#"{"no":1,"recall":{"item":"zz","issued":1}}"#);
     assert_eq!(object, Err(EventError::Object("zz".to_string())));
 }
--- a/crates/distribution/tests/failover_model.rs
+++ b/crates/distribution/tests/failover_model.rs
@@ -21,6 +21,8 @@
     HeartbeatWhileBehind,
     /// A subscriber moves between relays without saying what its history is.
     NoDigest,
+    /// A subscriber that has no digest, since a snapshot came last, keeps its cursor when it moves.
+    CursorWithoutDigest,
     /// A relay's log loses a purge that no later one replaces.
     PurgeLostByCompaction,
     /// A subscriber that is given a snapshot keeps the copies of before.
@@ -213,7 +215,8 @@
 
     fn connect(&self, state: &mut State, relay: usize, chunks: Chunks) {
         let subscriber = &mut state.subscriber;
-        if subscriber.known.is_none() && subscriber.cursor > 0 && self.planted != Planted::NoDigest {
+        let keeps_cursor = matches!(self.planted, Planted::NoDigest | Planted::CursorWithoutDigest);
+        if subscriber.known.is_none() && subscriber.cursor > 0 && !keeps_cursor {
             // Nothing tells which history it was in: it begins anew, and all its copies are void.
             *subscriber = Subscriber { refused: subscriber.refused, ..Subscriber::default() };
         }
@@ -443,6 +446,7 @@
     let cases = [
         (Planted::HeartbeatWhileBehind, MISSED_PURGE),
         (Planted::NoDigest, MIXED_HISTORIES),
+        (Planted::CursorWithoutDigest, MIXED_HISTORIES),
         (Planted::PurgeLostByCompaction, MISSED_PURGE),
         (Planted::SnapshotWithoutFloor, MISSED_PURGE),
     ];
--- a/crates/distribution/tests/positions.rs
+++ b/crates/distribution/tests/positions.rs
@@ -1,6 +1,8 @@
 //! Positions against a plain list of all reports.
 use larchway::Micros;
-use larchway_distribution::positions::{PositionReport, PositionTerms, Positions, Straggler, FURTHEST};
+use larchway_distribution::positions::{
+    PositionReport, PositionTerms, Positions, Straggler, FURTHEST, MAX_NAME_BYTES,
+};
 use larchway_distribution::EventNumber;
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -61,6 +63,22 @@
     assert_eq!(known.collect::<Vec<_>>(), [48, 49, 50]);
 }
 
+#[test]
+fn a_report_out_of_bounds_is_cut_to_them() {
+    let mut positions = Positions::new(TERMS);
+    let name = "ä".repeat(1000);
+    let straggler = Straggler { name: name.clone(), applied: 1 };
+    let huge =
+        PositionReport { applied: 1, gateways: u64::MAX, lost: u64::MAX, furthest: vec![straggler; 50] };
+    for id in 0..4 {
+        positions.report(1, id, Some(&name), huge.clone());
+    }
+    let report = positions.aggregate();
+    assert!(report.lost <= report.gateways);
+    assert_eq!(report.furthest.len(), FURTHEST);
+    assert!(report.furthest.iter().all(|straggler| straggler.name.len() <= MAX_NAME_BYTES));
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     Report(u64, EventNumber),
