Count the lease's nodes by zone and expiry, and keep 16,384 gateways instead of 10,000

Cause: the lease and the count of live gateways stopped at 10,000 nodes, under the 12,000 of the target. Each node that went made the lease walk over all, each share counted all, and each node that came or went noted the number of every zone.

Change: the lease's nodes are a module of their own, with counts by zone and departures ordered by time: a node that comes or goes costs O(log n). The live numbers note only the zone that changes. Both keep 16,384, some 200 and 100 bytes each; beyond that the lease counts what it does not keep, as before.

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -14,16 +14,20 @@
 //!   the pool is used only [`WAIT`] later, too.
 //!
 //! So whoever uses the pool stands in the view of all who do, and no view is smaller than the number of users.
+mod nodes;
+
 use larchway::{Micros, Shares};
-use std::collections::{BTreeMap, BTreeSet};
+use nodes::Nodes;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+pub use nodes::MOST_NODES;
 
 /// µs that a lease lasts at most, whatever a file says: the wait of L2 holds for the files of all gateways.
 pub const LONGEST: Micros = 2_000_000;
 /// µs between the own node and the first use of the pool, and for which one that is gone counts: the longest lease, and an
 /// eighth for clocks that differ.
 pub const WAIT: Micros = LONGEST + LONGEST / 8;
-/// Most nodes kept; those beyond only count.
-const MOST: usize = 10_000;
 
 /// What a lease goes by.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -86,12 +90,11 @@
     read: Micros,
     /// When the last `sync` that was answered was asked for.
     confirmed: Option<Micros>,
-    /// The nodes by name: their zones, and since when they are gone; at most [`MOST`], and how many more there are.
-    nodes: BTreeMap<String, (usize, Option<Micros>)>,
-    over: u64,
+    /// The gateways' nodes, at most [`MOST_NODES`].
+    nodes: Nodes,
     whole: bool,
-    /// Nodes not told of since a reading began anew, at most [`MOST`].
-    stale: BTreeSet<String>,
+    /// Nodes not told of since a reading began anew, at most [`MOST_NODES`].
+    stale: BTreeSet<Arc<str>>,
 }
 
 impl Lease {
@@ -102,8 +105,7 @@
             registered: None,
             read: 0,
             confirmed: None,
-            nodes: BTreeMap::new(),
-            over: 0,
+            nodes: Nodes::default(),
             whole: false,
             stale: BTreeSet::new(),
         }
@@ -116,27 +118,23 @@
 
     /// Takes in what has come.
     pub fn handle(&mut self, now: Micros, input: Input) {
+        self.nodes.forget_departed(now);
         match input {
             Input::Registered => self.registered = Some(now),
             Input::Ended => (self.registered, self.confirmed) = (None, None),
             Input::Here(name, zone) => {
-                self.stale.remove(&name);
-                // Danger: one that is left out is missing in the division. It is counted.
-                if self.nodes.len() < MOST || self.nodes.contains_key(&name) {
-                    self.nodes.insert(name, (zone, None));
-                } else {
-                    self.over += 1;
-                }
+                self.stale.remove(name.as_str());
+                self.nodes.arrived(&name, zone);
             }
-            Input::Gone(name) => self.gone(now, &name),
+            Input::Gone(name) => self.nodes.departed(now, &name),
             Input::Reread => {
                 (self.whole, self.read) = (false, now);
-                self.stale = self.nodes.keys().cloned().collect();
+                self.stale = self.nodes.names().collect();
             }
             Input::Whole => {
                 self.whole = true;
                 for name in std::mem::take(&mut self.stale) {
-                    self.gone(now, &name);
+                    self.nodes.departed(now, &name);
                 }
             }
             Input::CaughtUp(asked) => {
@@ -153,21 +151,15 @@
         }
     }
 
-    fn gone(&mut self, now: Micros, name: &str) {
-        if let Some((_, gone)) = self.nodes.get_mut(name) {
-            *gone = gone.or(Some(now));
-        }
-        // What is long gone counts for nothing; it is dropped when the next one goes.
-        self.nodes.retain(|_, (_, gone)| gone.is_none_or(|at| now < at + WAIT));
-    }
-
     /// How many gateways stand, or stood until now, in all and in the own zone; one whose zone is not known may be of any.
     pub fn standing(&self, terms: &Terms, now: Micros) -> (u64, u64) {
-        let counts = |(_, gone): &&(usize, Option<Micros>)| gone.is_none_or(|at| now < at + terms.hold);
-        let own = |(zone, _): &&(usize, _)| *zone == self.configured.zone || *zone == usize::MAX;
-        let all = self.nodes.values().filter(counts);
-        let near = self.nodes.values().filter(counts).filter(own);
-        (all.count() as u64 + self.over, near.count() as u64 + self.over)
+        let standing = self.nodes.standing(self.configured.zone, now, terms.hold);
+        (standing.all, standing.in_zone)
+    }
+
+    /// How many nodes are kept, those that are gone but still count among them; at most [`MOST_NODES`].
+    pub fn kept(&self) -> usize {
+        self.nodes.len()
     }
 
     /// The configured share, of what all divide and of what the own zone divides: used where nothing is lent.
--- /dev/null
+++ b/crates/fleet/tests/lease_nodes.rs
@@ -0,0 +1,110 @@
+//! The nodes that a lease counts: against a naive model that walks over all of them, and at the bound.
+use larchway_fleet::lease::{Configured, Input, Lease, Terms, MOST_NODES, WAIT};
+use larchway_fleet::FleetFile;
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+const START: u64 = 1_000_000_000;
+const OWN_ZONE: usize = 1;
+const UNKNOWN_ZONE: usize = usize::MAX;
+
+/// What a lease counts, by walking over all nodes each time.
+#[derive(Default)]
+struct NaiveNodes {
+    nodes: BTreeMap<String, (usize, Option<u64>)>,
+    stale: BTreeSet<String>,
+}
+
+impl NaiveNodes {
+    fn handle(&mut self, now: u64, input: &Input) {
+        match input {
+            Input::Here(name, zone) => {
+                self.stale.remove(name);
+                self.nodes.insert(name.clone(), (*zone, None));
+            }
+            Input::Gone(name) => self.gone(now, name),
+            Input::Reread => self.stale = self.nodes.keys().cloned().collect(),
+            Input::Whole => {
+                for name in std::mem::take(&mut self.stale) {
+                    self.gone(now, &name);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn gone(&mut self, now: u64, name: &str) {
+        if let Some((_, gone)) = self.nodes.get_mut(name) {
+            *gone = gone.or(Some(now));
+        }
+        self.nodes.retain(|_, (_, gone)| gone.is_none_or(|at| now < at + WAIT));
+    }
+
+    fn standing(&self, now: u64, hold: u64) -> (u64, u64) {
+        let counts = |gone: &Option<u64>| gone.is_none_or(|at| now < at + hold);
+        let all = self.nodes.values().filter(|(_, gone)| counts(gone));
+        let near = all.clone().filter(|(zone, _)| *zone == OWN_ZONE || *zone == UNKNOWN_ZONE);
+        (all.count() as u64, near.count() as u64)
+    }
+}
+
+fn lease() -> Lease {
+    Lease::new(Configured { all: 12_000, own_zone: 110, zone: OWN_ZONE })
+}
+
+fn input() -> impl Strategy<Value = Input> {
+    let name = (0usize..12).prop_map(|who| format!("g{who}"));
+    let zone = prop_oneof![Just(0usize), Just(OWN_ZONE), Just(2), Just(UNKNOWN_ZONE)];
+    prop_oneof![
+        6 => (name.clone(), zone).prop_map(|(name, zone)| Input::Here(name, zone)),
+        5 => name.prop_map(Input::Gone),
+        1 => Just(Input::Reread),
+        1 => Just(Input::Whole),
+        1 => Just(Input::Registered),
+        1 => Just(Input::Rewound),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 500, ..ProptestConfig::default() })]
+
+    /// L3: the counts are those of a walk over all nodes, at every hold, whatever comes and goes in whatever order.
+    #[test]
+    fn counts_are_those_of_a_walk_over_all_nodes(
+        steps in proptest::collection::vec((0u64..1_200_000, input()), 1..150),
+        hold in prop_oneof![Just(0u64), Just(WAIT / 2), Just(WAIT)],
+        later in 0u64..2 * WAIT,
+    ) {
+        let terms = Terms { hold, ..Terms::of(&FleetFile::default()) };
+        let (mut counted, mut naive, mut now) = (lease(), NaiveNodes::default(), START);
+        for (waited, input) in steps {
+            now += waited;
+            prop_assert_eq!(counted.standing(&terms, now), naive.standing(now, hold), "before {:?}", &input);
+            naive.handle(now, &input);
+            counted.handle(now, input);
+            prop_assert_eq!(counted.standing(&terms, now), naive.standing(now, hold));
+        }
+        prop_assert_eq!(counted.standing(&terms, now + later), naive.standing(now + later, hold));
+    }
+}
+
+/// What is beyond the bound is not kept, but counted: the share of each gets smaller, never larger.
+#[test]
+fn nodes_beyond_the_bound_count_and_are_not_kept() {
+    const { assert!(MOST_NODES > 12_000, "the fleet of two years has to fit") };
+    let terms = Terms::of(&FleetFile::default());
+    let mut lease = lease();
+    for who in 0..MOST_NODES + 100 {
+        lease.handle(START, Input::Here(format!("g{who}"), who % 110));
+    }
+    assert_eq!(lease.kept(), MOST_NODES);
+    assert_eq!(lease.standing(&terms, START).0, MOST_NODES as u64 + 100);
+    // One that is kept and told of again is no further one.
+    lease.handle(START, Input::Here("g7".into(), 7));
+    assert_eq!(lease.standing(&terms, START).0, MOST_NODES as u64 + 100);
+    // Room is there again once one that went has stopped counting.
+    lease.handle(START, Input::Gone("g7".into()));
+    lease.handle(START + WAIT, Input::Here("new".into(), 7));
+    assert_eq!(lease.kept(), MOST_NODES);
+    assert_eq!(lease.standing(&terms, START + WAIT).0, MOST_NODES as u64 + 100);
+}
--- a/crates/members/src/peers.rs
+++ b/crates/members/src/peers.rs
@@ -6,13 +6,16 @@
 
 /// µs for which a larger number holds.
 pub const HOLD: Micros = 30_000_000;
-/// Most gateways counted, and most changes of a zone's number kept; beyond that the largest stays.
-const MOST: usize = 10_000;
+/// Most gateways counted: 12,000 have to fit, together with nodes under new names that came in place of others. A gateway
+/// takes some 100 bytes, so that all of them take some 2 MB.
+pub const MOST_GATEWAYS: usize = 16_384;
+/// Most changes of a zone's number kept; beyond that the largest stays.
 const CHANGES: usize = 256;
 
 /// The live gateways.
 #[derive(Debug, Clone, Default)]
 pub struct Peers {
+    /// The zone of each gateway by name, at most [`MOST_GATEWAYS`]; those beyond are not counted.
     zones: BTreeMap<String, usize>,
     /// By zone, how many of them; kept, since it is looked at with every own attempt.
     count: BTreeMap<usize, u64>,
@@ -27,21 +30,15 @@
 impl Peers {
     /// A gateway's node is there.
     pub fn here(&mut self, now: Micros, name: &str, zone: usize) {
-        if self.zones.len() < MOST || self.zones.contains_key(name) {
-            self.note(now);
+        if self.zones.len() < MOST_GATEWAYS || self.zones.contains_key(name) {
             self.stale.remove(name);
-            self.remove(name);
+            self.note(now, zone);
+            self.gone(now, name);
             self.zones.insert(name.to_string(), zone);
             *self.count.entry(zone).or_default() += 1;
         }
     }
 
-    fn remove(&mut self, name: &str) {
-        if let Some(number) = self.zones.remove(name).and_then(|zone| self.count.get_mut(&zone)) {
-            *number -= 1;
-        }
-    }
-
     /// All is read anew.
     pub fn reread(&mut self) {
         self.stale = self.zones.keys().cloned().collect();
@@ -58,27 +55,34 @@
 
     /// A gateway's node is gone.
     pub fn gone(&mut self, now: Micros, name: &str) {
-        self.note(now);
+        let Some(&zone) = self.zones.get(name) else { return };
+        self.note(now, zone);
         self.remove(name);
     }
 
+    fn remove(&mut self, name: &str) {
+        if let Some(number) = self.zones.remove(name).and_then(|zone| self.count.get_mut(&zone)) {
+            *number -= 1;
+        }
+    }
+
     /// Contact with the service is held or lost.
     pub fn contact(&mut self, now: Micros, contact: bool) {
-        self.note(now);
+        let zones: Vec<usize> = self.count.keys().copied().collect();
+        zones.into_iter().for_each(|zone| self.note(now, zone));
         self.contact = contact;
     }
 
-    /// Remembers the numbers that held until now.
-    fn note(&mut self, now: Micros) {
-        for (&zone, &number) in &self.count {
-            let late = self.late.entry(zone).or_default();
-            // Smaller ones before it never decide again.
-            while late.back().is_some_and(|(_, n)| *n <= number) {
-                late.pop_back();
-            }
-            if late.len() < CHANGES {
-                late.push_back((now, number));
-            }
+    /// Remembers a zone's number that held until now, before it changes.
+    fn note(&mut self, now: Micros, zone: usize) {
+        let Some(&number) = self.count.get(&zone) else { return };
+        let late = self.late.entry(zone).or_default();
+        // Smaller ones before it never decide again.
+        while late.back().is_some_and(|(_, n)| *n <= number) {
+            late.pop_back();
+        }
+        if late.len() < CHANGES {
+            late.push_back((now, number));
         }
     }
 
