--- a/crates/copies/src/lib.rs
+++ b/crates/copies/src/lib.rs
@@ -200,6 +200,8 @@
     uplink: Uplink,
     purges: PurgeTable,
     word: Word,
+    /// µs without a word from the bulletin from which purges may have been missed.
+    doubt: Micros,
     /// What became of requests.
     pub counts: Counts,
 }
@@ -218,6 +220,7 @@
             uplink: Uplink::new(link),
             purges: PurgeTable::default(),
             word: Word::Lost,
+            doubt: DOUBT,
             counts: Counts::default(),
         }
     }
@@ -243,6 +246,11 @@
         };
     }
 
+    /// Sets for how long copies answer after the bulletin was heard, µs; none: the usual time.
+    pub fn doubt_after(&mut self, silence: Option<Micros>) {
+        self.doubt = silence.unwrap_or(DOUBT);
+    }
+
     /// The bulletin has said something.
     pub fn heard(&mut self, now: Micros) {
         self.word = Word::Heard(now);
@@ -258,7 +266,7 @@
     fn trusted(&self, now: Micros) -> bool {
         match self.word {
             Word::Untold => true,
-            Word::Heard(at) => now <= at + DOUBT,
+            Word::Heard(at) => now <= at + self.doubt,
             Word::Lost => false,
         }
     }
@@ -344,6 +352,13 @@
         self.used = [0; 2];
     }
 
+    /// Purges up to now may have been missed: drops everything, and keeps nothing that was given out before. That is
+    /// remembered for `keep`, for which copies of before may still come from stores.
+    pub fn void_before(&mut self, now: Micros, keep: Micros) {
+        self.forget_all();
+        self.purges.raise_floor(now, now + keep);
+    }
+
     /// Drops all of a class: its slot has another meaning from now on.
     pub fn forget_class(&mut self, class: usize) {
         let ids: Vec<Id> = self.entries.keys().filter(|id| id.class == class).copied().collect();
--- a/crates/distribution/src/event.rs
+++ b/crates/distribution/src/event.rs
@@ -7,6 +7,11 @@
 /// The number of an event: 1 for the first of a history, each next one larger by 1.
 pub type EventNumber = u64;
 
+/// The digest of an event's data, by which histories are compared.
+pub fn digest(data: &str) -> u64 {
+    xxh3_64(data.as_bytes())
+}
+
 /// What an event concerns: a later event about the same subject replaces an earlier one.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Subject {
@@ -116,6 +121,6 @@
             (None, Some(recall)) => vec![Subject::Group(recall.lot)],
             (None, None) => Vec::new(),
         };
-        Ok(Event { number: form.no, data: data.into(), subjects, issued, digest: xxh3_64(data.as_bytes()) })
+        Ok(Event { number: form.no, data: data.into(), subjects, issued, digest: digest(data) })
     }
 }
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -2,6 +2,7 @@
 //! (`docs/design/event-distribution.md`). No I/O; the clock is an argument.
 pub mod batch;
 pub mod event;
+pub mod events_file;
 pub mod log;
 pub mod positions;
 pub mod relay;
--- a/crates/distribution/src/subscriber.rs
+++ b/crates/distribution/src/subscriber.rs
@@ -11,7 +11,7 @@
 mod sources;
 
 pub use messages::{Input, LeaveReason, Output, Received, SourceKind, SubscriberTerms};
-pub use request::{Subscription, EVENTS_PATH};
+pub use request::{position_request, Subscription, EVENTS_PATH, POSITION_PATH};
 pub use sources::{shuffled, FIRST_BACKOFF};
 
 use crate::event::EventNumber;
@@ -275,7 +275,7 @@
         // number.
         let snapshot = relay && first && event.whole_list;
         let missing = number != self.cursor + 1 || overlap_missing;
-        if missing && !(relay && first) && self.ask_again() {
+        if missing && !snapshot && self.ask_again() {
             return self.leave_for_next(now, LeaveReason::EventMissing, out);
         }
         if missing || snapshot {
--- a/crates/distribution/src/subscriber/request.rs
+++ b/crates/distribution/src/subscriber/request.rs
@@ -1,11 +1,15 @@
 //! The request by which a subscriber asks for events.
 use crate::event::EventNumber;
+use crate::positions::PositionReport;
 use std::fmt::Write;
 use std::net::SocketAddr;
 
 /// Path at which events are served.
 pub const EVENTS_PATH: &str = "/bulletins";
 
+/// Path at which a subscriber reports its position, on the connection of its events.
+pub const POSITION_PATH: &str = "/bulletins/position";
+
 /// A request for events.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Subscription {
@@ -39,3 +43,13 @@
         head
     }
 }
+
+/// The HTTP request that reports a position; it is sent behind the request for events, and gets no response.
+pub fn position_request(source: SocketAddr, report: &PositionReport) -> String {
+    // A report is numbers and names: there is nothing in it that can't be written as JSON.
+    let body = serde_json::to_string(report).unwrap_or_default();
+    format!(
+        "PUT {POSITION_PATH} HTTP/1.1\r\nHost: {source}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -8,6 +8,7 @@
 use larchway::settings::{as_bool, as_f64, as_u64, get, read_value};
 use larchway::{Class, Micros, Settings};
 use larchway_copies::CopiesFile;
+use larchway_distribution::events_file::EventsFile;
 use larchway_fleet::{lease::Configured, FleetFile};
 use larchway_members::{format::Defaults, Policy};
 use larchway_spread::SpreadFile;
@@ -73,6 +74,8 @@
     pub spread: Option<String>,
     /// That of the fleet; without it, gateways know nothing of each other.
     pub fleet: Option<String>,
+    /// That of the events; without it, they come from the configuration's bulletin.
+    pub events: Option<String>,
 }
 
 /// All configuration, read in one go.
@@ -92,6 +95,8 @@
     pub spread: Option<SpreadFile>,
     /// The fleet, if gateways know of each other.
     pub tier: Option<FleetFile>,
+    /// Where events come from, if that is relays.
+    pub events: Option<EventsFile>,
 }
 
 impl Files {
@@ -104,6 +109,7 @@
         let copies = self.copies.as_deref().map(copies_file).transpose()?;
         let spread = self.spread.as_deref().map(spread_file).transpose()?;
         let tier = self.fleet.as_deref().map(fleet_file).transpose()?;
+        let events = self.events.as_deref().map(events_file).transpose()?;
         let sessions = fleet.as_ref().is_some_and(|ensemble| ensemble.gateways);
         if tier.is_some() && config.peers.own.is_none() && !sessions {
             return Err(
@@ -123,7 +129,7 @@
         if let Some(class) = front.iter().flat_map(|f| &f.classes).find(unknown) {
             return Err(format!("classes: {class:?} is not among settings.services"));
         }
-        Ok(Loaded { config, front, fleet, hierarchy, copies, spread, tier })
+        Ok(Loaded { config, front, fleet, hierarchy, copies, spread, tier, events })
     }
 }
 
@@ -473,6 +479,16 @@
     checked(path, FleetFile::check)
 }
 
+/// Reads the file of the events.
+pub fn events_file(path: &str) -> Result<EventsFile, String> {
+    checked(path, EventsFile::check)
+}
+
+/// The schema of the events' file.
+pub fn events_schema() -> String {
+    serde_json::to_string_pretty(&schemars::schema_for!(EventsFile)).unwrap_or_default()
+}
+
 /// The schema of the fleet's file.
 pub fn fleet_schema() -> String {
     serde_json::to_string_pretty(&schemars::schema_for!(FleetFile)).unwrap_or_default()
--- a/gateway/src/console.rs
+++ b/gateway/src/console.rs
@@ -29,6 +29,8 @@
     Spread,
     /// The gateways of the tier, and the shares that this one may use.
     Fleet,
+    /// The stream of events.
+    Events,
     /// A store out or back.
     Store {
         /// Its id.
@@ -126,7 +128,9 @@
     let target = request.path.unwrap_or("");
     let path = target.split('?').next().unwrap_or("");
     let (takes, down) = match path {
-        "/ops/readiness" | "/ops/stats" | "/ops/copies" | "/ops/spread" | "/ops/fleet" => ("GET", false),
+        "/ops/readiness" | "/ops/stats" | "/ops/copies" | "/ops/spread" | "/ops/fleet" | "/ops/events" => {
+            ("GET", false)
+        }
         "/ops/stores/down" => ("PUT", true),
         "/ops/stores/up" => ("PUT", false),
         _ => return Err(Reply::new(404, format!("there is no {}\n", path.escape_default()))),
@@ -165,6 +169,7 @@
             std::cmp::Ordering::Equal => Ok(Some(match path {
                 "/ops/stats" => Call::Stats,
                 "/ops/copies" => Call::Copies,
+                "/ops/events" => Call::Events,
                 "/ops/spread" => Call::Spread,
                 "/ops/fleet" => Call::Fleet,
                 _ => Call::Readiness,
--- a/gateway/src/console/tests.rs
+++ b/gateway/src/console/tests.rs
@@ -22,6 +22,7 @@
     assert_eq!(get("/ops/readiness"), Ok(Some(Call::Readiness)));
     assert_eq!(get("/ops/stats"), Ok(Some(Call::Stats)));
     assert_eq!(get("/ops/copies"), Ok(Some(Call::Copies)));
+    assert_eq!(get("/ops/events"), Ok(Some(Call::Events)));
     assert_eq!(get("/ops/spread"), Ok(Some(Call::Spread)));
     assert_eq!(get("/ops/fleet"), Ok(Some(Call::Fleet)));
     let long = "x".repeat(HEAD);
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -541,9 +541,7 @@
                 Event::Members(Members { scope, hosts: stores.iter().map(|s| s.host.clone()).collect() })
             }
             News::Recall { object, group, issued } => {
-                // An attempt that is out was decided before: what it brings may be that old for as long as it lasts.
-                let longest = self.classes.all().map(|(_, terms, _)| terms.deadline).max().unwrap_or(0);
-                let keep = 2 * self.purge_done + longest;
+                let keep = self.remember_purges();
                 self.copies.iter_mut().for_each(|c| c.purge(now, object, group, issued, keep));
                 Event::Purged { age: now.saturating_sub(issued), group, object }
             }
@@ -567,6 +565,24 @@
         }
     }
 
+    /// For how long copies of before a purge may still come from stores.
+    fn remember_purges(&self) -> Micros {
+        // An attempt that is out was decided before: what it brings may be that old for as long as it lasts.
+        let longest = self.classes.all().map(|(_, terms, _)| terms.deadline).max().unwrap_or(0);
+        2 * self.purge_done + longest
+    }
+
+    /// Events are missing, and may have been purges: copies of the gateway's own are void.
+    pub fn void_copies(&mut self, now: Micros) {
+        let keep = self.remember_purges();
+        self.copies.iter_mut().for_each(|copies| copies.void_before(now, keep));
+    }
+
+    /// Purges up to now may have been missed: stores are asked for copies that are young enough.
+    pub fn purges_missed(&mut self, now: Micros) {
+        self.feed(now, Event::PurgesMissed);
+    }
+
     fn listed(&mut self, whole: bool, stores: &[Store]) {
         if whole {
             self.well = true;
--- a/gateway/src/events.rs
+++ b/gateway/src/events.rs
@@ -1,14 +1,21 @@
 //! The stream of events (purges, the list of stores), for the daemon: joins the subscriber's state machine
 //! (`larchway_distribution::subscriber`) and the reader of its connection. Knows no socket: what the loop is to do comes
 //! back as [`Effect`]s.
+mod lag;
+
 use crate::bulletin::{self, Item, News};
 use crate::event_stream::{Part, StreamError, StreamReader};
 use crate::log;
 use crate::terms::Terms;
+use lag::{LagWatch, Verdict};
 use larchway::Micros;
+use larchway_distribution::event;
+use larchway_distribution::events_file::EventsFile;
+use larchway_distribution::positions::PositionReport;
 use larchway_distribution::subscriber::{
-    Input, LeaveReason, Output, Received, SourceKind, Subscriber, SubscriberTerms,
+    position_request, shuffled, Input, LeaveReason, Output, Received, SourceKind, Subscriber, SubscriberTerms,
 };
+use serde::Serialize;
 use std::net::SocketAddr;
 
 /// Longest pause between two attempts to reach the source, µs.
@@ -16,11 +23,30 @@
 /// The least that the longest pause is, however short the time is in which an event must be acted on, µs.
 const LEAST_BACKOFF: Micros = 25_000;
 
+/// Time between two reports of the position at least, µs.
+const REPORT_EVERY: Micros = 1_000_000;
+const MICROS_PER_MILLISECOND: Micros = 1000;
+
+/// Where events come from, and what they are for.
+#[derive(Debug, Clone, Default)]
+pub struct EventsConfig {
+    /// The gateway's name, by which its position is reported.
+    pub name: String,
+    /// The source that the configuration names.
+    pub bulletin: Option<SocketAddr>,
+    /// Within so long an event must be acted on; none: not told.
+    pub notice: Option<Micros>,
+    /// The operator file, if there is one; its relays take the place of the source.
+    pub file: Option<EventsFile>,
+}
+
 /// What the loop is to do.
 #[derive(Debug)]
 pub enum Effect {
     /// Connect to the source and write this.
     Dial(SocketAddr, Vec<u8>),
+    /// Write this to the source.
+    Write(Vec<u8>),
     /// Close the connection; the subscriber knows of it.
     Close(String),
     /// The source lived at that time.
@@ -29,38 +55,96 @@
     Lost,
     /// Something was missed that may have been a purge: copies of the gateway's own are void.
     CopiesVoid,
+    /// Purges up to now may have been missed: stores must be asked for copies that are young enough.
+    PurgesMissed,
     /// Apply what an event tells.
     Apply(News),
 }
 
+/// What an operator sees.
+#[derive(Serialize)]
+struct Report {
+    source: Option<String>,
+    relays: bool,
+    cursor: u64,
+    caught_up: bool,
+    /// Time since the source was heard, as far as events are applied; none before it was first heard.
+    lag_ms: Option<u64>,
+    /// Whether the lag is past its limit, so that no copy of the gateway's own answers.
+    lagging: bool,
+    /// Gaps and events passed over, after each of which all copies of the gateway's own were dropped.
+    gaps: u64,
+}
+
 /// The stream of events and its connection.
 pub struct Events {
+    config: EventsConfig,
+    seed: u64,
     subscriber: Subscriber,
     reader: StreamReader,
+    /// The lag's limit, if there is one.
+    lag: Option<LagWatch>,
+    /// The position reported last on this connection, and from when the next may be.
+    reported: Option<u64>,
+    report_from: Micros,
 }
 
 impl Events {
     /// Without a source; [`Events::configure`] names it.
     pub fn new(at: Micros, seed: u64) -> Self {
-        let terms = subscriber_terms(None, None);
-        Events { subscriber: Subscriber::new(at, terms, 0, seed), reader: StreamReader::default() }
-    }
-
-    /// Puts another configuration in force: where the source is, and within what time its events must be acted on. A
-    /// connection to another address is left.
-    pub fn configure(
-        &mut self,
-        at: Micros,
-        source: Option<SocketAddr>,
-        notice: Option<Micros>,
-    ) -> Vec<Effect> {
+        let config = EventsConfig::default();
+        let terms = subscriber_terms(&config, seed);
+        Events {
+            config,
+            seed,
+            subscriber: Subscriber::new(at, terms, 0, seed),
+            reader: StreamReader::default(),
+            lag: None,
+            reported: None,
+            report_from: 0,
+        }
+    }
+
+    /// Puts another configuration in force. A connection to a source that is not named any more is left.
+    pub fn configure(&mut self, at: Micros, config: EventsConfig) -> Vec<Effect> {
+        let terms = subscriber_terms(&config, self.seed);
+        let limit = config.file.as_ref().map(lag_limit);
+        self.lag = match (self.lag.take(), limit) {
+            (_, None) => None,
+            (None, Some(limit)) => Some(LagWatch::new(at, limit)),
+            (Some(mut watch), Some(limit)) => {
+                watch.set_limit(at, limit);
+                Some(watch)
+            }
+        };
+        self.config = config;
         let mut outputs = Vec::new();
-        self.subscriber.configure(at, subscriber_terms(source, notice), &mut outputs);
+        self.subscriber.configure(at, terms, &mut outputs);
         let mut effects = Vec::new();
         outputs.into_iter().for_each(|output| self.perform(output, &mut None, &mut effects));
         effects
     }
 
+    /// For how long copies of the gateway's own may answer after the source was heard, if that is not as usual.
+    pub fn lag_limit(&self) -> Option<Micros> {
+        self.config.file.as_ref().map(lag_limit)
+    }
+
+    /// What operators are told, as JSON.
+    pub fn report(&self, at: Micros) -> String {
+        let report = Report {
+            source: self.subscriber.source().map(|source| source.to_string()),
+            relays: self.config.file.is_some(),
+            cursor: self.subscriber.cursor(),
+            caught_up: self.subscriber.caught_up(),
+            lag_ms: self.subscriber.lag(at).map(|lag| lag / MICROS_PER_MILLISECOND),
+            lagging: self.lag.as_ref().is_some_and(LagWatch::exceeded),
+            gaps: self.subscriber.gaps(),
+        };
+        // Numbers, flags and an address: there is nothing in it that can't be written as JSON.
+        serde_json::to_string(&report).unwrap_or_default()
+    }
+
     /// Takes in the events that the configuration holds, and the number of the last one known to it.
     pub fn take_known(&mut self, items: Vec<Item>, last: u64) -> Vec<Effect> {
         let mut effects = Vec::new();
@@ -79,12 +163,15 @@
 
     /// When a tick is wanted.
     pub fn next_due(&self) -> Option<Micros> {
-        self.subscriber.next_due()
+        let lag_due = self.lag.as_ref().map(LagWatch::next_due);
+        self.subscriber.next_due().into_iter().chain(lag_due).min()
     }
 
     /// A time named by [`Events::next_due`] has come.
     pub fn tick(&mut self, at: Micros) -> Vec<Effect> {
-        self.feed(at, Input::Tick)
+        let mut effects = self.feed(at, Input::Tick);
+        self.look_at_lag(at, &mut effects);
+        effects
     }
 
     /// The connection is lost, or did not come up.
@@ -107,12 +194,45 @@
         for part in parts {
             let closed = self.take_part(at, part, terms, &mut effects);
             if closed {
-                break;
+                return effects;
             }
         }
+        self.look_at_lag(at, &mut effects);
+        self.report_position(at, &mut effects);
         effects
     }
 
+    /// Says what follows from the lag, where there is a limit.
+    fn look_at_lag(&mut self, at: Micros, effects: &mut Vec<Effect>) {
+        let lag = self.subscriber.lag(at);
+        let Some(watch) = &mut self.lag else { return };
+        let verdict = watch.look(at, lag);
+        match verdict {
+            Verdict::Nothing => return,
+            Verdict::Exceeded => {
+                log!("events lag: copies of the gateway's own answer nothing");
+                effects.push(Effect::Lost);
+            }
+            Verdict::Recovered => log!("events no longer lag"),
+            Verdict::StillExceeded => {}
+        }
+        effects.push(Effect::PurgesMissed);
+    }
+
+    /// Reports how far events are applied, if that is wanted and new.
+    fn report_position(&mut self, at: Micros, effects: &mut Vec<Effect>) {
+        let wanted = self.config.file.as_ref().is_some_and(|file| file.report);
+        let cursor = self.subscriber.cursor();
+        if !wanted || at < self.report_from || self.reported == Some(cursor) {
+            return;
+        }
+        let Some(source) = self.subscriber.source() else { return };
+        self.reported = Some(cursor);
+        self.report_from = at + REPORT_EVERY;
+        let report = PositionReport::of_gateway(&self.config.name, cursor);
+        effects.push(Effect::Write(position_request(source, &report).into_bytes()));
+    }
+
     fn unreadable_stream(&mut self, at: Micros, error: &StreamError) -> Vec<Effect> {
         if let StreamError::Refused { status, retry_after } = *error {
             return self.feed(at, Input::Refused { status, retry_after });
@@ -133,11 +253,7 @@
                 if let Err(why) = &item {
                     log!("an event cannot be used: {why}");
                 }
-                let received = Received {
-                    number: item.as_ref().ok().map(|item| item.no),
-                    digest: None,
-                    whole_list: matches!(&item, Ok(Item { news: News::Roster { whole: true, .. }, .. })),
-                };
+                let received = self.received(&data, item.as_ref().ok());
                 news = item.ok().map(|item| item.news);
                 self.subscriber.handle(at, Input::Event(received), &mut outputs);
             }
@@ -147,6 +263,23 @@
         closed
     }
 
+    /// What the subscriber needs to know of an event.
+    fn received(&self, data: &str, item: Option<&Item>) -> Received {
+        let news = item.map(|item| &item.news);
+        // A placeholder of an event that was replaced, or a list reduced to a scope, is not the source's text.
+        let own_text = match news {
+            None | Some(News::Other) => false,
+            Some(News::Roster { .. }) => self.config.file.as_ref().is_none_or(|file| file.scope.is_none()),
+            Some(News::Recall { .. }) => true,
+        };
+        let verifies = own_text && self.config.file.is_some();
+        Received {
+            number: item.map(|item| item.no),
+            digest: verifies.then(|| event::digest(data)),
+            whole_list: matches!(news, Some(News::Roster { whole: true, .. })),
+        }
+    }
+
     fn feed(&mut self, at: Micros, input: Input<'_>) -> Vec<Effect> {
         let mut outputs = Vec::new();
         self.subscriber.handle(at, input, &mut outputs);
@@ -160,6 +293,7 @@
         match output {
             Output::Dial(subscription) => {
                 self.reader = StreamReader::default();
+                self.reported = None;
                 effects.push(Effect::Dial(subscription.source, subscription.to_http().into_bytes()));
             }
             Output::Close(LeaveReason::Reconfigured) => {
@@ -167,26 +301,56 @@
             }
             Output::Close(reason) => effects.push(Effect::Close(reason.to_string())),
             Output::Heard(at) => effects.push(Effect::Heard(at)),
+            // With a limit on the lag it does not matter which relay told what is known.
+            Output::Lost if self.lag.is_some() => {}
             Output::Lost => effects.push(Effect::Lost),
-            Output::Gap { .. } => effects.push(Effect::CopiesVoid),
+            Output::Gap { after, next } => {
+                let to = next.map_or("a history begun anew".to_string(), |next| format!("event {next}"));
+                log!("events are missing from {} to {to}: they may have been purges", after + 1);
+                self.missed(effects);
+            }
             Output::PassOver => {
                 log!("an event of the bulletin is passed over");
-                effects.push(Effect::CopiesVoid);
+                self.missed(effects);
             }
             Output::Apply(_) => effects.extend(news.take().map(Effect::Apply)),
         }
     }
+
+    /// Something was missed that may have been a purge.
+    fn missed(&self, effects: &mut Vec<Effect>) {
+        effects.push(Effect::CopiesVoid);
+        if self.config.file.is_some() {
+            effects.push(Effect::PurgesMissed);
+        }
+    }
+}
+
+fn lag_limit(file: &EventsFile) -> Micros {
+    file.lag_ms * MICROS_PER_MILLISECOND
 }
 
-fn subscriber_terms(source: Option<SocketAddr>, notice: Option<Micros>) -> SubscriberTerms {
+fn subscriber_terms(config: &EventsConfig, seed: u64) -> SubscriberTerms {
+    let longest_backoff = longest_backoff(config.notice);
+    let Some(file) = &config.file else {
+        return SubscriberTerms {
+            sources: config.bulletin.into_iter().collect(),
+            kind: SourceKind::Plain,
+            verify: false,
+            restart_history: false,
+            gzip: false,
+            scope: None,
+            longest_backoff,
+        };
+    };
     SubscriberTerms {
-        sources: source.into_iter().collect(),
-        kind: SourceKind::Plain,
-        verify: false,
-        restart_history: false,
-        gzip: false,
-        scope: None,
-        longest_backoff: longest_backoff(notice),
+        sources: shuffled(file.relays.clone(), seed),
+        kind: SourceKind::Relay,
+        verify: true,
+        restart_history: true,
+        gzip: file.gzip,
+        scope: file.scope.clone(),
+        longest_backoff,
     }
 }
 
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -83,7 +83,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "schema")]
 struct Schema {
-    /// which file: ensemble, hierarchy, copies, spread or fleet
+    /// which file: ensemble, hierarchy, copies, spread, fleet or events
     #[argh(positional)]
     file: String,
 }
@@ -110,6 +110,9 @@
     /// file of the fleet; without it, gateways know nothing of each other
     #[argh(option)]
     fleet: Option<String>,
+    /// file of the events; without it, they come from the configuration's bulletin
+    #[argh(option)]
+    events: Option<String>,
 }
 
 /// Print the version.
@@ -139,6 +142,9 @@
     /// file of the fleet
     #[argh(option)]
     fleet: Option<String>,
+    /// file of the events
+    #[argh(option)]
+    events: Option<String>,
 }
 
 /// Issue a signed URL or a token for one object.
@@ -176,6 +182,7 @@
         copies: args.copies.clone(),
         spread: args.spread.clone(),
         fleet: args.fleet.clone(),
+        events: args.events.clone(),
     };
     Gateway::new(files)?.run()
 }
@@ -188,6 +195,7 @@
         copies: args.copies.clone(),
         spread: args.spread.clone(),
         fleet: args.fleet.clone(),
+        events: args.events.clone(),
     };
     println!("{} is well configured", files.read()?.config.name);
     Ok(())
@@ -256,8 +264,9 @@
             "copies" => Ok(config::copies_schema()),
             "spread" => Ok(config::spread_schema()),
             "fleet" => Ok(config::fleet_schema()),
+            "events" => Ok(config::events_schema()),
             other => Err(format!(
-                "there is no schema of {other:?}, only of ensemble, hierarchy, copies, spread and fleet"
+                "there is no schema of {other:?}, only of ensemble, hierarchy, copies, spread, fleet and events"
             )),
         }
         .map(|schema| println!("{schema}")),
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -7,7 +7,7 @@
 use crate::core::{Core, Order, Ticket};
 use crate::deadlines::Due;
 use crate::descriptors::Descriptors;
-use crate::events::{self, Events};
+use crate::events::{self, Events, EventsConfig};
 use crate::hierarchy::{Hierarchy, HierarchyFile, ShieldReport};
 use crate::log;
 use crate::membership::{Effect, Membership, Own};
@@ -23,6 +23,7 @@
 use crate::upgrade::{self, Upgrade};
 use larchway::{Micros, Note, ServerId, Settings, State, Status};
 use larchway_copies::{Copies, CopiesFile};
+use larchway_distribution::events_file::EventsFile;
 use larchway_operations::cordon::{self, Cordon, Verdict};
 use larchway_operations::handover::{self, Company, Frame};
 use larchway_operations::tally::Gauges;
@@ -304,7 +305,7 @@
 impl Gateway {
     /// Listens where the configuration says and takes in what it knows.
     pub fn new(files: Files) -> Result<Self, String> {
-        let Loaded { config, front, fleet, hierarchy, copies, spread, tier } = files.read()?;
+        let Loaded { config, front, fleet, hierarchy, copies, spread, tier, events } = files.read()?;
         let poller = Poller::new().map_err(|e| format!("cannot poll: {e}"))?;
         let stop_signal = signal_pipe(&poller, &[SIGTERM, SIGINT], SIGNAL)?;
         let reload_signal = signal_pipe(&poller, &[SIGHUP], RELOAD)?;
@@ -365,9 +366,9 @@
         let name = config.name.clone();
         // What the other process knows comes before the first decision, and clients come when all is known.
         let told = scratch.map(|folder| gateway.find_others(at, &folder, &name)).unwrap_or_default();
-        gateway.keep_copies(&config, copies);
+        gateway.keep_copies(&config, copies, events.is_some());
         gateway.keep_peers(at, config.between_peers(spread, tier, fleet.as_ref()), &config.terms);
-        gateway.take_in(at, config, fleet, hierarchy)?;
+        gateway.take_in(at, config, fleet, hierarchy, events)?;
         gateway.told_first(now(), told);
         gateway.listener =
             Some(polled_in_time(&gateway.poller, gateway.listens, PLATFORM, shared, &gateway.stop_signal)?);
@@ -387,7 +388,14 @@
         config: Config,
         fleet: Option<Ensemble>,
         hierarchy: Option<HierarchyFile>,
+        events: Option<EventsFile>,
     ) -> Result<(), String> {
+        let events = EventsConfig {
+            name: config.name.clone(),
+            bulletin: config.bulletin,
+            notice: config.terms.notice,
+            file: events,
+        };
         self.memory = config.memory;
         self.sockets = config.sockets;
         self.share_limits();
@@ -431,8 +439,10 @@
         }
         let effects = self.events.take_known(config.items, config.known);
         self.apply_event_effects(at, effects);
-        let effects = self.events.configure(at, config.bulletin, self.terms.notice);
+        let effects = self.events.configure(at, events);
         self.apply_event_effects(at, effects);
+        let limit = self.events.lag_limit();
+        self.core.copies.iter_mut().for_each(|copies| copies.doubt_after(limit));
         Ok(())
     }
 
@@ -450,7 +460,7 @@
 
     /// Puts a configuration in the place of the one in force; what can fail comes first.
     fn replace(&mut self, at: Micros, loaded: Loaded) -> Result<(), String> {
-        let Loaded { config, front, fleet, hierarchy, copies, spread, tier } = loaded;
+        let Loaded { config, front, fleet, hierarchy, copies, spread, tier, events } = loaded;
         config.shape.replaces(&self.shape)?;
         config.terms.extends(&self.terms)?;
         // One that listens no more does not begin again.
@@ -478,23 +488,23 @@
         if rebound {
             self.log_listening();
         }
-        self.keep_copies(&config, copies);
+        self.keep_copies(&config, copies, events.is_some());
         if !self.shutdown.begun() {
             self.keep_peers(at, config.between_peers(spread, tier, fleet.as_ref()), &config.terms);
         }
-        self.take_in(at, config, fleet, hierarchy)
+        self.take_in(at, config, fleet, hierarchy, events)
     }
 
     /// Keeps copies of the gateway's own as its file says, or none; those held stay. They answer nothing until the
     /// bulletin has been heard.
-    fn keep_copies(&mut self, config: &Config, terms: Option<CopiesFile>) {
+    fn keep_copies(&mut self, config: &Config, terms: Option<CopiesFile>, relays: bool) {
         match (&mut self.core.copies, terms) {
             (copies, None) => *copies = None,
             (Some(copies), Some(terms)) => copies.configure(terms, config.uplink),
             (copies, Some(terms)) => *copies = Some(Copies::new(terms, config.uplink)),
         }
         if let Some(copies) = &mut self.core.copies {
-            copies.told_by_bulletin(config.bulletin.is_some());
+            copies.told_by_bulletin(config.bulletin.is_some() || relays);
         }
     }
 
@@ -1796,6 +1806,7 @@
                 let told = report.map(|report| serde_json::to_string(&report).unwrap_or_default());
                 console::Reply::told(told, "no copies are kept here")
             }
+            console::Call::Events => console::Reply::told(Some(self.events.report(at)), ""),
             console::Call::Spread => {
                 let told = self.peers.as_ref().and_then(|peers| peers.load(at));
                 console::Reply::told(told, "the fleet's view is not kept here")
@@ -1848,6 +1859,7 @@
         for effect in effects {
             match effect {
                 events::Effect::Dial(address, request) => self.dial_events(at, address, &request),
+                events::Effect::Write(bytes) => self.write_events(at, &bytes),
                 events::Effect::Close(why) => {
                     if let Some(key) = self.events_key.take() {
                         log!("the bulletin is lost: {why}");
@@ -1856,7 +1868,8 @@
                 }
                 events::Effect::Heard(when) => self.events_heard(at, Some(when)),
                 events::Effect::Lost => self.events_heard(at, None),
-                events::Effect::CopiesVoid => self.core.copies.iter_mut().for_each(Copies::forget_all),
+                events::Effect::CopiesVoid => self.core.void_copies(at),
+                events::Effect::PurgesMissed => self.core.purges_missed(at),
                 events::Effect::Apply(news) => self.tell(at, news),
             }
         }
@@ -1864,6 +1877,14 @@
         self.core.deadlines.shift(&mut self.events_due, due, Due::Events);
     }
 
+    fn write_events(&mut self, at: Micros, bytes: &[u8]) {
+        let Some(key) = self.events_key else { return };
+        if let Some(conn) = self.conns.get_mut(key) {
+            conn.output.bytes.extend_from_slice(bytes);
+        }
+        self.flush(at, key);
+    }
+
     fn dial_events(&mut self, at: Micros, address: SocketAddr, request: &[u8]) {
         let due = at + self.terms.connect_timeout;
         self.events_key = self.connect(at, address, Role::Events, due).ok();
--- a/gateway/tests/net/main.rs
+++ b/gateway/tests/net/main.rs
@@ -2,6 +2,7 @@
 mod command;
 mod copies;
 mod ensemble;
+mod events;
 mod fleet;
 mod hierarchy;
 mod membership;
--- a/gateway/tests/net/scenario/mod.rs
+++ b/gateway/tests/net/scenario/mod.rs
@@ -160,6 +160,8 @@
     pub spread: Option<&'static str>,
     /// The file of the fleet.
     pub fleet: Option<&'static str>,
+    /// The file of the events.
+    pub events: Option<&'static str>,
     /// More keys of the configuration, each with a comma behind it.
     pub config: &'static str,
     /// Whether operators may call.
@@ -184,6 +186,7 @@
             copies: None,
             spread: None,
             fleet: None,
+            events: None,
             config: "",
             console: false,
             settings: SETTINGS,
@@ -462,7 +465,8 @@
             command.args(["--hierarchy", &path]);
             files.insert("hierarchy".into(), (path, text.to_string()));
         }
-        for (name, text) in [("copies", setup.copies), ("spread", setup.spread), ("fleet", setup.fleet)] {
+        let (copies, spread) = (("copies", setup.copies), ("spread", setup.spread));
+        for (name, text) in [copies, spread, ("fleet", setup.fleet), ("events", setup.events)] {
             let Some(text) = text else { continue };
             let path = file(&format!("{name}.json"), text);
             command.args([&format!("--{name}"), &path]);
@@ -898,6 +902,20 @@
         self.asked_within(call, Duration::from_secs(4))
     }
 
+    /// What the request says to the store under this name, once it has come; it is the last one taken then.
+    pub fn asked_with(&mut self, call: &str, name: &str) -> Option<String> {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            if let Some(place) = self.find("store", &["PULL", call]) {
+                let said = larchway_gateway::resp::field(&self.backlog[place].fields, name).map(String::from);
+                self.take(place, &["PULL", call]);
+                return said;
+            }
+            let more = self.heard.recv_timeout(end.saturating_duration_since(Instant::now()));
+            self.backlog.push(more.unwrap_or_else(|_| panic!("PULL {call} never came")));
+        }
+    }
+
     /// Whether a store is asked for this request within so long; it is the last one taken then.
     pub fn asked_within(&mut self, call: &str, span: Duration) -> bool {
         let end = Instant::now() + span;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -76,6 +76,9 @@
     /// file of the fleet
     #[argh(option)]
     fleet: Option<String>,
+    /// file of the events
+    #[argh(option)]
+    events: Option<String>,
 }
 
 fn run_trial(args: &Trial) -> Result<bool, String> {
@@ -124,7 +127,8 @@
             let hierarchy = args.hierarchy.clone();
             let (signed, ensemble) = (args.signed.clone(), args.ensemble.clone());
             let (spread, fleet) = (args.spread.clone(), args.fleet.clone());
-            let files = Files { signed, ensemble, hierarchy, copies: None, spread, fleet };
+            let events = args.events.clone();
+            let files = Files { signed, ensemble, hierarchy, copies: None, spread, fleet, events };
             Gateway::new(files).and_then(|mut gateway| gateway.run()).map(|()| true)
         }
     };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -438,6 +438,9 @@
         /// The object, or none for the whole group.
         object: Option<ObjectId>,
     },
+    /// Purges up to now may have been missed: for some time, copies as old as a purge takes to be done everywhere will
+    /// not do.
+    PurgesMissed,
     /// The shares of homes have changed; none: no shape is given.
     Homes(Option<Homes>),
     /// By server, the share of its objects that goes to their next homes from now on; those left out keep all theirs.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -329,6 +329,7 @@
             Event::Homes(homes) => self.homes = homes,
             Event::Shed(shares) => self.shed = shares.into_iter().collect(),
             Event::Suspected(id) => self.servers.get_mut(&id).into_iter().for_each(Server::suspect),
+            Event::PurgesMissed => self.purges.miss(now + self.settings.purge_done),
             Event::Purged { age, group, object } => {
                 self.on_purge(now.saturating_sub(age), PurgeTarget::new(object, group));
             }
@@ -402,7 +403,10 @@
         let fresh = (class.fresh > 0).then(|| class.fresh + if grace { class.grace } else { 0 });
         let purged = self.purges.latest(self.now, req.object, req.group);
         let since = purged.map(|at| (self.now - at).saturating_sub(PURGE_MARGIN).max(1));
-        fresh.into_iter().chain(since).min()
+        // Danger: a missed purge leaves copies that must not be served, until it is done everywhere.
+        let missed = self.purges.missing(self.now).then_some(self.settings.purge_done);
+        let missed = missed.map(|age| age.saturating_sub(PURGE_MARGIN).max(1));
+        fresh.into_iter().chain(since).chain(missed).min()
     }
 
     fn on_request(&mut self, req: Request, actions: &mut Vec<Action>) {
--- a/src/purges.rs
+++ b/src/purges.rs
@@ -46,6 +46,8 @@
     by_expiry: BTreeSet<(Micros, PurgeTarget)>,
     /// Concerns all objects: purges that there is no room for, or that were missed.
     floor: Option<Purge>,
+    /// Until then, purges that were missed may not be done everywhere.
+    missed_until: Micros,
     /// Entries read, written or removed since the table was made.
     touched: u64,
 }
@@ -76,6 +78,16 @@
         self.floor = Some(self.floor.map_or(new, |floor| floor.join(new)));
     }
 
+    /// Records that purges were missed, of which nothing more is known; until a time they may not be done everywhere.
+    pub fn miss(&mut self, until: Micros) {
+        self.missed_until = self.missed_until.max(until);
+    }
+
+    /// Whether purges that were missed may not be done everywhere.
+    pub fn missing(&self, now: Micros) -> bool {
+        now < self.missed_until
+    }
+
     /// When the object was purged last, by itself, with its group, or by the floor; none if that is forgotten.
     pub fn latest(&self, now: Micros, object: ObjectId, group: u64) -> Option<Micros> {
         let targets = [PurgeTarget::Object(object), PurgeTarget::Group(group)];
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -255,6 +255,20 @@
     assert_eq!(get(&rig.ask(43)).expect("sent").max_age, None);
 }
 
+#[test]
+fn after_missed_purges_no_copy_is_asked_for_that_is_older_than_a_purge_takes_to_be_done() {
+    let mut rig = Rig::new(settings(), fleet());
+    let purge_done = settings().purge_done;
+    rig.tell(Event::PurgesMissed);
+    let bound = get(&rig.ask(42)).expect("sent").max_age.expect("a bound");
+    assert!(bound < purge_done && bound > purge_done / 2, "{bound}");
+    rig.tell(Event::Purged { age: 300 * MS, group: 7, object: Some(43) });
+    let purged = get(&rig.ask(43)).expect("sent").max_age.expect("a bound");
+    assert!(purged <= 300 * MS, "the younger bound holds: {purged}");
+    rig.wait(purge_done / MS);
+    assert_eq!(get(&rig.ask(44)).expect("sent").max_age, None);
+}
+
 #[test]
 fn grace_does_not_reach_behind_a_purge() {
     let mut set = settings();
