--- a/crates/distribution/src/event.rs
+++ b/crates/distribution/src/event.rs
@@ -10,6 +10,11 @@
 /// The largest number of an event: the largest integer that every JSON reader keeps exact (RFC 8259, section 6).
 pub const MAX_EVENT_NUMBER: EventNumber = (1 << 53) - 1;
 
+/// The digest of an event's data, by which histories are compared.
+pub fn digest(data: &str) -> u64 {
+    xxh3_64(data.as_bytes())
+}
+
 /// What an event concerns: a later event about the same subject replaces an earlier one.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Subject {
@@ -125,6 +130,6 @@
             (None, Some(recall)) => vec![Subject::Group(recall.lot)],
             (None, None) => Vec::new(),
         };
-        Ok(Event { number: form.no, data: data.into(), subjects, issued, digest: xxh3_64(data.as_bytes()) })
+        Ok(Event { number: form.no, data: data.into(), subjects, issued, digest: digest(data) })
     }
 }
