--- a/crates/distribution/src/relay/admission.rs
+++ b/crates/distribution/src/relay/admission.rs
@@ -142,8 +142,9 @@
     }
 }
 
-/// Whether a subscriber sees the jump if it gets a snapshot under this number. One that has nothing needs none.
+/// Whether a subscriber sees the jump if it gets a snapshot under this number. Else it would take the snapshot for the
+/// event of that number, and its digest for that of the history.
 pub(super) fn snapshot_shows(cursor: EventNumber, number: EventNumber) -> bool {
     let next_expected = cursor + 1;
-    number > next_expected || (cursor == 0 && number > 0)
+    number > next_expected
 }
--- a/crates/distribution/src/relay/messages.rs
+++ b/crates/distribution/src/relay/messages.rs
@@ -178,6 +178,8 @@
     CatchUpTooSlow,
     /// What it needs is not in the log any more and no whole list is known.
     NoSnapshot,
+    /// Events are missing that no jump of numbers shows: it has to come again for a snapshot.
+    HiddenGap,
     /// The relay has stopped serving.
     StoppedServing,
 }
--- a/crates/distribution/src/relay/upstream.rs
+++ b/crates/distribution/src/relay/upstream.rs
@@ -33,6 +33,8 @@
         if event.number <= self.log.last() {
             let reason = format!("upstream went back from event {} to {}", self.log.last(), event.number);
             self.stop_serving(now, reason, out);
+        } else if event.number == self.log.last() + 1 {
+            self.cut_all(now, CutReason::HiddenGap, out);
         }
         self.seal(now, out);
         self.pages.clear();
@@ -60,6 +62,16 @@
         out.push(Output::StopServing(reason));
     }
 
+    /// Cuts off all that read. Without a jump of numbers they would not see that something is missing (E1).
+    fn cut_all(&mut self, now: Micros, reason: CutReason, out: &mut Vec<Output>) {
+        for id in self.subscribers.ids() {
+            let waits = matches!(self.subscribers.get(id).map(|s| s.place), Some(Place::Waiting(_)));
+            if !waits {
+                self.cut(now, id, reason, out);
+            }
+        }
+    }
+
     /// Seals the open batch, if there is anything in it.
     pub(super) fn seal(&mut self, now: Micros, out: &mut Vec<Output>) {
         if self.ring.seal(now) {
--- a/crates/distribution/tests/relay.rs
+++ b/crates/distribution/tests/relay.rs
@@ -173,6 +173,20 @@
     assert_eq!((late.view.cursor, late.view.floor), (30, 30));
 }
 
+#[test]
+fn a_subscriber_with_nothing_never_takes_a_snapshot_for_the_first_event() {
+    let mut driver = Driver::new(Relay::new(terms()));
+    driver.input(Input::UpstreamGap(list(1, true, &[store_json(1, "up")])));
+    driver.heartbeat();
+    driver.pass(SECOND);
+    assert_eq!(rejection(&driver.subscribe(1, hello(0))), Some(RejectReason::NotReady));
+    driver.input(Input::Event(purge(2, 2)));
+    driver.pass(SECOND);
+    let mut fresh = reader(&mut driver, 2, hello(0));
+    fresh.pull_all(&mut driver.relay, driver.now);
+    assert_eq!((fresh.view.cursor, fresh.view.floor, fresh.view.verified), (2, 2, None));
+}
+
 #[test]
 fn no_snapshot_is_given_of_a_list_that_is_not_known_whole() {
     let mut driver = Driver::new(Relay::new(terms()));
@@ -197,6 +211,21 @@
     assert_eq!(driver.relay.log().first(), 51);
 }
 
+#[test]
+fn a_gap_that_no_jump_shows_cuts_all_off_so_that_they_come_again_for_a_snapshot() {
+    let mut driver = ready(terms(), 9);
+    reader(&mut driver, 1, hello(9));
+    let out = driver.input(Input::UpstreamGap(list(10, true, &[store_json(7, "up")])));
+    assert_eq!(cut(&out), Some(CutReason::HiddenGap));
+    driver.pass(SECOND);
+    assert_eq!(rejection(&driver.subscribe(2, hello(9))), Some(RejectReason::NotReady));
+    driver.input(Input::Event(purge(11, 11)));
+    driver.pass(SECOND);
+    let mut again = reader(&mut driver, 3, hello(9));
+    again.pull_all(&mut driver.relay, driver.now);
+    assert_eq!((again.view.cursor, again.view.floor), (11, 11));
+}
+
 #[test]
 fn another_history_upstream_ends_the_service_until_it_begins_anew() {
     let conflicting = Input::Event(purge(5, 500));
--- a/crates/distribution/tests/relay_histories.rs
+++ b/crates/distribution/tests/relay_histories.rs
@@ -183,8 +183,8 @@
     /// The source's snapshot under the number before its last, then the last event.
     fn feed_snapshot(&mut self, relay: usize) {
         let last = self.next() - 1;
-        let shows = self.relays[relay].relay.log().last() + 2;
-        if last <= shows || !self.source.stores().is_complete() {
+        let next = self.relays[relay].relay.log().last() + 1;
+        if last <= next || !self.source.stores().is_complete() {
             return;
         }
         let data = self.source.stores().snapshot(last - 1, |_| true).expect("a whole list");
