Give a subscriber with nothing the list in place of a long history

Cause: a gateway that starts anew was sent every event of the log, up to 200,000, though it has no copies that they could concern.

The test of encodings and scopes has pages of 30 events, so that it goes on counting all of them.

--- a/crates/distribution/src/relay/admission.rs
+++ b/crates/distribution/src/relay/admission.rs
@@ -106,6 +106,9 @@
         if cursor < self.log.first() - 1 {
             return self.start_with_snapshot(cursor);
         }
+        if cursor == 0 && self.snapshot_saves_pages() {
+            return Ok(Place::Snapshot);
+        }
         match self.check_history(cursor, hello) {
             HistoryCheck::Other => Err(RejectReason::OtherHistory),
             HistoryCheck::Unknown => self.start_with_snapshot(cursor),
@@ -113,6 +116,11 @@
         }
     }
 
+    /// Whether one that has nothing yet is better given the whole list than every event since the first.
+    fn snapshot_saves_pages(&self) -> bool {
+        self.ring.last() > self.terms.page_events && self.snapshot_number(0).is_some()
+    }
+
     fn start_with_snapshot(&self, cursor: EventNumber) -> Result<Place, RejectReason> {
         self.snapshot_number(cursor).map(|_| Place::Snapshot).ok_or(RejectReason::NotReady)
     }
--- a/crates/distribution/tests/relay.rs
+++ b/crates/distribution/tests/relay.rs
@@ -126,7 +126,7 @@
 
 #[test]
 fn all_encodings_and_scopes_lead_to_the_same_numbers() {
-    let mut driver = ready(terms(), 30);
+    let mut driver = ready(RelayTerms { page_events: 30, ..terms() }, 30);
     for (id, encoding) in [(1, Encoding::Identity), (2, Encoding::Gzip)] {
         for (offset, scope) in [(0, None), (10, Some("east")), (20, Some("west"))] {
             let scope = scope.map(str::to_string);
@@ -187,6 +187,16 @@
     assert_eq!((fresh.view.cursor, fresh.view.floor, fresh.view.verified), (2, 2, None));
 }
 
+#[test]
+fn a_subscriber_with_nothing_is_given_the_list_in_place_of_a_long_history() {
+    for (last, expected) in [(10, 10), (11, 2), (60, 2)] {
+        let mut driver = ready(terms(), last);
+        let mut fresh = reader(&mut driver, 1, hello(0));
+        fresh.pull_all(&mut driver.relay, driver.now);
+        assert_eq!((fresh.view.cursor, fresh.view.applied, fresh.view.stores.len()), (last, expected, 6));
+    }
+}
+
 #[test]
 fn no_snapshot_is_given_of_a_list_that_is_not_known_whole() {
     let mut driver = Driver::new(Relay::new(terms()));
