Measure one real gateway by stores listed, purges a second and gateways named

Cause: nothing showed what a gateway costs as the fleet grows to 12,000 gateways and 4,900 stores.

Change: trial capacity has the cases stores, purges, control and configuration, each on a process of the daemon; the stand-in bulletin writes events as they are published, has purges and counts what it writes.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -67,6 +67,9 @@
     /// file of the second front
     #[argh(option)]
     signed: Option<String>,
+    /// file of the gateway's own copies
+    #[argh(option)]
+    copies: Option<String>,
     /// file of the hierarchy
     #[argh(option)]
     hierarchy: Option<String>,
@@ -123,8 +126,8 @@
         Command::Daemon(args) => {
             let hierarchy = args.hierarchy.clone();
             let (signed, ensemble) = (args.signed.clone(), args.ensemble.clone());
-            let (spread, fleet) = (args.spread.clone(), args.fleet.clone());
-            let files = Files { signed, ensemble, hierarchy, copies: None, spread, fleet };
+            let (copies, spread, fleet) = (args.copies.clone(), args.spread.clone(), args.fleet.clone());
+            let files = Files { signed, ensemble, hierarchy, copies, spread, fleet };
             Gateway::new(files).and_then(|mut gateway| gateway.run()).map(|()| true)
         }
     };
--- a/lab/src/stand/bulletin.rs
+++ b/lab/src/stand/bulletin.rs
@@ -1,73 +1,118 @@
-//! A stand-in bulletin: numbered events by server-sent events, a comment every 500 ms.
+//! A stand-in bulletin: numbered events by server-sent events, a comment every 500 ms. An event is written to its
+//! subscribers as soon as it is published; events published meanwhile go out in one write.
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+/// Time between two comments.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+
 /// A bulletin.
 #[derive(Clone)]
 pub struct Bulletin {
     /// Where it listens.
     pub address: SocketAddr,
-    events: Arc<Mutex<Vec<String>>>,
+    shared: Arc<Shared>,
+}
+
+#[derive(Default)]
+struct Shared {
+    /// The data of all events; the first has number 1.
+    events: Mutex<Vec<String>>,
+    published: Condvar,
+    written: AtomicU64,
 }
 
 impl Bulletin {
-    /// Starts one that has told nothing.
+    /// Starts one that has published nothing.
     pub fn start() -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
-        let events = Arc::new(Mutex::new(Vec::new()));
-        let shared = events.clone();
+        let shared = Arc::new(Shared::default());
+        let served = shared.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let shared = shared.clone();
-                std::thread::spawn(move || serve(stream, &shared));
+                let served = served.clone();
+                std::thread::spawn(move || serve(stream, &served));
             }
         });
-        Ok(Bulletin { address, events })
+        Ok(Bulletin { address, shared })
     }
 
-    /// Tells entries of the list of stores.
+    /// Publishes entries of the list of stores.
     pub fn roster(&self, whole: bool, hosts: &[String]) {
-        let mut events = self.events.lock().unwrap_or_else(PoisonError::into_inner);
-        let no = events.len() + 1;
         let hosts = hosts.join(",");
-        events.push(format!(r#"{{"no":{no},"roster":{{"seq":{no},"whole":{whole},"hosts":[{hosts}]}}}}"#));
+        self.publish(|no| {
+            format!(r#"{{"no":{no},"roster":{{"seq":{no},"whole":{whole},"hosts":[{hosts}]}}}}"#)
+        });
+    }
+
+    /// Publishes the purge of an object, issued at a time in ms of the Unix clock.
+    pub fn purge(&self, object: u64, issued_ms: u64) {
+        self.publish(|no| {
+            format!(r#"{{"no":{no},"recall":{{"item":"{object:016x}","issued":{issued_ms}}}}}"#)
+        });
+    }
+
+    /// Bytes written to all subscribers so far, heads and comments among them.
+    pub fn bytes_written(&self) -> u64 {
+        self.shared.written.load(Ordering::Relaxed)
+    }
+
+    fn publish(&self, data: impl FnOnce(usize) -> String) {
+        let mut events = self.shared.events.lock().unwrap_or_else(PoisonError::into_inner);
+        let no = events.len() + 1;
+        events.push(data(no));
+        self.shared.published.notify_all();
     }
 }
 
-fn serve(stream: TcpStream, events: &Mutex<Vec<String>>) {
-    let Ok(reading) = stream.try_clone() else { return };
+/// The number after which a subscriber wants the events.
+fn cursor(stream: TcpStream) -> usize {
     let mut last = 0;
-    for line in BufReader::new(reading).lines().map_while(Result::ok) {
+    for line in BufReader::new(stream).lines().map_while(Result::ok) {
         if line.is_empty() {
             break;
         }
-        if let Some(told) = line.strip_prefix("Last-Event-ID: ") {
-            last = told.trim().parse().unwrap_or(0);
+        if let Some(number) = line.strip_prefix("Last-Event-ID: ") {
+            last = number.trim().parse().unwrap_or(0);
         }
     }
-    let mut stream = stream;
-    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
-    let mut beat = Instant::now();
-    let mut text = head.to_string();
+    last
+}
+
+fn serve(mut stream: TcpStream, shared: &Shared) {
+    let Ok(reading) = stream.try_clone() else { return };
+    let _ = stream.set_nodelay(true);
+    let mut last = cursor(reading);
+    let mut text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n".to_string();
+    let mut heartbeat = Instant::now();
     loop {
-        {
-            let events = events.lock().unwrap_or_else(PoisonError::into_inner);
-            for event in events.iter().skip(last) {
-                last += 1;
-                text.push_str(&format!("id: {last}\ndata: {event}\n\n"));
+        if !text.is_empty() {
+            if stream.write_all(text.as_bytes()).is_err() {
+                return;
             }
+            shared.written.fetch_add(text.len() as u64, Ordering::Relaxed);
+            text.clear();
         }
-        if beat.elapsed() > Duration::from_millis(500) {
-            beat = Instant::now();
+        last = next_events(shared, last, HEARTBEAT.saturating_sub(heartbeat.elapsed()), &mut text);
+        if heartbeat.elapsed() >= HEARTBEAT {
+            heartbeat = Instant::now();
             text.push_str(": here\n\n");
         }
-        if !text.is_empty() && stream.write_all(text.as_bytes()).is_err() {
-            return;
-        }
-        text.clear();
-        std::thread::sleep(Duration::from_millis(5));
     }
 }
+
+/// Waits for events after a number, for so long at most; writes them and returns the last one's number.
+fn next_events(shared: &Shared, last: usize, wait: Duration, text: &mut String) -> usize {
+    let events = shared.events.lock().unwrap_or_else(PoisonError::into_inner);
+    let nothing_new = |events: &mut Vec<String>| events.len() <= last;
+    let waited = shared.published.wait_timeout_while(events, wait, nothing_new);
+    let (events, _) = waited.unwrap_or_else(PoisonError::into_inner);
+    for (at, event) in events.iter().enumerate().skip(last) {
+        text.push_str(&format!("id: {}\ndata: {event}\n\n", at + 1));
+    }
+    last.max(events.len())
+}
--- /dev/null
+++ b/lab/src/trial/capacity/gateway/bench.rs
@@ -0,0 +1,220 @@
+//! One real gateway with a stand-in bulletin and a stand-in store, and what it uses while something happens.
+use super::process::ProcessMeter;
+use super::site::SiteConfiguration;
+use crate::clock::now;
+use crate::load::{self, Load, Tally};
+use crate::stand::bulletin::Bulletin;
+use crate::stand::store::Store;
+use crate::trial::fleet::{spawn, Gateway};
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+/// Bytes of an object.
+const OBJECT_BYTES: usize = 1000;
+/// Requests that the stand-in store works on at once.
+const STORE_WORKERS: usize = 64;
+/// Objects that are asked for.
+const OBJECTS: u64 = 20_000;
+/// The class of the requests.
+const CLASS: &str = "history-files";
+/// How long a reload may take.
+const RELOAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time between two looks into the log.
+const LOG_POLL: Duration = Duration::from_micros(200);
+/// What the gateway logs when it has read its configuration again.
+const RELOADED: &str = "the configuration is read again";
+
+/// What a case wants of its gateway.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Wanted {
+    /// Stores listed.
+    pub stores: usize,
+    /// Gateways named in `peers`.
+    pub gateways: usize,
+    /// Whether datagrams between gateways are allowed.
+    pub datagrams: bool,
+    /// Operator files by their flag.
+    pub files: Vec<(&'static str, String)>,
+    /// Feeds random numbers.
+    pub seed: u64,
+}
+
+/// What the gateway used in a span of time.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Usage {
+    /// The span.
+    pub elapsed: Duration,
+    /// Processor time of the gateway.
+    pub processor: Duration,
+    /// Bytes that the bulletin wrote to the gateway.
+    pub received: u64,
+}
+
+impl Usage {
+    /// Share of a core, in percent.
+    pub(crate) fn core_percent(&self) -> f64 {
+        self.processor.as_secs_f64() / self.elapsed.as_secs_f64() * 100.0
+    }
+
+    /// Bytes a second from the bulletin.
+    pub(crate) fn bytes_per_second(&self) -> f64 {
+        self.received as f64 / self.elapsed.as_secs_f64()
+    }
+
+    /// Processor time of one of `count` events in us, without what the idle gateway uses.
+    pub(crate) fn micros_each(&self, count: u64, idle: &Usage) -> f64 {
+        let idle_share = idle.processor.as_secs_f64() / idle.elapsed.as_secs_f64();
+        let busy = self.processor.as_secs_f64() - idle_share * self.elapsed.as_secs_f64();
+        busy * 1e6 / count.max(1) as f64
+    }
+}
+
+/// What a reload took.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Reload {
+    /// From the signal to the line in the log.
+    pub elapsed: Duration,
+    /// Processor time of the gateway.
+    pub processor: Duration,
+}
+
+/// A gateway and its surroundings. Its process and its files end with it.
+pub(crate) struct Bench {
+    /// The bulletin that it reads.
+    pub bulletin: Bulletin,
+    /// The gateway.
+    pub gateway: Gateway,
+    /// What its process uses.
+    pub meter: ProcessMeter,
+    /// What its configuration was written from.
+    pub site: SiteConfiguration,
+    _store: Store,
+    dir: PathBuf,
+}
+
+impl Bench {
+    /// Starts one; `name` tells its files from those of others.
+    pub(crate) fn start(name: &str, wanted: &Wanted) -> Result<Self, String> {
+        let dir = std::env::temp_dir().join(format!("larchway-lab-{}-capacity-{name}", std::process::id()));
+        std::fs::create_dir_all(&dir).map_err(|e| format!("{}: {e}", dir.display()))?;
+        let bulletin = Bulletin::start().map_err(|e| format!("the bulletin: {e}"))?;
+        let store = Store::wide(Duration::ZERO, OBJECT_BYTES, STORE_WORKERS)
+            .map_err(|e| format!("the store: {e}"))?;
+        let site = SiteConfiguration {
+            stores: wanted.stores,
+            gateways: wanted.gateways,
+            store: store.address,
+            bulletin: bulletin.address,
+            datagrams: wanted.datagrams,
+            seed: wanted.seed,
+        };
+        bulletin.roster(true, &site.entries());
+        let gateway = spawn(&dir, 0, &site.text(), &wanted.files)?;
+        let meter = ProcessMeter::new(gateway.process_id());
+        Ok(Bench { bulletin, gateway, meter, site, _store: store, dir })
+    }
+
+    /// What the gateway uses while `work` goes on.
+    pub(crate) fn during<T>(&self, work: impl FnOnce() -> T) -> Result<(Usage, T), String> {
+        let (started, processor, received) =
+            (Instant::now(), self.meter.processor_time()?, self.bulletin.bytes_written());
+        let done = work();
+        let usage = Usage {
+            processor: self.meter.processor_time()? - processor,
+            received: self.bulletin.bytes_written() - received,
+            elapsed: started.elapsed(),
+        };
+        Ok((usage, done))
+    }
+
+    /// What the gateway uses while nothing happens.
+    pub(crate) fn idle(&self, span: Duration) -> Result<Usage, String> {
+        self.during(|| std::thread::sleep(span)).map(|(usage, ())| usage)
+    }
+
+    /// Requests of clients at a rate, evenly over all objects.
+    pub(crate) fn request(&self, rate: f64, span: Duration, seed: u64) -> Result<Tally, String> {
+        let load = Load {
+            gateway: 1,
+            rate,
+            ttl_ms: 2000,
+            aim_ms: 250,
+            class: CLASS.into(),
+            objects: OBJECTS,
+            zipf: 0.0,
+            writes: 0.0,
+            span: span.as_micros() as u64,
+            seed,
+            lines: (load::CONNECTIONS, load::OFTEN),
+        };
+        load::play(self.gateway.front, &load).map_err(|e| format!("requests: {e}"))
+    }
+
+    /// A change of one store's state: out for a drain, or back.
+    pub(crate) fn change_list(&self, change: u64) {
+        let store = larchway::mix(change / 2) as usize % self.site.stores.max(1);
+        let health = if change.is_multiple_of(2) { "draining" } else { "up" };
+        self.bulletin.roster(false, &[self.site.entry(store, health)]);
+    }
+
+    /// The purge of an object, one of 2^64, issued now.
+    pub(crate) fn purge(&self, number: u64) {
+        let object = larchway::mix(number ^ self.site.seed << 40);
+        self.bulletin.purge(object, now() / 1000);
+    }
+
+    /// Has the gateway read its configuration again.
+    pub(crate) fn reload(&self) -> Result<Reload, String> {
+        let before = self.reloads_logged();
+        let (started, processor) = (Instant::now(), self.meter.processor_time()?);
+        self.gateway.hup()?;
+        while self.reloads_logged() == before {
+            if started.elapsed() > RELOAD_TIMEOUT {
+                return Err(format!("no reload within {RELOAD_TIMEOUT:?}"));
+            }
+            std::thread::sleep(LOG_POLL);
+        }
+        let elapsed = started.elapsed();
+        Ok(Reload { elapsed, processor: self.meter.processor_time()? - processor })
+    }
+
+    /// So many reloads; the least time and the least processor time count, for the others waited for the processor.
+    pub(crate) fn least_reload(&self, count: usize) -> Result<Reload, String> {
+        let mut least = self.reload()?;
+        for _ in 1..count {
+            let next = self.reload()?;
+            least.elapsed = least.elapsed.min(next.elapsed);
+            least.processor = least.processor.min(next.processor);
+        }
+        Ok(least)
+    }
+
+    fn reloads_logged(&self) -> usize {
+        std::fs::read_to_string(&self.gateway.log).unwrap_or_default().matches(RELOADED).count()
+    }
+}
+
+impl Drop for Bench {
+    fn drop(&mut self) {
+        self.gateway.kill();
+        if std::env::var_os("LARCHWAY_LAB_KEEP").is_none() {
+            let _ = std::fs::remove_dir_all(&self.dir);
+        }
+    }
+}
+
+/// Publishes at a rate for a span of time; each event gets its number from `first` on. Returns how many there were.
+pub(crate) fn publish_at(rate: f64, span: Duration, first: u64, mut publish: impl FnMut(u64)) -> u64 {
+    let started = Instant::now();
+    let mut count = 0;
+    loop {
+        let due = Duration::from_secs_f64(count as f64 / rate);
+        if due >= span {
+            std::thread::sleep(span.saturating_sub(started.elapsed()));
+            return count;
+        }
+        std::thread::sleep(due.saturating_sub(started.elapsed()));
+        publish(first + count);
+        count += 1;
+    }
+}
--- /dev/null
+++ b/lab/src/trial/capacity/gateway/control.rs
@@ -0,0 +1,110 @@
+//! `control`: all that one gateway spends for control at once, in steady state: stores listed, gateways named, purges with
+//! copies on, and list changes, at a part of the target and at the whole of it; and each of these alone.
+use super::bench::{publish_at, Bench, Usage, Wanted};
+use super::{purges, site};
+use crate::trial::capacity::{Played, Point, Series};
+use std::time::Duration;
+
+/// Parts of the target, each measured on a gateway of its own, all at the same time.
+const SCALES: [f64; 4] = [0.125, 0.25, 0.5, 1.0];
+/// List changes a second of the target: 41,000 a day.
+pub(crate) const LIST_CHANGES_PER_SECOND: f64 = 41_000.0 / 86_400.0;
+/// What control may cost a gateway: percent of a core, MB.
+const CORE_BUDGET: f64 = 2.6;
+const MEMORY_BUDGET: f64 = 128.0;
+/// How long each part is measured.
+const IDLE: Duration = Duration::from_secs(5);
+const LIST_ALONE: Duration = Duration::from_secs(20);
+const PURGES_ALONE: Duration = Duration::from_secs(10);
+const TOGETHER: Duration = Duration::from_secs(30);
+
+/// What a gateway spends for control, each part alone and all of it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ControlCost {
+    /// With nothing but the bulletin's comments.
+    pub idle: Usage,
+    /// With list changes alone.
+    pub list: Usage,
+    /// With purges alone, in steady state.
+    pub purges: Usage,
+    /// With both, in steady state.
+    pub together: Usage,
+    /// Resident memory at the end, MB.
+    pub memory_mb: f64,
+}
+
+/// Plays the case.
+pub(super) fn play(seed: u64) -> Result<Played, String> {
+    let costs = std::thread::scope(|scope| {
+        let started: Vec<_> =
+            SCALES.iter().map(|&scale| scope.spawn(move || measure_scale(scale, seed))).collect();
+        let joined = started.into_iter().map(|thread| thread.join().map_err(|_| "a size failed".to_string()));
+        joined.collect::<Result<Result<Vec<_>, _>, _>>()
+    })??;
+    let broken = costs.last().map(broken_bounds).unwrap_or_default();
+    Ok(Played { series: series(&costs), broken })
+}
+
+/// The series of costs at [`SCALES`].
+fn series(costs: &[ControlCost]) -> Vec<Series> {
+    let one = |quantity: &str, unit: &str, value: fn(&ControlCost) -> f64| {
+        let points =
+            SCALES.iter().zip(costs).map(|(&size, cost)| Point { size, value: value(cost) }).collect();
+        Series::new("control", quantity, unit, "part of the target", 1.0, points)
+    };
+    vec![
+        one("cpu_idle", "% of a core", |cost| cost.idle.core_percent()),
+        one("cpu_list_alone", "% of a core", |cost| cost.list.core_percent()),
+        one("cpu_purges_alone", "% of a core", |cost| cost.purges.core_percent()),
+        one("cpu_together", "% of a core", |cost| cost.together.core_percent()),
+        one("bytes_idle", "bytes/s", |cost| cost.idle.bytes_per_second()),
+        one("bytes_list_alone", "bytes/s", |cost| cost.list.bytes_per_second()),
+        one("bytes_purges_alone", "bytes/s", |cost| cost.purges.bytes_per_second()),
+        one("bytes_together", "bytes/s", |cost| cost.together.bytes_per_second()),
+        one("memory", "MB", |cost| cost.memory_mb),
+    ]
+}
+
+fn broken_bounds(cost: &ControlCost) -> Vec<String> {
+    let core = cost.together.core_percent();
+    let mut broken = Vec::new();
+    if core > CORE_BUDGET {
+        broken.push(format!("control takes {core:.2} % of a core, {CORE_BUDGET} allowed"));
+    }
+    if cost.memory_mb > MEMORY_BUDGET {
+        broken.push(format!("{:.1} MB are resident, {MEMORY_BUDGET} allowed", cost.memory_mb));
+    }
+    broken
+}
+
+fn measure_scale(scale: f64, seed: u64) -> Result<ControlCost, String> {
+    let part = |whole: usize| (whole as f64 * scale).round() as usize;
+    let wanted = Wanted {
+        stores: part(site::STORES),
+        gateways: part(site::GATEWAYS),
+        files: vec![("copies", purges::COPIES.to_string())],
+        seed,
+        ..Wanted::default()
+    };
+    let bench = Bench::start(&format!("control-{scale}"), &wanted)?;
+    measure(&bench, purges::TARGET_RATE * scale, LIST_CHANGES_PER_SECOND * scale)
+}
+
+/// What the gateway of a bench spends at these rates a second.
+pub(crate) fn measure(bench: &Bench, purge_rate: f64, change_rate: f64) -> Result<ControlCost, String> {
+    let idle = bench.idle(IDLE)?;
+    let change_list =
+        |first: u64, span: Duration| publish_at(change_rate, span, first, |change| bench.change_list(change));
+    let purge =
+        |first: u64, span: Duration| publish_at(purge_rate, span, first, |number| bench.purge(number));
+    let (list, changes) = bench.during(|| change_list(0, LIST_ALONE))?;
+    let before = purge(0, purges::REMEMBERED);
+    let (purges, count) = bench.during(|| purge(before, PURGES_ALONE))?;
+    let (together, ()) = bench.during(|| {
+        std::thread::scope(|scope| {
+            scope.spawn(|| change_list(changes, TOGETHER));
+            purge(before + count, TOGETHER);
+        });
+    })?;
+    Ok(ControlCost { idle, list, purges, together, memory_mb: bench.meter.resident_mb()? })
+}
--- /dev/null
+++ b/lab/src/trial/capacity/gateway/mod.rs
@@ -0,0 +1,21 @@
+//! Cases of one real gateway: a process of the daemon with stand-ins on loopback. Processor time is that of the process,
+//! by the kernel's accounting in ns; what the idle gateway uses is measured first and taken off.
+pub(crate) mod bench;
+mod configuration;
+pub(crate) mod control;
+pub(crate) mod process;
+pub(crate) mod purges;
+pub(crate) mod site;
+mod stores;
+
+use super::Case;
+
+/// The cases, in the order in which they are played.
+pub fn cases() -> Vec<Case> {
+    vec![
+        Case { name: "stores", play: stores::play },
+        Case { name: "purges", play: purges::play },
+        Case { name: "control", play: control::play },
+        Case { name: "configuration", play: configuration::play },
+    ]
+}
--- /dev/null
+++ b/lab/src/trial/capacity/gateway/purges.rs
@@ -0,0 +1,63 @@
+//! `purges`: what a purge costs one gateway that keeps copies, by the rate of purges, in steady state.
+use super::bench::{publish_at, Bench, Usage, Wanted};
+use crate::trial::capacity::{Played, Point, Series};
+use std::time::Duration;
+
+/// Purges a second at which it is measured.
+const RATES: [f64; 4] = [50.0, 250.0, 500.0, 1000.0];
+/// Purges a second of the target.
+pub(crate) const TARGET_RATE: f64 = 250.0;
+/// Purges are remembered for three times `goneEverywhereMs` (9.1 s) by the module, and by the copies for twice that and
+/// the longest deadline (2 s). The steady state begins after the longer of the two.
+pub(crate) const REMEMBERED: Duration = Duration::from_millis(28_000);
+/// How long the idle gateway and the steady state are measured.
+const IDLE: Duration = Duration::from_secs(3);
+const MEASURED: Duration = Duration::from_secs(8);
+/// Stores listed.
+const STORES: usize = 120;
+/// Objects that are asked for before, at a rate, so that copies are held.
+const FILL_RATE: f64 = 500.0;
+const FILL: Duration = Duration::from_secs(2);
+/// The file of the gateway's own copies: all by default.
+pub(crate) const COPIES: &str = "{}";
+
+/// What one rate showed.
+struct Steady {
+    usage: Usage,
+    micros_each: f64,
+    memory_mb: f64,
+}
+
+/// Plays the case.
+pub(super) fn play(seed: u64) -> Result<Played, String> {
+    let steady = std::thread::scope(|scope| {
+        let started: Vec<_> = RATES.iter().map(|&rate| scope.spawn(move || measure(rate, seed))).collect();
+        let joined = started.into_iter().map(|thread| thread.join().map_err(|_| "a rate failed".to_string()));
+        joined.collect::<Result<Result<Vec<_>, _>, _>>()
+    })??;
+    let series = |quantity: &str, unit: &str, value: fn(&Steady) -> f64| {
+        let points = RATES.iter().zip(&steady).map(|(&size, at)| Point { size, value: value(at) }).collect();
+        Series::new("purges", quantity, unit, "purges/s", TARGET_RATE, points)
+    };
+    let series = vec![
+        series("cpu_per_purge", "us", |at| at.micros_each),
+        series("cpu_share", "% of a core", |at| at.usage.core_percent()),
+        series("bytes_received", "bytes/s", |at| at.usage.bytes_per_second()),
+        series("memory", "MB", |at| at.memory_mb),
+    ];
+    Ok(Played { series, broken: Vec::new() })
+}
+
+/// All rates are measured at the same time, each on a gateway of its own.
+fn measure(rate: f64, seed: u64) -> Result<Steady, String> {
+    let files = vec![("copies", COPIES.to_string())];
+    let bench = Bench::start(
+        &format!("purges-{rate}"),
+        &Wanted { stores: STORES, gateways: 0, datagrams: false, files, seed },
+    )?;
+    bench.request(FILL_RATE, FILL, seed)?;
+    let idle = bench.idle(IDLE)?;
+    let before = publish_at(rate, REMEMBERED, 0, |number| bench.purge(number));
+    let (usage, count) = bench.during(|| publish_at(rate, MEASURED, before, |number| bench.purge(number)))?;
+    Ok(Steady { usage, micros_each: usage.micros_each(count, &idle), memory_mb: bench.meter.resident_mb()? })
+}
--- /dev/null
+++ b/lab/src/trial/capacity/gateway/site.rs
@@ -0,0 +1,96 @@
+//! The configuration of a gateway at one of 800 sites, with as many stores listed and gateways named as a case wants.
+use std::net::SocketAddr;
+
+/// Sites of the target.
+pub(crate) const SITES: usize = 800;
+/// Gateways of the target.
+pub(crate) const GATEWAYS: usize = 12_000;
+/// Stores of the target.
+pub(crate) const STORES: usize = 4_900;
+/// Stores of a site, until all sites have so many.
+const STORES_PER_SITE: usize = 6;
+/// Every so many stores one is a parent: a quarter as many parents as other stores.
+const PARENT_EVERY: usize = 5;
+/// Port of the gateways that are named; nothing listens there.
+const PEER_PORT: u16 = 7400;
+/// The site of the gateway that is measured.
+const OWN_SITE: usize = 0;
+
+/// What a configuration is written from.
+#[derive(Debug, Clone)]
+pub(crate) struct SiteConfiguration {
+    /// Stores listed, all of which are the one stand-in at `store`.
+    pub stores: usize,
+    /// Gateways named in `peers`.
+    pub gateways: usize,
+    /// Address of the stand-in store.
+    pub store: SocketAddr,
+    /// Address of the stand-in bulletin.
+    pub bulletin: SocketAddr,
+    /// Whether datagrams between gateways are allowed; `peer_listen` is set then.
+    pub datagrams: bool,
+    /// Seed of the gateway.
+    pub seed: u64,
+}
+
+impl SiteConfiguration {
+    /// The entry of a store in the list.
+    pub(crate) fn entry(&self, at: usize, health: &str) -> String {
+        let class = if at % PARENT_EVERY == PARENT_EVERY - 1 { "parent" } else { "standard" };
+        let site = (at / STORES_PER_SITE) % SITES;
+        format!(
+            r#"{{"host":"s-{at}","dial":"{}","site":"z{site}","class":"{class}","health":"{health}","share":4,"born_ms":0}}"#,
+            self.store
+        )
+    }
+
+    /// All entries, of stores that are up.
+    pub(crate) fn entries(&self) -> Vec<String> {
+        (0..self.stores).map(|at| self.entry(at, "up")).collect()
+    }
+
+    /// The text of the file that `EDGE_CONFIG` names.
+    pub(crate) fn text(&self) -> String {
+        let peers: Vec<String> =
+            (0..self.gateways).map(|number| format!("\"{}\"", peer_address(number))).collect();
+        let peer_listen = if self.datagrams { "\"127.0.0.1:0\"" } else { "null" };
+        format!(
+            r#"{{"seed":"{:x}","limits":{{"cores":1.0,"memory_mb":128,"sockets":8192}},"bulletin":"{}",
+ "peer_listen":{peer_listen},"peers":[{}],
+ "known":{{"no":1,"items":[{{"no":1,"roster":{{"seq":1,"whole":true,"hosts":[{}]}}}}]}},
+ "settings":{{{}}}}}"#,
+            self.seed,
+            self.bulletin,
+            peers.join(","),
+            self.entries().join(","),
+            self.settings(),
+        )
+    }
+
+    fn settings(&self) -> String {
+        let zones: Vec<String> = (0..SITES).map(|site| format!("\"z{site}\"")).collect();
+        let gateways = self.gateways.max(SITES);
+        let zone_gateways = vec![(gateways / SITES).to_string(); SITES];
+        format!(
+            r#""balancers":{gateways},"me":0,"familyInfo":{{"canJoin":true,"goneEverywhereMs":9100.0,"graceForMs":[0],
+ "lifetimeByClassMs":[600000],"mayPassBy":true,"neverKept":[false],"noteLevel":"all","oneFlowKbPerS":7800,
+ "peersFill":"any","shieldKind":1,"storeKind":2,"upperColdMs":21000,"zoneBalancers":[{}]}},
+ "limits":{{"cancel":true,"connIdleMs":30000,"connectTimeoutMs":400,"maxAttempts":8,"maxRetryAfterMs":1000,
+ "mayDuplicate":true,"peers":{},"retryAfter":true}},
+ "locality":{OWN_SITE},"membershipMode":"push","models":["standard","parent","origin"],"report":{{"fields":["util"]}},
+ "rules":{{"fallMs":1000,"fallMultiple":2.0,"startCapacity":0.3,"stopSendingWithinMs":500,"warmWithinMs":10000}},
+ "services":[{{"aimStretch":2,"deadlineMs":2000,"effect":"pure","name":"history-files","targetMs":250}}],
+ "weightKind":"nominal","zones":[{}]"#,
+            zone_gateways.join(","),
+            self.datagrams,
+            zones.join(",")
+        )
+    }
+}
+
+/// The address of a gateway that is named: one of its own on loopback for each number.
+fn peer_address(number: usize) -> SocketAddr {
+    let host = u32::try_from(number).unwrap_or(u32::MAX) + 1;
+    let [_, high, middle, low] = host.to_be_bytes();
+    SocketAddr::from(([127, high + 1, middle, low], PEER_PORT))
+}
