--- /dev/null
+++ b/lab/src/capacity/mod.rs
@@ -0,0 +1,9 @@
+//! The capacity page: `docs/CAPACITY.md` is prose with tables between markers, and the tables are worked out here from
+//! the measured series (`docs/capacity/slopes.json`) and the operators' figures (`docs/capacity/target.json`).
+pub mod division;
+pub mod figure;
+pub mod page;
+pub mod ranking;
+pub mod slopes;
+pub mod tables;
+pub mod target;
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! The laboratory: stand-ins for all that a fleet talks to, with scripted faults, and trials that measure what the
 //! daemon does with them. Nothing here is used by the daemon.
+pub mod capacity;
 pub mod clock;
 pub mod faults;
 pub mod load;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! The laboratory's command line.
 use argh::FromArgs;
 use larchway_gateway::{config::Files, net::Gateway};
+use larchway_lab::capacity::page::PageFiles;
 use larchway_lab::stand::ensemble::{command, Keepers};
 use larchway_lab::trial;
 use std::io::{BufRead, Write};
@@ -21,6 +22,7 @@
     Trial(Trial),
     Ensemble(Ensemble),
     Daemon(Daemon),
+    Capacity(Capacity),
 }
 
 /// Play a trial: failures against real processes, a table of figures; exits with 1 if a stated bound is broken.
@@ -81,12 +83,58 @@
     fleet: Option<String>,
 }
 
+/// The capacity page.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "capacity")]
+struct Capacity {
+    #[argh(subcommand)]
+    command: CapacityCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum CapacityCommand {
+    Page(Page),
+}
+
+/// Write the tables of docs/CAPACITY.md anew from docs/capacity/slopes.json and docs/capacity/target.json.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "page")]
+struct Page {
+    /// write nothing; exit with 1 if the page differs from what it should be
+    #[argh(switch)]
+    check: bool,
+    /// the folder of the page (default docs)
+    #[argh(option, default = "PathBuf::from(\"docs\")")]
+    docs: PathBuf,
+}
+
+fn run_page(args: &Page) -> Result<bool, String> {
+    let files = PageFiles::under(&args.docs);
+    let (text, fresh) = files.render()?;
+    if args.check {
+        if text != fresh {
+            println!("{} differs from its figures: run larchway-lab capacity page", files.page.display());
+        }
+        return Ok(text == fresh);
+    }
+    std::fs::write(&files.page, fresh).map_err(|e| format!("cannot write {}: {e}", files.page.display()))?;
+    Ok(true)
+}
+
 fn run_trial(args: &Trial) -> Result<bool, String> {
     let outcome = trial::play(&args.name, args.seed, args.case.as_deref())?;
     print!("{}", outcome.table);
     if let Some(path) = &args.json {
-        let text = serde_json::to_string_pretty(&outcome.figures).map_err(|e| e.to_string())?;
-        std::fs::write(path, text).map_err(|e| format!("cannot write {}: {e}", path.display()))?;
+        // A case of `capacity` played alone leaves the others in the file.
+        let figures = match &args.case {
+            Some(_) if args.name == "capacity" && path.exists() => {
+                trial::capacity::with_other_cases(outcome.figures, path)?
+            }
+            _ => outcome.figures,
+        };
+        let text = serde_json::to_string_pretty(&figures).map_err(|e| e.to_string())?;
+        std::fs::write(path, text + "\n").map_err(|e| format!("cannot write {}: {e}", path.display()))?;
     }
     for bound in &outcome.broken {
         println!("BROKEN {bound}");
@@ -122,6 +170,7 @@
     let args: Args = argh::from_env();
     let done = match &args.command {
         Command::Trial(args) => run_trial(args),
+        Command::Capacity(Capacity { command: CapacityCommand::Page(args) }) => run_page(args),
         Command::Ensemble(args) => run_ensemble(args).map(|()| true),
         Command::Daemon(args) => {
             let hierarchy = args.hierarchy.clone();
--- a/lab/src/trial/capacity/gateway/bench.rs
+++ b/lab/src/trial/capacity/gateway/bench.rs
@@ -19,6 +19,8 @@
 const CLASS: &str = "history-files";
 /// How long a reload may take.
 const RELOAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time between two reloads: the gateway logs five lines a second of a kind at most.
+const RELOAD_PAUSE: Duration = Duration::from_millis(250);
 /// Time between two looks into the log.
 const LOG_POLL: Duration = Duration::from_micros(200);
 /// What the gateway logs when it has read its configuration again.
@@ -72,7 +74,7 @@
 /// What a reload took.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Reload {
-    /// From the signal to the line in the log.
+    /// From before the signal is sent to the line in the log; some 1 to 3 ms of it are the program that sends it.
     pub elapsed: Duration,
     /// Processor time of the gateway.
     pub processor: Duration,
@@ -182,6 +184,7 @@
     pub(crate) fn least_reload(&self, count: usize) -> Result<Reload, String> {
         let mut least = self.reload()?;
         for _ in 1..count {
+            std::thread::sleep(RELOAD_PAUSE);
             let next = self.reload()?;
             least.elapsed = least.elapsed.min(next.elapsed);
             least.processor = least.processor.min(next.processor);
--- /dev/null
+++ b/lab/src/trial/capacity/gateway/clients.rs
@@ -0,0 +1,48 @@
+//! `clients`: what idle connections of clients cost one gateway, by their number.
+use super::bench::{Bench, Wanted};
+use crate::trial::capacity::{Played, Point, Series};
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// Connections held.
+const SIZES: [usize; 4] = [10, 100, 400, 1_600];
+/// Connections of a gateway at the target, as assumed: ten requests a second and connection at the mean gateway's peak.
+const TARGET: f64 = 81.0;
+/// Stores listed.
+const STORES: usize = 120;
+/// Time until all connections are taken in, and for which they are measured; the gateway closes none that is idle so short.
+const SETTLE: Duration = Duration::from_millis(500);
+const IDLE: Duration = Duration::from_secs(5);
+
+/// Memory in MB and share of a core in percent.
+struct Shown {
+    connections: usize,
+    memory_mb: f64,
+    core_percent: f64,
+}
+
+/// Plays the case.
+pub(super) fn play(seed: u64) -> Result<Played, String> {
+    let shown = SIZES.iter().map(|&size| measure(size, seed)).collect::<Result<Vec<_>, _>>()?;
+    let series = |quantity: &str, unit: &str, value: fn(&Shown) -> f64| {
+        let points = shown.iter().map(|at| Point { size: at.connections as f64, value: value(at) }).collect();
+        Series::new("clients", quantity, unit, "idle connections", TARGET, points)
+    };
+    let series = vec![
+        series("memory", "MB", |at| at.memory_mb),
+        series("cpu_idle", "% of a core", |at| at.core_percent),
+    ];
+    Ok(Played { series, broken: Vec::new() })
+}
+
+fn measure(connections: usize, seed: u64) -> Result<Shown, String> {
+    let wanted = Wanted { stores: STORES, seed, ..Wanted::default() };
+    let bench = Bench::start(&format!("clients-{connections}"), &wanted)?;
+    let opened = (0..connections).map(|_| TcpStream::connect(bench.gateway.front));
+    let held: Vec<TcpStream> = opened.collect::<Result<_, _>>().map_err(|e| format!("a client: {e}"))?;
+    std::thread::sleep(SETTLE);
+    let idle = bench.idle(IDLE)?;
+    let memory_mb = bench.meter.resident_mb()?;
+    drop(held);
+    Ok(Shown { connections, memory_mb, core_percent: idle.core_percent() })
+}
--- a/lab/src/trial/capacity/gateway/mod.rs
+++ b/lab/src/trial/capacity/gateway/mod.rs
@@ -1,11 +1,13 @@
 //! Cases of one real gateway: a process of the daemon with stand-ins on loopback. Processor time is that of the process,
 //! by the kernel's accounting in ns; what the idle gateway uses is measured first and taken off.
 pub(crate) mod bench;
+mod clients;
 mod configuration;
 pub(crate) mod control;
+mod peers;
 pub(crate) mod process;
 pub(crate) mod purges;
-pub(crate) mod site;
+pub mod site;
 mod stores;
 
 use super::Case;
@@ -17,5 +19,7 @@
         Case { name: "purges", play: purges::play },
         Case { name: "control", play: control::play },
         Case { name: "configuration", play: configuration::play },
+        Case { name: "clients", play: clients::play },
+        Case { name: "peers", play: peers::play },
     ]
 }
--- a/lab/src/trial/capacity/gateway/site.rs
+++ b/lab/src/trial/capacity/gateway/site.rs
@@ -2,11 +2,11 @@
 use std::net::SocketAddr;
 
 /// Sites of the target.
-pub(crate) const SITES: usize = 800;
+pub const SITES: usize = 800;
 /// Gateways of the target.
-pub(crate) const GATEWAYS: usize = 12_000;
+pub const GATEWAYS: usize = 12_000;
 /// Stores of the target.
-pub(crate) const STORES: usize = 4_900;
+pub const STORES: usize = 4_900;
 /// Stores of a site, until all sites have so many.
 const STORES_PER_SITE: usize = 6;
 /// Every so many stores one is a parent: a quarter as many parents as other stores.
@@ -18,7 +18,7 @@
 
 /// What a configuration is written from.
 #[derive(Debug, Clone)]
-pub(crate) struct SiteConfiguration {
+pub struct SiteConfiguration {
     /// Stores listed, all of which are the one stand-in at `store`.
     pub stores: usize,
     /// Gateways named in `peers`.
@@ -35,7 +35,7 @@
 
 impl SiteConfiguration {
     /// The entry of a store in the list.
-    pub(crate) fn entry(&self, at: usize, health: &str) -> String {
+    pub fn entry(&self, at: usize, health: &str) -> String {
         let class = if at % PARENT_EVERY == PARENT_EVERY - 1 { "parent" } else { "standard" };
         let site = (at / STORES_PER_SITE) % SITES;
         format!(
@@ -45,12 +45,12 @@
     }
 
     /// All entries, of stores that are up.
-    pub(crate) fn entries(&self) -> Vec<String> {
+    pub fn entries(&self) -> Vec<String> {
         (0..self.stores).map(|at| self.entry(at, "up")).collect()
     }
 
     /// The text of the file that `EDGE_CONFIG` names.
-    pub(crate) fn text(&self) -> String {
+    pub fn text(&self) -> String {
         let peers: Vec<String> =
             (0..self.gateways).map(|number| format!("\"{}\"", peer_address(number))).collect();
         let peer_listen = if self.datagrams { "\"127.0.0.1:0\"" } else { "null" };
--- a/lab/src/trial/capacity/mod.rs
+++ b/lab/src/trial/capacity/mod.rs
@@ -4,10 +4,12 @@
 pub mod gateway;
 
 use super::Outcome;
+use crate::capacity::slopes::Slopes;
 use fit::Fit;
 use serde::{Deserialize, Serialize};
-use serde_json::json;
+use serde_json::Value;
 use std::fmt::Write as _;
+use std::path::Path;
 
 /// One point of a series.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
@@ -83,7 +85,7 @@
         let names: Vec<&str> = cases().iter().map(|c| c.name).collect();
         return Err(format!("there is no case {:?}; there are: {}", only.unwrap_or(""), names.join(", ")));
     }
-    let mut outcome = Outcome { table: String::new(), figures: json!([]), broken: Vec::new() };
+    let mut outcome = Outcome { table: String::new(), figures: Value::Null, broken: Vec::new() };
     let mut all = Vec::new();
     for case in chosen {
         let played = (case.play)(seed)?;
@@ -93,10 +95,18 @@
             all.push(series);
         }
     }
-    outcome.figures = serde_json::to_value(all).map_err(|e| e.to_string())?;
+    let slopes = Slopes { seed, series: all };
+    outcome.figures = serde_json::to_value(slopes).map_err(|e| e.to_string())?;
     Ok(outcome)
 }
 
+/// The figures of some cases, with those that an older file has of the other cases.
+pub fn with_other_cases(figures: Value, older: &Path) -> Result<Value, String> {
+    let mut slopes: Slopes = serde_json::from_value(figures).map_err(|e| e.to_string())?;
+    slopes.keep_other_cases(Slopes::read(older)?);
+    serde_json::to_value(slopes).map_err(|e| e.to_string())
+}
+
 fn write_series(table: &mut String, series: &Series) {
     let _ = writeln!(table, "{} {} ({} by {})", series.case, series.quantity, series.unit, series.size_unit);
     for point in &series.points {
--- /dev/null
+++ b/lab/tests/capacity_growth.rs
@@ -0,0 +1,60 @@
+//! Scale tests of what one gateway is configured with: they count entries and bytes at n, 4n and 16n, and time nothing.
+use larchway_gateway::bulletin::{self, News};
+use larchway_gateway::config::{self, Config};
+use larchway_lab::trial::capacity::gateway::site::SiteConfiguration;
+use std::net::SocketAddr;
+
+/// Bytes that a gateway named may add to the file: an address in quotes and a comma.
+const MOST_PER_GATEWAY: usize = 24;
+/// Bytes that a store listed may add to the file.
+const MOST_PER_STORE: usize = 130;
+/// Bytes of one event that changes the state of one store.
+const MOST_OF_A_CHANGE: usize = 130;
+
+fn site(stores: usize, gateways: usize) -> SiteConfiguration {
+    let address = SocketAddr::from(([127, 0, 0, 1], 20_000));
+    SiteConfiguration { stores, gateways, store: address, bulletin: address, datagrams: true, seed: 1 }
+}
+
+fn read(site: &SiteConfiguration) -> Config {
+    let listen = Some("127.0.0.1:0".to_string());
+    config::read(&site.text(), Some("g".into()), listen, None).expect("the configuration is read")
+}
+
+#[test]
+fn bytes_of_a_configuration_grow_by_a_constant_for_each_gateway_named_and_all_are_known() {
+    let alone = site(12, 0).text().len();
+    for gateways in [750, 3_000, 12_000] {
+        let site = site(12, gateways);
+        assert_eq!(read(&site).peers.all.len(), gateways);
+        let added = site.text().len() - alone;
+        assert!(added <= MOST_PER_GATEWAY * gateways + 4_000, "{gateways} gateways add {added} bytes");
+    }
+}
+
+#[test]
+fn bytes_of_a_configuration_grow_by_a_constant_for_each_store_listed_and_all_are_known() {
+    let alone = site(0, 12).text().len();
+    for stores in [306, 1_224, 4_900] {
+        let site = site(stores, 12);
+        let config = read(&site);
+        let [item] = &config.items[..] else { panic!("{} items", config.items.len()) };
+        let News::Roster { whole: true, stores: listed } = &item.news else { panic!("{:?}", item.news) };
+        assert_eq!(listed.len(), stores);
+        let added = site.text().len() - alone;
+        assert!(added <= MOST_PER_STORE * stores, "{stores} stores add {added} bytes");
+    }
+}
+
+#[test]
+fn an_event_that_changes_one_store_touches_one_entry_however_many_are_listed() {
+    for stores in [306, 1_224, 4_900] {
+        let site = site(stores, 12);
+        let entry = site.entry(stores - 1, "draining");
+        let event = format!(r#"{{"no":2,"roster":{{"seq":2,"whole":false,"hosts":[{entry}]}}}}"#);
+        let item = bulletin::event(&event, &read(&site).terms).expect("the event is read");
+        let News::Roster { whole: false, stores: changed } = &item.news else { panic!("{:?}", item.news) };
+        assert_eq!(changed.len(), 1);
+        assert!(entry.len() <= MOST_OF_A_CHANGE, "{stores} stores: {} bytes", entry.len());
+    }
+}
