Share the measuring of sizes among the gateway's cases, and work out what a gateway holds

Cause: each case of one real gateway repeated how sizes are played and series made.

Change: one type measures sizes one by one or at once and makes the series; the page has a table of what a gateway holds at the target.

--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -5,5 +5,6 @@
 pub mod page;
 pub mod ranking;
 pub mod slopes;
+pub mod state;
 pub mod tables;
 pub mod target;
--- a/lab/src/capacity/tables.rs
+++ b/lab/src/capacity/tables.rs
@@ -3,6 +3,7 @@
 use super::figure::{number, Figure, Mark};
 use super::ranking::{ranked, Compared};
 use super::slopes::{at, Slopes};
+use super::state::gateway_state;
 use super::target::Target;
 use crate::trial::capacity::Series;
 
@@ -16,6 +17,7 @@
         "assumed" => assumed_rows(target),
         "load" => load_rows(target),
         "events" => event_rows(slopes, target)?,
+        "state" => state_rows(slopes, target),
         "ranking" => ranking_rows(slopes, target),
         "bad-days" => bad_day_rows(slopes, target)?,
         _ => match name.strip_prefix("series ") {
@@ -87,6 +89,8 @@
         ("machines in a rack", assumed.machines_in_rack, ""),
         ("time for which a region is cut off", assumed.region_cut_seconds, "s"),
         ("subscribers of a relay", assumed.subscribers_of_relay, ""),
+        ("longest deadline of a class", assumed.longest_deadline_seconds, "s"),
+        ("requests on one connection of a client at the peak", assumed.requests_per_connection, "a second"),
     ];
     let mut rows = vec![row(["what", "figure"])];
     rows.extend(all.iter().map(|(what, value, unit)| {
@@ -145,6 +149,11 @@
     ];
     let mut all = vec![row(["what", "figure"])];
     all.extend(rows.iter().map(|(what, figure)| row([what, &figure.to_string()])));
+    for role in role_loads(target).iter().filter(|role| ["site", "zone", "region"].contains(&role.role)) {
+        let what = format!("bytes into a {}, a stream for each of its gateways", role.role);
+        let figure = computed(load.bytes_to_each * role.gateways, "a second");
+        all.push(row([&what, &figure.to_string()]));
+    }
     Ok(all)
 }
 
@@ -176,6 +185,15 @@
     ]
 }
 
+fn state_rows(slopes: &Slopes, target: &Target) -> Vec<Vec<String>> {
+    let mut rows = vec![row(["what a gateway holds", "entries at the target", "each"])];
+    rows.extend(gateway_state(slopes, target).iter().map(|state| {
+        let each = state.bytes_each.as_ref().map_or("not measured".to_string(), Figure::to_string);
+        row([state.what, &state.entries.to_string(), &each])
+    }));
+    rows
+}
+
 fn ranking_rows(slopes: &Slopes, target: &Target) -> Vec<Vec<String>> {
     let mut rows = vec![row([
         "role",
--- a/lab/src/capacity/target.rs
+++ b/lab/src/capacity/target.rs
@@ -102,6 +102,10 @@
     pub region_cut_seconds: f64,
     /// Subscribers of a relay.
     pub subscribers_of_relay: f64,
+    /// Seconds of the longest deadline of a class.
+    pub longest_deadline_seconds: f64,
+    /// Requests a second on one connection of a client at the peak.
+    pub requests_per_connection: f64,
 }
 
 /// A need that is compared with a budget: a series at a size, times a factor.
--- a/lab/src/trial/capacity/gateway/mod.rs
+++ b/lab/src/trial/capacity/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod process;
 pub(crate) mod purges;
 pub mod site;
+mod sizes;
 mod stores;
 
 use super::Case;
