--- a/lab/src/capacity/tables.rs
+++ b/lab/src/capacity/tables.rs
@@ -224,11 +224,24 @@
         budget,
         ratio,
         headroom.unwrap_or_default(),
-        compared.breaks_at.as_ref().map_or("it does not grow".to_string(), Figure::to_string),
+        breaks_at(compared),
         need.mechanism.clone(),
     ]
 }
 
+/// Bytes that have to be caught up with within the time in which a purge is done everywhere.
+fn catch_up_rate(target: &Target, bytes: f64) -> Figure {
+    computed(bytes / 1e6 / target.load.purge_everywhere_seconds, "MB a second")
+}
+
+fn breaks_at(compared: &Compared<'_>) -> String {
+    match (&compared.breaks_at, &compared.value) {
+        (Some(size), _) => size.to_string(),
+        (None, Some(_)) => "it does not grow".to_string(),
+        (None, None) => String::new(),
+    }
+}
+
 fn bad_day_rows(slopes: &Slopes, target: &Target) -> Result<Vec<Vec<String>>, String> {
     let (fleet, assumed) = (&target.fleet, &target.assumed);
     let purge_bytes = bytes_per_purge(slopes)?;
@@ -254,6 +267,8 @@
     add("a zone returns", "whole lists sent", lists(per_zone));
     add("a region was cut", "purges that each gateway has missed", computed(missed, "").to_string());
     add("a region was cut", "bytes to catch up, all its gateways, uncompressed", events(per_region));
+    let in_time = catch_up_rate(target, per_region * missed * purge_bytes);
+    add("a region was cut", "the same within the time for a purge", in_time.to_string());
     add("all gateways start", "whole lists sent", lists(fleet.gateways));
     add(
         "the source is lost",
--- a/lab/src/trial/fleet.rs
+++ b/lab/src/trial/fleet.rs
@@ -1,4 +1,4 @@
-//! A small fleet on loopback: gateways as processes of their own, boxes, an ensemble, a bulletin.
+//! A small fleet on loopback: gateways as processes of their own, stores, an ensemble, a bulletin.
 use crate::stand::bulletin::Bulletin;
 use crate::stand::ensemble::Keepers;
 use crate::stand::registrar::Registrar;
@@ -10,13 +10,13 @@
 use std::sync::mpsc::channel;
 use std::time::Duration;
 
-/// A box with its session.
+/// A store with its session.
 pub struct Member {
     /// Its name.
     pub name: String,
     /// `standard`, `parent` or `origin`.
     pub class: &'static str,
-    /// The box.
+    /// The store.
     pub store: Store,
     /// Its session.
     pub registrar: Registrar,
@@ -52,14 +52,14 @@
     pub keepers: Keepers,
     /// The bulletin.
     pub bulletin: Bulletin,
-    /// The boxes.
+    /// The stores.
     pub members: Vec<Member>,
     /// The gateways.
     pub gateways: Vec<Gateway>,
     dir: PathBuf,
 }
 
-/// How long a box's session lives without it, ms.
+/// How long a store's session lives without it, ms.
 pub const SESSION_MS: u64 = 2000;
 
 /// The settings of all trials.
@@ -107,9 +107,9 @@
     };
     write(&path("config.json"), config)?;
     // A test is another program than the laboratory, and names it.
-    let own = std::env::var_os("LARCHWAY_LAB").map(PathBuf::from);
-    let own = own.map_or_else(std::env::current_exe, Ok).map_err(|e| format!("the own program: {e}"))?;
-    let mut command = Command::new(own);
+    let program = std::env::var_os("LARCHWAY_LAB").map(PathBuf::from);
+    let program = program.map_or_else(std::env::current_exe, Ok);
+    let mut command = Command::new(program.map_err(|e| format!("the own program: {e}"))?);
     command.arg("daemon");
     for (flag, text) in files {
         write(&path(flag), text)?;
@@ -122,16 +122,16 @@
         .stderr(Stdio::piped())
         .spawn()
         .map_err(|e| format!("a gateway: {e}"))?;
-    let (found, address) = channel();
+    let (listening, address) = channel();
     let log = path("log");
-    let mut kept = std::fs::File::create(&log).map_err(|e| format!("a log: {e}"))?;
+    let mut log_file = std::fs::File::create(&log).map_err(|e| format!("a log: {e}"))?;
     if let Some(lines) = child.stderr.take() {
         std::thread::spawn(move || {
             for line in BufReader::new(lines).lines().map_while(Result::ok) {
                 if let Some((_, address)) = line.split_once("listening on ") {
-                    let _ = found.send(address.parse::<SocketAddr>());
+                    let _ = listening.send(address.parse::<SocketAddr>());
                 }
-                let _ = writeln!(kept, "{} {line}", crate::clock::now() / 1000);
+                let _ = writeln!(log_file, "{} {line}", crate::clock::now() / 1000);
             }
         });
     }
@@ -154,7 +154,7 @@
  "weightKind":"rough","zones":["east","edge"]}"#;
 
 impl Fleet {
-    /// Starts boxes and their sessions, the bulletin, the ensemble, and so many gateways with this part of the
+    /// Starts stores and their sessions, the bulletin, the ensemble, and so many gateways with this part of the
     /// ensemble's file. `name` tells its files from those of others.
     pub fn start(name: &str, caches: usize, gateways: usize, file: &str, seed: u64) -> Result<Self, String> {
         let io = |what: &str, e: std::io::Error| format!("{what}: {e}");
@@ -175,7 +175,7 @@
         let deadline = std::time::Instant::now() + Duration::from_secs(10);
         while !fleet.members.iter().all(|m| m.registrar.registered()) {
             if std::time::Instant::now() > deadline {
-                return Err("the boxes do not register".into());
+                return Err("the stores do not register".into());
             }
             std::thread::sleep(Duration::from_millis(10));
         }
@@ -188,13 +188,13 @@
         Ok(fleet)
     }
 
-    /// A box by its name.
+    /// A store by its name.
     pub fn member(&self, name: &str) -> &Member {
-        self.members.iter().find(|m| m.name == name).expect("a trial names its own boxes")
+        self.members.iter().find(|m| m.name == name).expect("a trial names its own stores")
     }
 
     fn add(&mut self, name: &str, class: &'static str, seed: u64) -> Result<(), String> {
-        let store = Store::start(Duration::from_millis(5), 1000).map_err(|e| format!("a box: {e}"))?;
+        let store = Store::start(Duration::from_millis(5), 1000).map_err(|e| format!("a store: {e}"))?;
         let servers = self.keepers.servers.clone();
         let registrar = Registrar::start(servers, "/stores", name, b"", SESSION_MS, seed);
         let member = Member { name: name.into(), class, store, registrar };
