Show messages on the capacity page, and budgets relative to another size

Cause: the page lacked rates, bytes, fan-in and fan-out of the messages, and the bound that a purge at 1,000 a second costs 1.2 times that at 250 had no place.

Change: a table of messages; a need may have a budget that is a multiple of the value at another size.

--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -2,6 +2,7 @@
 //! the measured series (`docs/capacity/slopes.json`) and the operators' figures (`docs/capacity/target.json`).
 pub mod division;
 pub mod figure;
+pub mod messages;
 pub mod page;
 pub mod ranking;
 pub mod slopes;
--- a/lab/src/capacity/ranking.rs
+++ b/lab/src/capacity/ranking.rs
@@ -8,6 +8,8 @@
 pub struct Compared<'a> {
     /// The need.
     pub need: &'a Need,
+    /// The budget, in the unit of the value; none if it is relative to what is not measured.
+    pub budget: Option<f64>,
     /// Its value at the target; none if its series is not measured.
     pub value: Option<Figure>,
     /// The size at which it reaches its budget, if it grows.
@@ -17,7 +19,7 @@
 impl Compared<'_> {
     /// Need over budget; none if it is not measured.
     pub fn ratio(&self) -> Option<f64> {
-        self.value.as_ref().map(|value| value.value / self.need.budget)
+        Some(self.value.as_ref()?.value / self.budget?)
     }
 
     /// Whether the budget is exceeded.
@@ -36,10 +38,12 @@
 
 fn compare<'a>(need: &'a Need, slopes: &Slopes) -> Compared<'a> {
     let Some(series) = slopes.find(&need.case, &need.quantity) else {
-        return Compared { need, value: None, breaks_at: None };
+        let budget = need.relative_to.is_none().then_some(need.budget);
+        return Compared { need, budget, value: None, breaks_at: None };
     };
     let value = at(series, need.size);
     let value = if need.times == 1.0 { value } else { value.times(need.times, &need.unit) };
-    let breaks_at = size_at_budget(series, need.budget / need.times);
-    Compared { need, value: Some(value), breaks_at }
+    let budget = need.budget * need.relative_to.map_or(1.0, |size| at(series, size).value * need.times);
+    let breaks_at = size_at_budget(series, budget / need.times);
+    Compared { need, budget: Some(budget), value: Some(value), breaks_at }
 }
--- a/lab/src/capacity/tables.rs
+++ b/lab/src/capacity/tables.rs
@@ -1,6 +1,7 @@
 //! The tables of the page, by the names of their markers.
 use super::division::{event_load, role_loads, RoleLoad};
 use super::figure::{number, Figure, Mark};
+use super::messages::{messages, Message};
 use super::ranking::{ranked, Compared};
 use super::slopes::{at, Slopes};
 use super::state::gateway_state;
@@ -17,6 +18,7 @@
         "assumed" => assumed_rows(target),
         "load" => load_rows(target),
         "events" => event_rows(slopes, target)?,
+        "messages" => message_rows(slopes, target),
         "state" => state_rows(slopes, target),
         "ranking" => ranking_rows(slopes, target),
         "bad-days" => bad_day_rows(slopes, target)?,
@@ -185,6 +187,24 @@
     ]
 }
 
+fn message_rows(slopes: &Slopes, target: &Target) -> Vec<Vec<String>> {
+    let mut rows = vec![row(["kind", "path", "rate of one sender", "bytes of one", "fan-in", "fan-out"])];
+    rows.extend(messages(slopes, target).iter().map(message_row));
+    rows
+}
+
+fn message_row(message: &Message) -> Vec<String> {
+    let bytes = message.bytes.as_ref().map_or("not measured".to_string(), Figure::to_string);
+    row([
+        message.kind,
+        message.path,
+        &message.per_second.to_string(),
+        &bytes,
+        &message.fan_in.to_string(),
+        &message.fan_out.to_string(),
+    ])
+}
+
 fn state_rows(slopes: &Slopes, target: &Target) -> Vec<Vec<String>> {
     let mut rows = vec![row(["what a gateway holds", "entries at the target", "each"])];
     rows.extend(gateway_state(slopes, target).iter().map(|state| {
@@ -211,7 +231,9 @@
 
 fn ranking_row(compared: &Compared<'_>) -> Vec<String> {
     let need = compared.need;
-    let budget = format!("{} {} ({})", number(need.budget), need.unit, need.budget_source);
+    let budget = compared.budget.map_or("not measured".to_string(), |budget| {
+        format!("{} {} ({})", number(budget), need.unit, need.budget_source)
+    });
     let ratio = compared.ratio().map_or("not measured".to_string(), |ratio| {
         let short = if compared.short() { ", **short**" } else { "" };
         format!("{} *computed*{short}", number(ratio))
--- a/lab/src/capacity/target.rs
+++ b/lab/src/capacity/target.rs
@@ -126,8 +126,11 @@
     pub times: f64,
     /// The unit of the product.
     pub unit: String,
-    /// The budget.
+    /// The budget; with `relative_to`, as a multiple of the value at that size.
     pub budget: f64,
+    /// A size of the same series that the budget is a multiple of.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub relative_to: Option<f64>,
     /// Where the budget comes from.
     pub budget_source: String,
     /// What carries the need today, or will.
--- a/lab/tests/capacity.rs
+++ b/lab/tests/capacity.rs
@@ -2,6 +2,7 @@
 //! never timed; times are `larchway-lab trial capacity`'s.
 use larchway_lab::capacity::division::{event_load, role_loads};
 use larchway_lab::capacity::figure::{number, Figure, Mark};
+use larchway_lab::capacity::messages::messages;
 use larchway_lab::capacity::page::{with_tables, PageFiles};
 use larchway_lab::capacity::ranking::ranked;
 use larchway_lab::capacity::slopes::{at, size_at_budget, Slopes};
@@ -167,6 +168,39 @@
     assert_eq!(found[2].value, None);
 }
 
+#[test]
+fn a_budget_may_be_a_multiple_of_the_value_at_another_size() {
+    let mut need = target().needs.remove(0);
+    (need.case, need.quantity) = ("stores".into(), "memory".into());
+    (need.size, need.times, need.budget, need.relative_to) = (80.0, 1.0, 1.2, Some(20.0));
+    let line = series(&[(10.0, 12.0), (20.0, 22.0), (40.0, 42.0), (80.0, 82.0)]);
+    let needs = [need];
+    let found = ranked(&needs, &Slopes { seed: 1, series: vec![line] });
+    assert!(close(found[0].budget.expect("measured"), 1.2 * 22.0));
+    assert!(close(found[0].ratio().expect("measured"), 82.0 / 26.4));
+    let size = found[0].breaks_at.as_ref().expect("it grows").value;
+    assert!(close(size, 24.4), "{size}");
+    assert_eq!(ranked(&needs, &Slopes::default())[0].budget, None);
+}
+
+#[test]
+fn a_message_to_all_gateways_has_their_number_as_fan_out_and_bytes_by_what_it_adds() {
+    let of = |quantity: &str, value: f64| Series {
+        case: "control".into(),
+        quantity: quantity.into(),
+        ..series(&[(0.25, value), (0.5, value), (0.75, value), (1.0, value)])
+    };
+    let slopes = Slopes { seed: 1, series: vec![of("bytes_idle", 20.0), of("bytes_list_alone", 101.0)] };
+    let target = target();
+    let all = messages(&slopes, &target);
+    let change = all.iter().find(|message| message.kind == "list change").expect("it is among them");
+    assert!(close(change.fan_out.value, 12_000.0));
+    let bytes = change.bytes.as_ref().expect("measured").value;
+    assert!(close(bytes, 81.0 / target.changes_per_second()), "{bytes}");
+    let purge = all.iter().find(|message| message.kind == "purge").expect("it is among them");
+    assert_eq!(purge.bytes, None);
+}
+
 #[test]
 fn each_need_has_a_budget_above_0_and_is_named_once() {
     let needs = target().needs;
