--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -14,7 +14,7 @@
 //!   the pool is used only [`WAIT`] later, too.
 //!
 //! So whoever uses the pool stands in the view of all who do, and no view is smaller than the number of users.
-mod nodes;
+pub mod nodes;
 
 use larchway::{Micros, Shares};
 use nodes::Nodes;
@@ -124,9 +124,9 @@
             Input::Ended => (self.registered, self.confirmed) = (None, None),
             Input::Here(name, zone) => {
                 self.stale.remove(name.as_str());
-                self.nodes.arrived(&name, zone);
+                self.nodes.arrived(name.into(), zone);
             }
-            Input::Gone(name) => self.nodes.departed(now, &name),
+            Input::Gone(name) => self.nodes.departed(now, &name.into()),
             Input::Reread => {
                 (self.whole, self.read) = (false, now);
                 self.stale = self.nodes.names().collect();
@@ -162,6 +162,11 @@
         self.nodes.len()
     }
 
+    /// Bytes of memory that the nodes take.
+    pub fn memory(&self) -> usize {
+        self.nodes.memory()
+    }
+
     /// The configured share, of what all divide and of what the own zone divides: used where nothing is lent.
     pub fn whole(&self) -> (f64, f64) {
         (1.0 / self.configured.all.max(1) as f64, 1.0 / self.configured.own_zone.max(1) as f64)
--- a/crates/fleet/src/lease/nodes.rs
+++ b/crates/fleet/src/lease/nodes.rs
@@ -12,6 +12,9 @@
 /// The zone of a node that does not name one; it may be any.
 const UNKNOWN_ZONE: usize = usize::MAX;
 
+/// Bytes of the two reference counts that stand before a shared name.
+const ARC_COUNTS: usize = 2 * size_of::<usize>();
+
 /// A node that stands, or went less than [`WAIT`] ago.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Node {
@@ -21,9 +24,9 @@
 
 /// A node that went, ordered by when.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
-struct Departure {
+struct Departure<Name> {
     at: Micros,
-    name: Arc<str>,
+    name: Name,
     zone: usize,
 }
 
@@ -36,52 +39,72 @@
     pub in_zone: u64,
 }
 
-/// The nodes of all gateways.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
-pub struct Nodes {
+/// The nodes of all gateways, by names of any ordered type: a test counts their comparisons.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Nodes<Name = Arc<str>> {
     /// By name, at most [`MOST_NODES`].
-    by_name: BTreeMap<Arc<str>, Node>,
+    by_name: BTreeMap<Name, Node>,
     /// How many of `by_name` are in each zone; no zone stands here with 0.
     by_zone: BTreeMap<usize, u64>,
     /// Those of `by_name` that are gone.
-    departures: BTreeSet<Departure>,
+    departures: BTreeSet<Departure<Name>>,
     /// Nodes told of beyond [`MOST_NODES`]: one that is left out would be missing in the division, so it is counted.
     uncounted: u64,
 }
 
+impl<Name> Default for Nodes<Name> {
+    fn default() -> Self {
+        Nodes {
+            by_name: BTreeMap::new(),
+            by_zone: BTreeMap::new(),
+            departures: BTreeSet::new(),
+            uncounted: 0,
+        }
+    }
+}
+
 impl Nodes {
+    /// Bytes of memory that the nodes take, the slack of the ordered maps left out.
+    pub fn memory(&self) -> usize {
+        let entry = size_of::<Arc<str>>() + size_of::<Node>();
+        let name = |name: &Arc<str>| ARC_COUNTS + name.len();
+        let names: usize = self.by_name.keys().map(name).sum();
+        self.by_name.len() * entry + names + self.departures.len() * size_of::<Departure<Arc<str>>>()
+    }
+}
+
+impl<Name: Ord + Clone> Nodes<Name> {
     /// How many are kept.
     pub fn len(&self) -> usize {
         self.by_name.len()
     }
 
+    /// Whether none is kept.
+    pub fn is_empty(&self) -> bool {
+        self.by_name.is_empty()
+    }
+
     /// The names of all that are kept.
-    pub fn names(&self) -> impl Iterator<Item = Arc<str>> + '_ {
+    pub fn names(&self) -> impl Iterator<Item = Name> + '_ {
         self.by_name.keys().cloned()
     }
 
     /// A node is there.
-    pub fn arrived(&mut self, name: &str, zone: usize) {
-        if let Some(kept) = self.remove(name) {
-            self.insert(kept, zone);
-        } else if self.by_name.len() < MOST_NODES {
-            self.insert(name.into(), zone);
+    pub fn arrived(&mut self, name: Name, zone: usize) {
+        let kept = self.remove(&name);
+        if kept || self.by_name.len() < MOST_NODES {
+            self.by_name.insert(name, Node { zone, departed: None });
+            *self.by_zone.entry(zone).or_default() += 1;
         } else {
             self.uncounted += 1;
         }
     }
 
     /// A node is gone. It counts for [`WAIT`] more.
-    pub fn departed(&mut self, now: Micros, name: &str) {
-        let Some((kept, node)) = self.by_name.get_key_value(name) else { return };
-        if node.departed.is_some() {
-            return;
-        }
-        let departure = Departure { at: now, name: kept.clone(), zone: node.zone };
-        if let Some(node) = self.by_name.get_mut(name) {
-            node.departed = Some(now);
-        }
-        self.departures.insert(departure);
+    pub fn departed(&mut self, now: Micros, name: &Name) {
+        let Some(node) = self.by_name.get_mut(name).filter(|node| node.departed.is_none()) else { return };
+        node.departed = Some(now);
+        self.departures.insert(Departure { at: now, name: name.clone(), zone: node.zone });
     }
 
     /// Drops nodes that went [`WAIT`] ago or earlier.
@@ -109,18 +132,13 @@
         standing
     }
 
-    fn insert(&mut self, name: Arc<str>, zone: usize) {
-        self.by_name.insert(name, Node { zone, departed: None });
-        *self.by_zone.entry(zone).or_default() += 1;
-    }
-
-    fn remove(&mut self, name: &str) -> Option<Arc<str>> {
-        let (name, node) = self.by_name.remove_entry(name)?;
+    fn remove(&mut self, name: &Name) -> bool {
+        let Some(node) = self.by_name.remove(name) else { return false };
         if let Some(at) = node.departed {
             self.departures.remove(&Departure { at, name: name.clone(), zone: node.zone });
         }
         self.uncount(node.zone);
-        Some(name)
+        true
     }
 
     fn uncount(&mut self, zone: usize) {
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -344,6 +344,14 @@
         all
     }
 
+    /// Bytes of memory that the members take, whose number is by far the largest part of this state.
+    pub fn memory(&self) -> usize {
+        let accusers = |m: &Member| (m.accusers.capacity() + m.sure.capacity()) * size_of::<u16>();
+        let members = self.members.capacity() * size_of::<Member>();
+        let order = self.order.capacity() * size_of::<u16>();
+        members + order + self.members.iter().map(accusers).sum::<usize>()
+    }
+
     /// Whether the gateway hears nobody.
     pub fn dark(&self) -> bool {
         self.dark
--- /dev/null
+++ b/crates/fleet/tests/scale.rs
@@ -0,0 +1,166 @@
+//! What a gateway spends on the others, counted in fleets of n, 4n and 16n: no time is measured, so the verdict is the
+//! same each time.
+use larchway_fleet::lease::nodes::Nodes;
+use larchway_fleet::lease::{Configured, Input as LeaseInput, Lease, Terms, WAIT};
+use larchway_fleet::members::{Input, Members, Output};
+use larchway_fleet::wire::Kind;
+use larchway_fleet::FleetFile;
+use std::cell::Cell;
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
+
+const START: u64 = 1_000_000_000;
+/// Members in the smallest tier: with fewer, a datagram has room for all of them, and is shorter.
+const SMALLEST_TIER: usize = 80;
+/// µs that a tier is played for, and that a datagram is on its way.
+const PLAYED: u64 = 6_000_000;
+const ON_THE_WAY: u64 = 1_000;
+/// Growth allowed from n to 4n, and from 4n to 16n: of datagrams and bytes by the chance of a short time, of memory by
+/// what does not depend on n.
+const CONSTANT: f64 = 1.1;
+const LINEAR: std::ops::RangeInclusive<f64> = 3.6..=4.4;
+/// Comparisons more that a change may cost for each fourfold number of nodes: an ordered map of four times as many is at
+/// most one level deeper, and a level has at most 11 keys; a change goes through six maps.
+const COMPARISONS_A_LEVEL: f64 = 6.0 * 11.0;
+
+/// What one member spent on average, in a second.
+struct Spent {
+    datagrams: f64,
+    bytes: f64,
+    memory: usize,
+}
+
+/// A datagram on its way.
+struct Datagram {
+    from: u16,
+    kind: Kind,
+    body: Vec<u8>,
+}
+
+/// What happens to a member: a datagram comes, or it is time.
+struct Event {
+    member: usize,
+    datagram: Option<Datagram>,
+}
+
+/// A calm tier in virtual time.
+fn play(members: usize) -> Spent {
+    let file = FleetFile::default();
+    let mut tier: Vec<Members> =
+        (0..members).map(|me| Members::new(START, file.clone(), me as u16, members, 7 + me as u64)).collect();
+    // By time, and within a moment in the order in which they were found out.
+    let mut events: BTreeMap<(u64, u64), Event> =
+        (0..members).map(|member| ((START, member as u64), Event { member, datagram: None })).collect();
+    let (mut number, mut datagrams, mut bytes) = (members as u64, 0, 0);
+    while let Some(((now, _), Event { member, datagram })) = events.pop_first() {
+        if now >= START + PLAYED {
+            break;
+        }
+        let mut out = Vec::new();
+        match &datagram {
+            None => {
+                tier[member].handle(now, Input::Tick, &mut out);
+                number += 1;
+                let due = tier[member].next_due().max(now + 1);
+                events.insert((due, number), Event { member, datagram: None });
+            }
+            Some(Datagram { from, kind, body }) => {
+                tier[member].handle(now, Input::Heard(*kind, *from, body), &mut out);
+            }
+        }
+        for output in out {
+            if let Output::Send(to, kind, body) = output {
+                datagrams += 1;
+                bytes += body.len();
+                number += 1;
+                let datagram = Some(Datagram { from: member as u16, kind, body });
+                events.insert((now + ON_THE_WAY, number), Event { member: usize::from(to), datagram });
+            }
+        }
+    }
+    let member_seconds = members as f64 * PLAYED as f64 / 1e6;
+    Spent {
+        datagrams: datagrams as f64 / member_seconds,
+        bytes: bytes as f64 / member_seconds,
+        memory: tier[0].memory(),
+    }
+}
+
+/// M9: datagrams and bytes of a member stay the same; its memory grows as the tier does, and no faster.
+#[test]
+fn a_member_sends_the_same_in_a_tier_of_any_size_and_its_memory_is_linear() {
+    let spent = [1, 4, 16].map(|times| play(times * SMALLEST_TIER));
+    for pair in spent.windows(2) {
+        let (small, large) = (&pair[0], &pair[1]);
+        assert!(large.datagrams <= small.datagrams * CONSTANT, "{} {}", small.datagrams, large.datagrams);
+        assert!(large.bytes <= small.bytes * CONSTANT, "{} {} bytes", small.bytes, large.bytes);
+        let growth = large.memory as f64 / small.memory as f64;
+        assert!(LINEAR.contains(&growth), "{} {} bytes held", small.memory, large.memory);
+    }
+}
+
+thread_local! {
+    static COMPARED: Cell<u64> = const { Cell::new(0) };
+}
+
+/// The name of a node, which counts how often it is compared.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct CountedName(u64);
+
+impl Ord for CountedName {
+    fn cmp(&self, other: &Self) -> Ordering {
+        COMPARED.set(COMPARED.get() + 1);
+        self.0.cmp(&other.0)
+    }
+}
+
+impl PartialOrd for CountedName {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+/// Names compared for one node that goes and comes back, while as many others have gone as `departed`.
+fn compared(nodes: u64, departed: u64) -> f64 {
+    let mut all = Nodes::default();
+    (0..nodes).for_each(|name| all.arrived(CountedName(name), name as usize % 110));
+    // Those that went stand in one moment, so that they are told apart by their names.
+    (0..departed).for_each(|name| all.departed(START, &CountedName(name)));
+    let changes = nodes.min(500);
+    let before = COMPARED.get();
+    for change in 0..changes {
+        let name = CountedName(departed + change % (nodes - departed));
+        all.forget_departed(START + 1);
+        all.departed(START, &name);
+        all.arrived(name, 1);
+        assert_eq!(all.standing(1, START, WAIT).all, nodes);
+    }
+    (COMPARED.get() - before) as f64 / changes as f64
+}
+
+/// A node that comes or goes touches a logarithm of those that are there.
+#[test]
+fn a_node_that_comes_or_goes_touches_a_logarithm_of_all() {
+    for gone_part in [u64::MAX, 2] {
+        let cost = [1_000, 4_000, 16_000].map(|nodes| compared(nodes, nodes / gone_part));
+        for pair in cost.windows(2) {
+            assert!(pair[1] <= pair[0] + COMPARISONS_A_LEVEL, "{pair:?} names compared a change");
+        }
+    }
+}
+
+/// What has expired is dropped with the next input, whatever it is: a share looks at none of it, in a fleet of any size.
+#[test]
+fn expired_nodes_are_not_kept_for_a_share_to_walk_over() {
+    let terms = Terms::of(&FleetFile::default());
+    for nodes in [1_000, 4_000, 16_000] {
+        let mut lease = Lease::new(Configured { all: nodes as u64, own_zone: 1, zone: 1 });
+        (0..nodes).for_each(|node| lease.handle(START, LeaseInput::Here(node.to_string(), node % 110)));
+        let memory = lease.memory();
+        assert!(memory <= nodes * 200, "{memory} bytes for {nodes} nodes");
+        (1..nodes).for_each(|node| lease.handle(START, LeaseInput::Gone(node.to_string())));
+        assert_eq!((lease.kept(), lease.standing(&terms, START).0), (nodes, nodes as u64));
+        lease.handle(START + WAIT, LeaseInput::Registered);
+        assert_eq!((lease.kept(), lease.standing(&terms, START + WAIT).0), (1, 1));
+    }
+}
--- a/lab/src/faults/plan.rs
+++ b/lab/src/faults/plan.rs
@@ -1,8 +1,8 @@
 //! A plan of faults, as JSON: what happens on the directed links between gateways, and to their processes, and when.
 use serde::{Deserialize, Serialize};
 
-/// Most members that a plan may name.
-pub const MOST: usize = 4000;
+/// Most members that a plan may name: as many gateways as the lease keeps, above the 12,000 of two years.
+pub const MOST_MEMBERS: usize = larchway_fleet::lease::MOST_NODES;
 
 /// Some members, by number.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -193,8 +193,8 @@
 
     /// Whether it can be played; names the fault and the field.
     pub fn check(&self) -> Result<(), String> {
-        if !(1..=MOST).contains(&self.members) {
-            return Err(format!("members: {} is not from 1 to {MOST}", self.members));
+        if !(1..=MOST_MEMBERS).contains(&self.members) {
+            return Err(format!("members: {} is not from 1 to {MOST_MEMBERS}", self.members));
         }
         for (at, fault) in self.faults.iter().enumerate() {
             let wrong = |field: &str, why: String| Err(format!("faults[{at}].{field}: {why}"));
--- a/lab/src/faults/plan/tests.rs
+++ b/lab/src/faults/plan/tests.rs
@@ -39,3 +39,11 @@
         assert!(why.contains(named), "{why}");
     }
 }
+
+#[test]
+fn a_plan_names_as_many_members_as_the_fleet_of_two_years_has_and_no_more_than_the_bound() {
+    let plan = |members: usize| Plan::read(&format!(r#"{{"seed":1,"members":{members},"for_ms":1}}"#));
+    assert!(plan(12_000).is_ok() && plan(MOST_MEMBERS).is_ok());
+    let why = plan(MOST_MEMBERS + 1).expect_err("too many");
+    assert!(why.contains("members: 16385 is not from 1 to 16384"), "{why}");
+}
--- /dev/null
+++ b/lab/src/hollow/follower.rs
@@ -0,0 +1,72 @@
+//! A connection that follows numbered events, read by the product's own reader.
+use larchway_gateway::bulletin::Reader;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+/// Most bytes that one call of [`Follower::read`] takes in, so that no follower holds up the others of its process.
+const MOST_A_TURN: usize = 256 * 1024;
+
+/// What a follower has read in a turn.
+#[derive(Debug, Default)]
+pub struct Taken {
+    /// Bytes from the connection, as they came over it.
+    pub bytes: usize,
+    /// The data of the events that are whole now, in their order.
+    pub events: Vec<String>,
+    /// Whether the connection has ended.
+    pub ended: bool,
+}
+
+/// One connection to a source of events or a relay.
+#[derive(Debug)]
+pub struct Follower {
+    stream: TcpStream,
+    reader: Reader,
+}
+
+impl Follower {
+    /// Connects, and asks by this request, such as [`larchway_gateway::bulletin::call`] makes it.
+    pub fn connect(source: SocketAddr, request: &[u8]) -> std::io::Result<Self> {
+        let mut stream = TcpStream::connect(source)?;
+        stream.set_nodelay(true)?;
+        stream.write_all(request)?;
+        stream.set_nonblocking(true)?;
+        Ok(Follower { stream, reader: Reader::default() })
+    }
+
+    /// The connection, for a poller.
+    pub fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    /// Reads what has come; an error of the reader is returned as it names it.
+    pub fn read(&mut self, buffer: &mut [u8]) -> Result<Taken, String> {
+        let mut taken = Taken::default();
+        while taken.bytes < MOST_A_TURN {
+            match self.stream.read(buffer) {
+                Ok(0) => {
+                    taken.ended = true;
+                    break;
+                }
+                Ok(read) => {
+                    taken.bytes += read;
+                    taken.events.append(&mut self.reader.take(&buffer[..read])?);
+                    if read < buffer.len() {
+                        break;
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(e.to_string()),
+            }
+        }
+        Ok(taken)
+    }
+}
+
+/// The number that an event's data begins with: `{"no":N,` or `{"no":N}`.
+pub fn number_of(data: &str) -> Option<u64> {
+    let rest = data.strip_prefix("{\"no\":")?;
+    let end = rest.find(|c: char| !c.is_ascii_digit())?;
+    rest[..end].parse().ok()
+}
--- /dev/null
+++ b/lab/src/hollow/swarm.rs
@@ -0,0 +1,183 @@
+//! Many followers in one loop, in a process of its own: its descriptors and its processor time count apart. It is driven
+//! by [`Command`]s as JSON lines on the standard input, and answers each with one JSON line.
+use super::follower::{number_of, Follower};
+use larchway_gateway::bulletin;
+use polling::{Event, PollMode, Poller};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::io::{BufRead, Write};
+use std::net::SocketAddr;
+use std::sync::mpsc::{Receiver, TryRecvError};
+use std::time::Duration;
+
+/// Bytes of the buffer that all followers read into.
+const BUFFER: usize = 64 * 1024;
+/// How long the loop waits for bytes before it looks for commands.
+const PATIENCE: Duration = Duration::from_millis(20);
+
+/// What the process is asked for.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "command", rename_all = "snake_case")]
+pub enum Command {
+    /// Connect so many more followers that ask for the events after this number.
+    Connect {
+        /// How many.
+        followers: usize,
+        /// The number.
+        after: u64,
+    },
+    /// Close all connections, and connect as many again.
+    Return {
+        /// The number after which events are asked for.
+        after: u64,
+    },
+    /// The first so many followers read no more.
+    Stall {
+        /// How many.
+        followers: usize,
+    },
+    /// Forget what was counted so far.
+    Reset,
+    /// Tell what was counted: see [`Counted`].
+    Report,
+}
+
+/// When an event was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Arrival {
+    /// By how many followers.
+    pub followers: u64,
+    /// When the last of them read it, in µs of the Unix clock.
+    pub last_us: u64,
+}
+
+/// What the followers of a process have read since the last [`Command::Reset`].
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Counted {
+    /// Bytes that came over all connections.
+    pub bytes: u64,
+    /// Events read by all followers.
+    pub events: u64,
+    /// Followers whose connection has ended, or could not be read; they are not connected again.
+    pub ended: u64,
+    /// By the event's number.
+    pub arrivals: BTreeMap<u64, Arrival>,
+}
+
+/// Followers of one source.
+pub struct Swarm {
+    source: SocketAddr,
+    poller: Poller,
+    followers: Vec<Option<Follower>>,
+    /// The first so many are not read.
+    stalled: usize,
+    counted: Counted,
+    buffer: Vec<u8>,
+}
+
+impl Swarm {
+    /// None connected yet.
+    pub fn new(source: SocketAddr) -> Result<Self, String> {
+        let poller = Poller::new().map_err(|e| format!("a poller: {e}"))?;
+        let buffer = vec![0; BUFFER];
+        Ok(Swarm { source, poller, followers: Vec::new(), stalled: 0, counted: Counted::default(), buffer })
+    }
+
+    /// Carries out commands until there are none any more.
+    pub fn run(&mut self, commands: &Receiver<Command>, mut answers: impl Write) -> Result<(), String> {
+        let mut events = Vec::new();
+        loop {
+            match commands.try_recv() {
+                Ok(command) => {
+                    let answer = self.obey(&command)?;
+                    let line = serde_json::to_string(&answer).map_err(|e| e.to_string())?;
+                    writeln!(answers, "{line}").and_then(|()| answers.flush()).map_err(|e| e.to_string())?;
+                }
+                Err(TryRecvError::Disconnected) => return Ok(()),
+                Err(TryRecvError::Empty) => self.turn(&mut events)?,
+            }
+        }
+    }
+
+    fn obey(&mut self, command: &Command) -> Result<Counted, String> {
+        match *command {
+            Command::Connect { followers, after } => self.connect(followers, after)?,
+            Command::Return { after } => {
+                let followers = self.followers.len();
+                self.followers.iter().flatten().for_each(|f| drop(self.poller.delete(f.stream())));
+                self.followers.clear();
+                self.connect(followers, after)?;
+            }
+            Command::Stall { followers } => self.stall(followers)?,
+            Command::Reset => self.counted = Counted::default(),
+            Command::Report => return Ok(self.counted.clone()),
+        }
+        Ok(Counted::default())
+    }
+
+    fn connect(&mut self, followers: usize, after: u64) -> Result<(), String> {
+        let request = bulletin::call(self.source, after);
+        for _ in 0..followers {
+            let follower = Follower::connect(self.source, request.as_bytes())
+                .map_err(|e| format!("follower {} cannot connect: {e}", self.followers.len()))?;
+            let interest = Event::readable(self.followers.len());
+            let added = self.poller.add_with_mode(follower.stream(), interest, PollMode::Level);
+            added.map_err(|e| format!("a follower cannot be polled: {e}"))?;
+            self.followers.push(Some(follower));
+        }
+        Ok(())
+    }
+
+    fn stall(&mut self, followers: usize) -> Result<(), String> {
+        self.stalled = followers.min(self.followers.len());
+        for follower in self.followers[..self.stalled].iter().flatten() {
+            self.poller.delete(follower.stream()).map_err(|e| e.to_string())?;
+        }
+        Ok(())
+    }
+
+    fn turn(&mut self, events: &mut Vec<Event>) -> Result<(), String> {
+        events.clear();
+        self.poller.wait(events, Some(PATIENCE)).map_err(|e| e.to_string())?;
+        for event in events.iter() {
+            self.read(event.key);
+        }
+        Ok(())
+    }
+
+    fn read(&mut self, at: usize) {
+        let Some(follower) = self.followers[at].as_mut() else { return };
+        let taken = follower.read(&mut self.buffer);
+        let now = crate::clock::now();
+        let ended = taken.as_ref().map_or(true, |taken| taken.ended);
+        for taken in taken.into_iter() {
+            self.counted.bytes += taken.bytes as u64;
+            self.counted.events += taken.events.len() as u64;
+            for number in taken.events.iter().filter_map(|data| number_of(data)) {
+                let arrival = self.counted.arrivals.entry(number).or_default();
+                arrival.followers += 1;
+                arrival.last_us = now;
+            }
+        }
+        if ended {
+            self.counted.ended += 1;
+            if let Some(follower) = self.followers[at].take() {
+                let _ = self.poller.delete(follower.stream());
+            }
+        }
+    }
+}
+
+/// The process: reads commands from the standard input until it ends.
+pub fn run(source: SocketAddr) -> Result<(), String> {
+    let (sender, commands) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        for line in std::io::stdin().lock().lines().map_while(Result::ok) {
+            let Ok(command) = serde_json::from_str::<Command>(&line) else { return };
+            if sender.send(command).is_err() {
+                return;
+            }
+        }
+    });
+    Swarm::new(source)?.run(&commands, std::io::stdout().lock())
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,7 +1,9 @@
 //! The laboratory's command line.
 use argh::FromArgs;
 use larchway_gateway::{config::Files, net::Gateway};
+use larchway_lab::hollow::swarm;
 use larchway_lab::stand::ensemble::{command, Keepers};
+use larchway_lab::stand::source;
 use larchway_lab::trial;
 use std::io::{BufRead, Write};
 use std::net::SocketAddr;
@@ -21,6 +23,8 @@
     Trial(Trial),
     Ensemble(Ensemble),
     Daemon(Daemon),
+    Source(SourceArgs),
+    Followers(Followers),
 }
 
 /// Play a trial: failures against real processes, a table of figures; exits with 1 if a stated bound is broken.
@@ -78,6 +82,20 @@
     fleet: Option<String>,
 }
 
+/// Run a source of numbered events alone, driven by JSON lines; trials start it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "source")]
+struct SourceArgs {}
+
+/// Run hollow followers of a source of events, driven by JSON lines; trials start them.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "followers")]
+struct Followers {
+    /// address of the source, on loopback
+    #[argh(positional)]
+    source: SocketAddr,
+}
+
 fn run_trial(args: &Trial) -> Result<bool, String> {
     let outcome = trial::play(&args.name, args.seed, args.case.as_deref())?;
     print!("{}", outcome.table);
@@ -120,6 +138,8 @@
     let done = match &args.command {
         Command::Trial(args) => run_trial(args),
         Command::Ensemble(args) => run_ensemble(args).map(|()| true),
+        Command::Source(SourceArgs {}) => source::run().map(|()| true),
+        Command::Followers(args) => swarm::run(args.source).map(|()| true),
         Command::Daemon(args) => {
             let hierarchy = args.hierarchy.clone();
             let (signed, ensemble) = (args.signed.clone(), args.ensemble.clone());
--- a/lab/src/stand/mod.rs
+++ b/lab/src/stand/mod.rs
@@ -3,6 +3,7 @@
 pub mod ensemble;
 pub mod registrar;
 pub mod relay;
+pub mod source;
 pub mod store;
 pub mod tier;
 pub mod tree;
--- /dev/null
+++ b/lab/src/trial/capacity/fleet.rs
@@ -0,0 +1,243 @@
+//! The cases `members`, `sessions` and `lease`: what knowing each other costs a gateway, by the size of the fleet.
+use super::{Case, Played, Point, Series};
+use crate::faults::plan::Plan;
+use crate::faults::ways::{Own, Told, Way};
+use crate::faults::world::{self, Seen};
+use crate::hollow::usage::thread_processor_us;
+use larchway::Micros;
+use larchway_fleet::lease::{Configured, Input as LeaseInput, Lease, Terms};
+use larchway_fleet::members::Members;
+use larchway_fleet::FleetFile;
+use larchway_members::{Input as MembersInput, Members as Stores, Policy};
+
+/// Gateways in two years.
+const TARGET: f64 = 12_000.0;
+/// Zones in two years, over which the gateways are spread evenly.
+const ZONES: usize = 110;
+/// µs between two times that a lease asks the ensemble for a sync.
+const SYNC_EVERY: Micros = 2_000_000;
+/// The time at which virtual time begins.
+const BEGIN: Micros = 1_000_000_000;
+
+/// The cases of this module.
+pub fn cases() -> Vec<Case> {
+    vec![
+        Case { name: "members", play: members },
+        Case { name: "sessions", play: sessions },
+        Case { name: "lease", play: lease },
+    ]
+}
+
+/// The series of one case, filled size by size.
+struct Sizes {
+    case: &'static str,
+    size_unit: &'static str,
+    quantities: Vec<(&'static str, &'static str, Vec<Point>)>,
+}
+
+impl Sizes {
+    fn new(case: &'static str, size_unit: &'static str, quantities: &[(&'static str, &'static str)]) -> Self {
+        let quantities = quantities.iter().map(|(quantity, unit)| (*quantity, *unit, Vec::new())).collect();
+        Sizes { case, size_unit, quantities }
+    }
+
+    /// Adds what was measured at a size, in the order of the quantities.
+    fn add(&mut self, size: usize, values: &[f64]) {
+        for ((_, _, points), value) in self.quantities.iter_mut().zip(values) {
+            points.push(Point { size: size as f64, value: *value });
+        }
+    }
+
+    fn series(self) -> Vec<Series> {
+        let (case, size_unit) = (self.case, self.size_unit);
+        let quantities = self.quantities.into_iter();
+        quantities
+            .map(|(quantity, unit, points)| Series::new(case, quantity, unit, size_unit, TARGET, points))
+            .collect()
+    }
+}
+
+/// Members of which the whole tier is played; 12,000 are over a gigabyte of members and minutes of processor time.
+const TIERS: [usize; 4] = [30, 300, 1_000, 3_000];
+/// Virtual ms that a tier is played for, and after which one is killed.
+const TIER_MS: u64 = 26_000;
+const KILLED_AT_MS: u64 = 5_000;
+/// Virtual seconds for which one member alone is measured.
+const MEMBER_SECONDS: u64 = 20;
+
+fn members(seed: u64) -> Result<Played, String> {
+    let quantities = [
+        ("datagrams", "1/s"),
+        ("bytes", "bytes/s"),
+        ("one_killed_known_everywhere", "ms"),
+        ("memory", "bytes"),
+        ("processor_time", "us/s"),
+    ];
+    let mut sizes = Sizes::new("members", "gateways", &quantities);
+    let mut played = Played::default();
+    for members in TIERS {
+        let calm = play_tier(members, seed, "")?;
+        let kill = format!(r#"{{"at_ms":{KILLED_AT_MS},"what":"kill","who":[{}]}}"#, members / 2);
+        let killed = play_tier(members, seed, &kill)?;
+        let known = killed.known_ms.first().copied();
+        if known.is_none() {
+            played.broken.push(format!("{members} members: one killed is not known dead everywhere in 21 s"));
+        }
+        if calm.false_removals + killed.false_removals > 0 {
+            played.broken.push(format!("{members} members: false removals while calm or one killed"));
+        }
+        let known = known.unwrap_or(TIER_MS - KILLED_AT_MS) as f64;
+        let memory = Members::new(BEGIN, FleetFile::default(), 0, members, seed).memory();
+        sizes.add(members, &[calm.datagrams, calm.bytes, known, memory as f64, member_us(members, seed)?]);
+    }
+    played.series = sizes.series();
+    Ok(played)
+}
+
+fn play_tier(members: usize, seed: u64, faults: &str) -> Result<Seen, String> {
+    let text = format!(r#"{{"seed":{seed},"members":{members},"for_ms":{TIER_MS},"faults":[{faults}]}}"#);
+    Ok(world::play(&Plan::read(&text)?, Own::new))
+}
+
+/// What a member took in: a tick or a datagram, and when.
+struct Taken {
+    at: Micros,
+    datagram: Option<Vec<u8>>,
+}
+
+/// How often the same inputs are played, so that what is measured is far above the clock's step.
+const REPEATS: u64 = 20;
+
+/// Processor time of one member of a calm tier, by virtual second: its inputs are recorded once, and played again.
+fn member_us(members: usize, seed: u64) -> Result<f64, String> {
+    let inputs = record_member(members, seed);
+    let mut spent = 0;
+    for _ in 0..REPEATS {
+        let mut one = Own::new(BEGIN, 0, members, seed);
+        let before = thread_processor_us()?;
+        for input in &inputs {
+            let mut told = Told::default();
+            match &input.datagram {
+                None => one.tick(input.at, &mut told),
+                Some(bytes) => one.hear(input.at, 1, bytes, &mut told),
+            }
+        }
+        spent += thread_processor_us()? - before;
+    }
+    Ok(spent as f64 / (REPEATS * MEMBER_SECONDS) as f64)
+}
+
+/// The inputs of one member in a calm tier of this size. Another one answers its pings in the name of all, and pings it
+/// as often as it does: so it takes in as many datagrams as it would of all others, as long as theirs.
+fn record_member(members: usize, seed: u64) -> Vec<Taken> {
+    let mut one = Own::new(BEGIN, 0, members, seed);
+    let mut other = Own::new(BEGIN, 1, members, seed + 1);
+    let mut inputs = Vec::new();
+    let mut now = BEGIN;
+    while now < BEGIN + MEMBER_SECONDS * 1_000_000 {
+        let (mut sent, mut answers) = (Told::default(), Told::default());
+        inputs.push(Taken { at: now, datagram: None });
+        one.tick(now, &mut sent);
+        other.tick(now, &mut answers);
+        for (_, bytes) in &sent.sent {
+            other.hear(now, 0, bytes, &mut answers);
+        }
+        for (_, bytes) in answers.sent {
+            one.hear(now, 1, &bytes, &mut Told::default());
+            inputs.push(Taken { at: now, datagram: Some(bytes) });
+        }
+        now = one.due().min(other.due()).max(now + 1000);
+    }
+    inputs
+}
+
+/// Sizes at which gateways' sessions are counted.
+const SESSIONS: [usize; 4] = [30, 300, 1_000, 3_000];
+
+/// What one gateway's coming and going sets off at all others, and what all leases ask of the ensemble.
+fn sessions(_seed: u64) -> Result<Played, String> {
+    let quantities = [
+        ("watches", "watches"),
+        ("messages_of_one_that_restarts", "messages"),
+        ("messages_of_all_that_restart", "messages"),
+        ("syncs", "1/s"),
+        ("processor_time_of_one_event", "us"),
+    ];
+    let mut sizes = Sizes::new("sessions", "gateways", &quantities);
+    for gateways in SESSIONS {
+        let mut all: Vec<Stores> = (0..gateways).map(|_| gateway_that_knows(gateways)).collect();
+        let restart = [MembersInput::PeerGone("g0".into()), MembersInput::Peer("g0".into(), 0)];
+        let (mut messages, mut events) = (0u64, 0u64);
+        let before = thread_processor_us()?;
+        // Each gateway watches the folder of all gateways' nodes: each is told of what happens to each other one.
+        for gateway in &mut all[1..] {
+            for (at, input) in restart.iter().enumerate() {
+                gateway.handle(BEGIN + at as u64, input.clone(), &mut Vec::new());
+                messages += 1;
+                events += 1;
+            }
+        }
+        let spent = (thread_processor_us()? - before) as f64 / events.max(1) as f64;
+        let syncs = gateways as f64 / (SYNC_EVERY as f64 / 1e6);
+        sizes.add(
+            gateways,
+            &[gateways as f64, messages as f64, (messages * gateways as u64) as f64, syncs, spent],
+        );
+    }
+    Ok(Played { series: sizes.series(), broken: Vec::new() })
+}
+
+/// The state of a gateway that has read the nodes of all.
+fn gateway_that_knows(gateways: usize) -> Stores {
+    let mut stores = Stores::new(Policy::default());
+    let mut out = Vec::new();
+    for gateway in 0..gateways {
+        let input = MembersInput::Peer(format!("g{gateway}"), gateway % ZONES);
+        stores.handle(BEGIN, input, &mut out);
+    }
+    stores.handle(BEGIN, MembersInput::PeersWhole, &mut out);
+    stores
+}
+
+/// Nodes of which a lease is measured.
+const NODES: [usize; 4] = [100, 1_000, 10_000, 12_000];
+/// Nodes that go and come back, one after the other; and shares asked for.
+const CHURN: usize = 400_000;
+/// µs between two of them.
+const CHURN_EVERY: Micros = 1_000;
+
+fn lease(_seed: u64) -> Result<Played, String> {
+    let quantities =
+        [("processor_time_of_a_change", "us"), ("processor_time_of_a_share", "us"), ("memory", "bytes")];
+    let mut sizes = Sizes::new("lease", "nodes", &quantities);
+    let terms = Terms::of(&FleetFile::default());
+    for nodes in NODES {
+        let configured = Configured { all: nodes as u64, own_zone: (nodes / ZONES) as u64, zone: 1 };
+        let mut lease = Lease::new(configured);
+        let mut now = BEGIN;
+        for node in 0..nodes {
+            lease.handle(now, LeaseInput::Here(format!("gateway-{node:05}"), node % ZONES));
+        }
+        let memory = lease.memory();
+        let before = thread_processor_us()?;
+        for change in 0..CHURN {
+            now += CHURN_EVERY;
+            let name = format!("gateway-{:05}", change % nodes);
+            lease.handle(now, LeaseInput::Gone(name.clone()));
+            lease.handle(now, LeaseInput::Here(name, change % ZONES));
+        }
+        let change = (thread_processor_us()? - before) as f64 / (2 * CHURN) as f64;
+        // A tenth of all has gone and still counts while shares are asked for.
+        for node in 0..nodes / 10 {
+            lease.handle(now, LeaseInput::Gone(format!("gateway-{node:05}")));
+        }
+        let before = thread_processor_us()?;
+        let stood: u64 = (0..CHURN).map(|at| lease.standing(&terms, now + at as u64).0).sum();
+        let share = (thread_processor_us()? - before) as f64 / CHURN as f64;
+        if stood != (nodes * CHURN) as u64 {
+            return Err(format!("{nodes} nodes: {stood} counted in {CHURN} times"));
+        }
+        sizes.add(nodes, &[change, share, memory as f64]);
+    }
+    Ok(Played { series: sizes.series(), broken: Vec::new() })
+}
--- a/lab/src/trial/capacity/mod.rs
+++ b/lab/src/trial/capacity/mod.rs
@@ -1,6 +1,8 @@
 //! `trial capacity`: what one gateway, the fleet and the source of events cost as each of their sizes grows. Each case
 //! measures one or more series at four sizes or more and fits a line; `docs/CAPACITY.md` is worked out from them.
 pub mod fit;
+pub mod fleet;
+pub mod source;
 
 use super::Outcome;
 use fit::Fit;
@@ -72,7 +74,7 @@
 
 /// All cases, in the order in which they are played.
 pub fn cases() -> Vec<Case> {
-    Vec::new()
+    fleet::cases().into_iter().chain(source::cases()).collect()
 }
 
 /// Plays all cases, or the one that is named.
--- a/lab/src/trial/fleet.rs
+++ b/lab/src/trial/fleet.rs
@@ -68,6 +68,11 @@
 }
 
 impl Gateway {
+    /// The number of its process.
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills it as an outright kill does.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
