--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,7 +2,9 @@
 use argh::FromArgs;
 use larchway_gateway::{config::Files, net::Gateway};
 use larchway_lab::capacity::page::PageFiles;
+use larchway_lab::hollow::swarm;
 use larchway_lab::stand::ensemble::{command, Keepers};
+use larchway_lab::stand::source;
 use larchway_lab::trial;
 use std::io::{BufRead, Write};
 use std::net::SocketAddr;
@@ -23,6 +25,8 @@
     Ensemble(Ensemble),
     Daemon(Daemon),
     Capacity(Capacity),
+    Source(SourceArgs),
+    Followers(Followers),
 }
 
 /// Play a trial: failures against real processes, a table of figures; exits with 1 if a stated bound is broken.
@@ -125,6 +129,20 @@
     Ok(true)
 }
 
+/// Run a source of numbered events alone, driven by JSON lines; trials start it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "source")]
+struct SourceArgs {}
+
+/// Run hollow followers of a source of events, driven by JSON lines; trials start them.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "followers")]
+struct Followers {
+    /// address of the source, on loopback
+    #[argh(positional)]
+    source: SocketAddr,
+}
+
 fn run_trial(args: &Trial) -> Result<bool, String> {
     let outcome = trial::play(&args.name, args.seed, args.case.as_deref())?;
     print!("{}", outcome.table);
@@ -175,6 +193,8 @@
         Command::Trial(args) => run_trial(args),
         Command::Capacity(Capacity { command: CapacityCommand::Page(args) }) => run_page(args),
         Command::Ensemble(args) => run_ensemble(args).map(|()| true),
+        Command::Source(SourceArgs {}) => source::run().map(|()| true),
+        Command::Followers(args) => swarm::run(args.source).map(|()| true),
         Command::Daemon(args) => {
             let hierarchy = args.hierarchy.clone();
             let (signed, ensemble) = (args.signed.clone(), args.ensemble.clone());
--- a/lab/src/trial/capacity/gateway/process.rs
+++ b/lab/src/trial/capacity/gateway/process.rs
@@ -1,6 +1,10 @@
-//! Processor time and memory of a process, from `/proc`.
+//! Processor time and memory of a process of the trial.
+use crate::hollow::usage::{processor_us, resident_bytes};
 use std::time::Duration;
 
+/// Bytes in a MB.
+const BYTES_PER_MB: f64 = 1e6;
+
 /// Reads what a process uses.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ProcessMeter {
@@ -13,27 +17,13 @@
         ProcessMeter { process_id }
     }
 
-    /// Processor time of all its threads so far, to the nanosecond (`schedstat`).
+    /// Processor time of all its threads so far.
     pub(crate) fn processor_time(&self) -> Result<Duration, String> {
-        let tasks = format!("/proc/{}/task", self.process_id);
-        let entries = std::fs::read_dir(&tasks).map_err(|e| format!("cannot read {tasks}: {e}"))?;
-        let mut nanoseconds = 0;
-        for entry in entries.flatten() {
-            let path = entry.path().join("schedstat");
-            // A thread that has just ended has no file any more.
-            let text = std::fs::read_to_string(path).unwrap_or_default();
-            let running = text.split_whitespace().next().and_then(|field| field.parse::<u64>().ok());
-            nanoseconds += running.unwrap_or(0);
-        }
-        Ok(Duration::from_nanos(nanoseconds))
+        processor_us(self.process_id).map(Duration::from_micros)
     }
 
-    /// Its resident memory in MB (10^6 bytes), `VmRSS`.
+    /// Its resident memory in MB.
     pub(crate) fn resident_mb(&self) -> Result<f64, String> {
-        let path = format!("/proc/{}/status", self.process_id);
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
-        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kib = line.and_then(|line| line.split_whitespace().next()).and_then(|n| n.parse::<f64>().ok());
-        kib.map(|kib| kib * 1024.0 / 1e6).ok_or_else(|| format!("{path} has no VmRSS"))
+        resident_bytes(self.process_id).map(|bytes| bytes as f64 / BYTES_PER_MB)
     }
 }
