Take nobody for dead in a large tier before others know of nothing later of it

Change: in a tier of more than 64, where not many are gone, a verdict by own asking needs three such datagrams for each doubling.

--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -37,6 +37,9 @@
 const SMALL: (f64, f64) = (64.0, 400_000.0);
 /// Datagrams that must tell nothing later of a member after the longest pause: what others know is asked for first.
 const CONFIRMED: usize = 2;
+/// Datagrams more that must do so for each doubling over [`SMALL`], before a verdict by own asking. Each leaves out those
+/// who know of a later beat by some chance; the gateways that may be unlucky, and how late news come, grow with the tier.
+const CONFIRMED_A_DOUBLING: f64 = 3.0;
 /// Datagrams a second in trouble, and how many may come at once; answers go out all the same, and count.
 const RATE: (f64, f64) = (9.0, 16.0);
 /// More that may be sent at once when many give no answer: once in a while, since it is then that all must be asked.
@@ -366,8 +369,12 @@
     /// µs that a verdict waits beyond what it would in a small tier that loses nothing: for pings that get lost, and for
     /// what refutes an accusation to come by more hops.
     fn spared(&self) -> Micros {
-        let doublings = (self.members.len() as f64 / SMALL.0).log2().max(0.0);
-        (SETTLED.0 as f64 * SETTLED.1 * self.lost + SMALL.1 * doublings) as Micros
+        (SETTLED.0 as f64 * SETTLED.1 * self.lost + SMALL.1 * self.doublings()) as Micros
+    }
+
+    /// How often a tier of [`SMALL`] members is to be doubled to have this one's size.
+    fn doublings(&self) -> f64 {
+        (self.members.len() as f64 / SMALL.0).log2().max(0.0)
     }
 
     /// Pings without an answer from which this gateway accuses: as many as are hardly all lost.
@@ -490,6 +497,8 @@
         let could = 1 + self.others().count().saturating_sub(suspects.len());
         let enough = could.min(if many { ACCUSE.1 } else { ACCUSE.0 });
         let pause = self.terms.pause_ms * 1000;
+        // While many are gone there is no time to hear of each from so many.
+        let confirmations = if many { 0 } else { (CONFIRMED_A_DOUBLING * self.doublings()).ceil() as usize };
         for who in suspects {
             let member = &self.members[usize::from(who)];
             let (accuses, asked, again) = (self.accuses(member, now), member.asked, member.again);
@@ -503,9 +512,11 @@
             if damped || self.dark || now < self.spares || now >= self.listened + HEARD {
                 continue;
             }
-            // M7: each asks for itself, once more when the longest pause is over. Where there are too many for that, or
-            // no answer can be had, it goes by what others tell.
-            let own = accuses && again >= since + pause + spared && now >= again + ANSWER;
+            // M7: each asks for itself, once more when the longest pause is over, and in a large tier hears from some
+            // others that they know of nothing later. Where there are too many for that, or no answer can be had, it goes
+            // by what others tell.
+            let asked_again = again >= since + pause + spared && now >= again + ANSWER;
+            let own = accuses && asked_again && member.confirmed >= confirmations;
             let told = many && now >= since + bound && member.confirmed >= CONFIRMED.min(could - 1);
             let accusers = usize::from(accuses) + member.accusers.len();
             if (own || told) && accusers >= enough || member.sure.len() >= 2 {
