--- a/crates/distribution/tests/relay.rs
+++ b/crates/distribution/tests/relay.rs
@@ -331,6 +331,19 @@
     assert_eq!(driver.relay.subscribers(), 1);
 }
 
+#[test]
+fn one_whose_place_is_gone_from_the_log_too_is_cut_off() {
+    let limits = LogLimits { events: 10, bytes: 1 << 20 };
+    let mut driver = ready(RelayTerms { log: limits, ..terms() }, 9);
+    let mut slow = reader(&mut driver, 1, hello(9));
+    for number in 10..40 {
+        driver.input(Input::Event(purge(number, number)));
+        driver.pass(100 * MILLISECOND);
+    }
+    assert!(!slow.pull(&mut driver.relay, driver.now));
+    assert_eq!(cut(&driver.input(Input::Tick)), Some(CutReason::FellBehind));
+}
+
 #[test]
 fn one_that_stops_reading_is_cut_off_and_one_with_nothing_to_read_is_not() {
     let mut driver = ready(RelayTerms { stall_limit: 2 * SECOND, ..terms() }, 9);
