--- /dev/null
+++ b/crates/fleet/src/lease/nodes.rs
@@ -0,0 +1,152 @@
+//! The ephemeral nodes of all gateways, counted by zone, with those that are gone ordered by the time at which they went:
+//! a node that comes or goes costs O(log n), and a count costs the nodes that have expired since the last input.
+use super::WAIT;
+use larchway::Micros;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// Most nodes kept; those beyond only count. 12,000 gateways have to fit, together with nodes under new names that came
+/// in place of others which still count. A node takes some 200 bytes, so that all of them take some 3 MB.
+pub const MOST_NODES: usize = 16_384;
+
+/// The zone of a node that does not name one; it may be any.
+const UNKNOWN_ZONE: usize = usize::MAX;
+
+/// Bytes of the two reference counts that stand before a shared name.
+const ARC_COUNTS: usize = 2 * size_of::<usize>();
+
+/// A node that stands, or went less than [`WAIT`] ago.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Node {
+    zone: usize,
+    departed: Option<Micros>,
+}
+
+/// A node that went, ordered by when.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct Departure<Name> {
+    at: Micros,
+    name: Name,
+    zone: usize,
+}
+
+/// How many nodes count.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Standing {
+    /// In all zones.
+    pub all: u64,
+    /// In the zone asked for, and those whose zone is not known.
+    pub in_zone: u64,
+}
+
+/// The nodes of all gateways, by names of any ordered type: a test counts their comparisons.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Nodes<Name = Arc<str>> {
+    /// By name, at most [`MOST_NODES`].
+    by_name: BTreeMap<Name, Node>,
+    /// How many of `by_name` are in each zone; no zone stands here with 0.
+    by_zone: BTreeMap<usize, u64>,
+    /// Those of `by_name` that are gone.
+    departures: BTreeSet<Departure<Name>>,
+    /// Nodes told of beyond [`MOST_NODES`]: one that is left out would be missing in the division, so it is counted.
+    uncounted: u64,
+}
+
+impl<Name> Default for Nodes<Name> {
+    fn default() -> Self {
+        Nodes {
+            by_name: BTreeMap::new(),
+            by_zone: BTreeMap::new(),
+            departures: BTreeSet::new(),
+            uncounted: 0,
+        }
+    }
+}
+
+impl Nodes {
+    /// Bytes of memory that the nodes take, the slack of the ordered maps left out.
+    pub fn memory(&self) -> usize {
+        let entry = size_of::<Arc<str>>() + size_of::<Node>();
+        let name = |name: &Arc<str>| ARC_COUNTS + name.len();
+        let names: usize = self.by_name.keys().map(name).sum();
+        self.by_name.len() * entry + names + self.departures.len() * size_of::<Departure<Arc<str>>>()
+    }
+}
+
+impl<Name: Ord + Clone> Nodes<Name> {
+    /// How many are kept.
+    pub fn len(&self) -> usize {
+        self.by_name.len()
+    }
+
+    /// Whether none is kept.
+    pub fn is_empty(&self) -> bool {
+        self.by_name.is_empty()
+    }
+
+    /// The names of all that are kept.
+    pub fn names(&self) -> impl Iterator<Item = Name> + '_ {
+        self.by_name.keys().cloned()
+    }
+
+    /// A node is there.
+    pub fn arrived(&mut self, name: Name, zone: usize) {
+        let kept = self.remove(&name);
+        if kept || self.by_name.len() < MOST_NODES {
+            self.by_name.insert(name, Node { zone, departed: None });
+            *self.by_zone.entry(zone).or_default() += 1;
+        } else {
+            self.uncounted += 1;
+        }
+    }
+
+    /// A node is gone. It counts for [`WAIT`] more.
+    pub fn departed(&mut self, now: Micros, name: &Name) {
+        let Some(node) = self.by_name.get_mut(name).filter(|node| node.departed.is_none()) else { return };
+        node.departed = Some(now);
+        self.departures.insert(Departure { at: now, name: name.clone(), zone: node.zone });
+    }
+
+    /// Drops nodes that went [`WAIT`] ago or earlier.
+    pub fn forget_departed(&mut self, now: Micros) {
+        while self.departures.first().is_some_and(|first| first.at + WAIT <= now) {
+            let Some(departure) = self.departures.pop_first() else { return };
+            self.by_name.remove(&departure.name);
+            self.uncount(departure.zone);
+        }
+    }
+
+    /// How many nodes stand, or went less than `hold` ago; `hold` is at most [`WAIT`].
+    pub fn standing(&self, zone: usize, now: Micros, hold: Micros) -> Standing {
+        let in_zone = |of: usize| of == zone || of == UNKNOWN_ZONE;
+        let count_of = |zone: usize| self.by_zone.get(&zone).copied().unwrap_or(0);
+        let unknown = if zone == UNKNOWN_ZONE { 0 } else { count_of(UNKNOWN_ZONE) };
+        let mut standing = Standing {
+            all: self.by_name.len() as u64 + self.uncounted,
+            in_zone: count_of(zone) + unknown + self.uncounted,
+        };
+        for expired in self.departures.iter().take_while(|departure| departure.at + hold <= now) {
+            standing.all -= 1;
+            standing.in_zone -= u64::from(in_zone(expired.zone));
+        }
+        standing
+    }
+
+    fn remove(&mut self, name: &Name) -> bool {
+        let Some(node) = self.by_name.remove(name) else { return false };
+        if let Some(at) = node.departed {
+            self.departures.remove(&Departure { at, name: name.clone(), zone: node.zone });
+        }
+        self.uncount(node.zone);
+        true
+    }
+
+    fn uncount(&mut self, zone: usize) {
+        if let Some(number) = self.by_zone.get_mut(&zone) {
+            *number -= 1;
+            if *number == 0 {
+                self.by_zone.remove(&zone);
+            }
+        }
+    }
+}
--- a/lab/src/trial/capacity/gateway/peers.rs
+++ b/lab/src/trial/capacity/gateway/peers.rs
@@ -39,5 +39,5 @@
     let bench = Bench::start(&format!("peers-{gateways}"), &wanted)?;
     std::thread::sleep(SETTLE);
     let idle = bench.idle(MEASURED)?;
-    Ok(Shown { core_percent: idle.core_percent(), memory_mb: bench.meter.resident_mb()? })
+    Ok(Shown { core_percent: idle.core_percent(), memory_mb: bench.resident_mb()? })
 }
--- a/lab/src/trial/capacity/gateway/stores.rs
+++ b/lab/src/trial/capacity/gateway/stores.rs
@@ -58,7 +58,7 @@
     let tally = tally?;
     let (changes, count) =
         bench.during(|| publish_at(CHANGE_RATE, CHANGES, 0, |change| bench.change_list(change)))?;
-    let memory_mb = bench.meter.resident_mb()?;
+    let memory_mb = bench.resident_mb()?;
     let reload = bench.least_reload(RELOADS)?;
     Ok(Shown {
         request_us: requests.micros_each(tally.asked, &idle),
--- a/lab/src/trial/capacity/mod.rs
+++ b/lab/src/trial/capacity/mod.rs
@@ -1,7 +1,9 @@
 //! `trial capacity`: what one gateway, the fleet and the source of events cost as each of their sizes grows. Each case
 //! measures one or more series at four sizes or more and fits a line; `docs/CAPACITY.md` is worked out from them.
 pub mod fit;
+pub mod fleet;
 pub mod gateway;
+pub mod source;
 
 use super::Outcome;
 use crate::capacity::slopes::Slopes;
@@ -75,7 +77,7 @@
 
 /// All cases, in the order in which they are played.
 pub fn cases() -> Vec<Case> {
-    [gateway::cases()].concat()
+    [gateway::cases(), fleet::cases(), source::cases()].concat()
 }
 
 /// Plays all cases, or the one that is named.
