Continue a series that is not linear by its exponent

Cause: the messages at the ensemble when all gateways restart grow by the square; a line through them understates them at the target several times over.

Change: where the line's residual is over 0.15, values beyond the points follow the exponent, and the mark says so.

--- a/lab/src/capacity/figure.rs
+++ b/lab/src/capacity/figure.rs
@@ -1,15 +1,33 @@
 //! Figures of the page: each one has a unit and says where it comes from.
 use std::fmt;
 
+/// How a series goes on beyond the sizes measured.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Growth {
+    /// By its line, with this growth for each unit of size.
+    Slope(f64),
+    /// By this power of the size, where a line does not describe it.
+    Exponent(f64),
+}
+
+impl fmt::Display for Growth {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Growth::Slope(slope) => write!(f, "slope {}", number(*slope)),
+            Growth::Exponent(exponent) => write!(f, "exponent {}", number(*exponent)),
+        }
+    }
+}
+
 /// Where a figure comes from.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Mark {
     /// Measured by `trial capacity` at this very size.
     Measured,
-    /// Continued beyond the sizes measured, by the line through them.
+    /// Continued beyond the sizes measured.
     Extrapolated {
-        /// Growth for each unit of size.
-        slope: f64,
+        /// By which growth.
+        growth: Growth,
         /// Smallest and largest size measured.
         range: (f64, f64),
         /// The size asked for over the largest (or the smallest) one measured.
@@ -27,10 +45,9 @@
             Mark::Measured => write!(f, "*measured*"),
             Mark::Computed => write!(f, "*computed*"),
             Mark::Assumed => write!(f, "*assumed*"),
-            Mark::Extrapolated { slope, range: (from, to), factor } => write!(
+            Mark::Extrapolated { growth, range: (from, to), factor } => write!(
                 f,
-                "*extrapolated* (slope {}, {} to {}, factor {})",
-                number(*slope),
+                "*extrapolated* ({growth}, {} to {}, factor {})",
                 number(*from),
                 number(*to),
                 number(*factor)
--- a/lab/src/capacity/slopes.rs
+++ b/lab/src/capacity/slopes.rs
@@ -1,5 +1,5 @@
 //! The measured series as the repository keeps them, and values at sizes that were and were not measured.
-use super::figure::{Figure, Mark};
+use super::figure::{Figure, Growth, Mark};
 use crate::trial::capacity::{Point, Series};
 use serde::{Deserialize, Serialize};
 use std::path::Path;
@@ -7,6 +7,9 @@
 /// Sizes this close to a measured one, relatively, count as measured.
 const SAME_SIZE: f64 = 0.01;
 
+/// Residual of the line above which a series is not linear.
+pub const NOT_LINEAR: f64 = 0.15;
+
 /// What `larchway-lab trial capacity --json FILE` writes.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Slopes {
@@ -50,9 +53,12 @@
         return figure(f64::NAN, Mark::Computed);
     };
     let beyond = |from: &Point, factor: f64| {
-        let slope = series.fit.slope;
-        let mark = Mark::Extrapolated { slope, range: (first.size, last.size), factor };
-        figure(from.value + slope * (size - from.size), mark)
+        let growth = growth(series);
+        let value = match growth {
+            Growth::Slope(slope) => from.value + slope * (size - from.size),
+            Growth::Exponent(exponent) => from.value * factor.powf(exponent),
+        };
+        figure(value, Mark::Extrapolated { growth, range: (first.size, last.size), factor })
     };
     if size > last.size {
         return beyond(last, size / last.size);
@@ -63,6 +69,15 @@
     figure(between(&series.points, size), Mark::Computed)
 }
 
+/// How a series goes on beyond its points.
+fn growth(series: &Series) -> Growth {
+    if series.fit.residual > NOT_LINEAR {
+        Growth::Exponent(series.fit.exponent)
+    } else {
+        Growth::Slope(series.fit.slope)
+    }
+}
+
 /// Linear between the two points around a size.
 fn between(points: &[Point], size: f64) -> f64 {
     let around = points.windows(2).find(|pair| pair[0].size <= size && size <= pair[1].size);
@@ -72,7 +87,7 @@
     })
 }
 
-/// The size at which a series reaches a budget: by its points where it does so within them, by its line beyond them; none
+/// The size at which a series reaches a budget: by its points where it does so within them, by its growth beyond them; none
 /// where it does not grow.
 pub fn size_at_budget(series: &Series, budget: f64) -> Option<Figure> {
     let (first, last) = series.points.first().zip(series.points.last())?;
@@ -85,10 +100,14 @@
         let share = (budget - pair[0].value) / (pair[1].value - pair[0].value);
         return Some(figure(pair[0].size + share * (pair[1].size - pair[0].size), Mark::Computed));
     }
-    let slope = series.fit.slope;
-    (slope > 0.0).then(|| {
-        let size = last.size + (budget - last.value) / slope;
-        let mark = Mark::Extrapolated { slope, range: (first.size, last.size), factor: size / last.size };
-        figure(size, mark)
-    })
+    let growth = growth(series);
+    let size = match growth {
+        Growth::Slope(slope) if slope > 0.0 => last.size + (budget - last.value) / slope,
+        Growth::Exponent(exponent) if exponent > 0.0 => {
+            last.size * (budget / last.value).powf(1.0 / exponent)
+        }
+        _ => return None,
+    };
+    let mark = Mark::Extrapolated { growth, range: (first.size, last.size), factor: size / last.size };
+    Some(figure(size, mark))
 }
--- a/lab/src/capacity/tables.rs
+++ b/lab/src/capacity/tables.rs
@@ -3,7 +3,7 @@
 use super::figure::{number, Figure, Mark};
 use super::messages::{messages, Message};
 use super::ranking::{ranked, Compared};
-use super::slopes::{at, Slopes};
+use super::slopes::{at, Slopes, NOT_LINEAR};
 use super::state::gateway_state;
 use super::target::Target;
 use crate::trial::capacity::Series;
@@ -182,7 +182,7 @@
         format!(
             "{:.2} *computed*{}",
             series.fit.residual,
-            if series.fit.residual > 0.15 { ", not linear" } else { "" }
+            if series.fit.residual > NOT_LINEAR { ", not linear" } else { "" }
         ),
     ]
 }
--- a/lab/tests/capacity.rs
+++ b/lab/tests/capacity.rs
@@ -1,7 +1,7 @@
 //! The capacity page: the arithmetic of its tables, and that the page says what its files say. Growth is counted here and
 //! never timed; times are `larchway-lab trial capacity`'s.
 use larchway_lab::capacity::division::{event_load, role_loads};
-use larchway_lab::capacity::figure::{number, Figure, Mark};
+use larchway_lab::capacity::figure::{number, Figure, Growth, Mark};
 use larchway_lab::capacity::messages::messages;
 use larchway_lab::capacity::page::{with_tables, PageFiles};
 use larchway_lab::capacity::ranking::ranked;
@@ -50,7 +50,8 @@
 #[test]
 fn a_value_is_measured_at_a_point_computed_between_two_and_extrapolated_beyond() {
     let line = series(&[(10.0, 12.0), (20.0, 22.0), (40.0, 42.0), (80.0, 82.0)]);
-    let beyond = |factor| Mark::Extrapolated { slope: line.fit.slope, range: (10.0, 80.0), factor };
+    let beyond =
+        |factor| Mark::Extrapolated { growth: Growth::Slope(line.fit.slope), range: (10.0, 80.0), factor };
     let table = [
         (20.0, 22.0, Mark::Measured),
         (80.0, 82.0, Mark::Measured),
@@ -76,9 +77,22 @@
     assert_eq!(size_at_budget(&flat, 6.0), None);
 }
 
+#[test]
+fn what_is_not_linear_is_continued_by_its_exponent() {
+    let square = series(&[(30.0, 900.0), (300.0, 90_000.0), (1_000.0, 1e6), (3_000.0, 9e6)]);
+    let figure = at(&square, 12_000.0);
+    assert!(close(figure.value, 144e6), "{figure}");
+    let Mark::Extrapolated { growth: Growth::Exponent(exponent), factor, .. } = figure.mark else {
+        panic!("{figure}")
+    };
+    assert!(close(exponent, 2.0) && close(factor, 4.0), "{figure}");
+    let size = size_at_budget(&square, 36e6).expect("it grows");
+    assert!(close(size.value, 6_000.0), "{size}");
+}
+
 #[test]
 fn a_product_of_an_extrapolated_figure_stays_extrapolated() {
-    let extrapolated = Mark::Extrapolated { slope: 1.0, range: (1.0, 2.0), factor: 3.0 };
+    let extrapolated = Mark::Extrapolated { growth: Growth::Slope(1.0), range: (1.0, 2.0), factor: 3.0 };
     for (mark, product) in
         [(Mark::Measured, Mark::Computed), (Mark::Assumed, Mark::Computed), (extrapolated, extrapolated)]
     {
