--- a/lab/src/trial/capacity/gateway/bench.rs
+++ b/lab/src/trial/capacity/gateway/bench.rs
@@ -1,7 +1,7 @@
 //! One real gateway with a stand-in bulletin and a stand-in store, and what it uses while something happens.
-use super::process::ProcessMeter;
 use super::site::SiteConfiguration;
 use crate::clock::now;
+use crate::hollow::usage;
 use crate::load::{self, Load, Tally};
 use crate::stand::bulletin::Bulletin;
 use crate::stand::store::Store;
@@ -86,8 +86,6 @@
     pub bulletin: Bulletin,
     /// The gateway.
     pub gateway: Gateway,
-    /// What its process uses.
-    pub meter: ProcessMeter,
     /// What its configuration was written from.
     pub site: SiteConfiguration,
     _store: Store,
@@ -112,17 +110,26 @@
         };
         bulletin.roster(true, &site.entries());
         let gateway = spawn(&dir, 0, &site.text(), &wanted.files)?;
-        let meter = ProcessMeter::new(gateway.process_id());
-        Ok(Bench { bulletin, gateway, meter, site, _store: store, dir })
+        Ok(Bench { bulletin, gateway, site, _store: store, dir })
+    }
+
+    /// Processor time of the gateway so far.
+    fn processor_time(&self) -> Result<Duration, String> {
+        usage::processor_us(self.gateway.process_id()).map(Duration::from_micros)
+    }
+
+    /// Resident memory of the gateway, MB (10^6 bytes).
+    pub(crate) fn resident_mb(&self) -> Result<f64, String> {
+        usage::resident_bytes(self.gateway.process_id()).map(|bytes| bytes as f64 / 1e6)
     }
 
     /// What the gateway uses while `work` goes on.
     pub(crate) fn during<T>(&self, work: impl FnOnce() -> T) -> Result<(Usage, T), String> {
         let (started, processor, received) =
-            (Instant::now(), self.meter.processor_time()?, self.bulletin.bytes_written());
+            (Instant::now(), self.processor_time()?, self.bulletin.bytes_written());
         let done = work();
         let usage = Usage {
-            processor: self.meter.processor_time()? - processor,
+            processor: self.processor_time()? - processor,
             received: self.bulletin.bytes_written() - received,
             elapsed: started.elapsed(),
         };
@@ -168,7 +175,7 @@
     /// Has the gateway read its configuration again.
     pub(crate) fn reload(&self) -> Result<Reload, String> {
         let before = self.reloads_logged();
-        let (started, processor) = (Instant::now(), self.meter.processor_time()?);
+        let (started, processor) = (Instant::now(), self.processor_time()?);
         self.gateway.hup()?;
         while self.reloads_logged() == before {
             if started.elapsed() > RELOAD_TIMEOUT {
@@ -177,7 +184,7 @@
             std::thread::sleep(LOG_POLL);
         }
         let elapsed = started.elapsed();
-        Ok(Reload { elapsed, processor: self.meter.processor_time()? - processor })
+        Ok(Reload { elapsed, processor: self.processor_time()? - processor })
     }
 
     /// So many reloads; the least time and the least processor time count, for the others waited for the processor.
--- a/lab/src/trial/capacity/gateway/clients.rs
+++ b/lab/src/trial/capacity/gateway/clients.rs
@@ -39,7 +39,7 @@
     let held: Vec<TcpStream> = opened.collect::<Result<_, _>>().map_err(|e| format!("a client: {e}"))?;
     std::thread::sleep(SETTLE);
     let idle = bench.idle(IDLE)?;
-    let memory_mb = bench.meter.resident_mb()?;
+    let memory_mb = bench.resident_mb()?;
     drop(held);
     Ok(Shown { memory_mb, core_percent: idle.core_percent() })
 }
--- a/lab/src/trial/capacity/gateway/configuration.rs
+++ b/lab/src/trial/capacity/gateway/configuration.rs
@@ -39,6 +39,6 @@
         file_bytes: bench.site.text().len(),
         reload_ms: reload.elapsed.as_secs_f64() * 1e3,
         reload_cpu_ms: reload.processor.as_secs_f64() * 1e3,
-        memory_mb: bench.meter.resident_mb()?,
+        memory_mb: bench.resident_mb()?,
     })
 }
--- a/lab/src/trial/capacity/gateway/control.rs
+++ b/lab/src/trial/capacity/gateway/control.rs
@@ -93,5 +93,5 @@
             purge(before + count, TOGETHER);
         });
     })?;
-    Ok(ControlCost { idle, list, purges, together, memory_mb: bench.meter.resident_mb()? })
+    Ok(ControlCost { idle, list, purges, together, memory_mb: bench.resident_mb()? })
 }
--- a/lab/src/trial/capacity/gateway/mod.rs
+++ b/lab/src/trial/capacity/gateway/mod.rs
@@ -5,7 +5,6 @@
 mod configuration;
 pub(crate) mod control;
 mod peers;
-pub(crate) mod process;
 pub(crate) mod purges;
 pub mod site;
 mod sizes;
--- a/lab/src/trial/capacity/gateway/purges.rs
+++ b/lab/src/trial/capacity/gateway/purges.rs
@@ -52,5 +52,5 @@
     let idle = bench.idle(IDLE)?;
     let before = publish_at(rate, REMEMBERED, 0, |number| bench.purge(number));
     let (usage, count) = bench.during(|| publish_at(rate, MEASURED, before, |number| bench.purge(number)))?;
-    Ok(Steady { usage, micros_each: usage.micros_each(count, &idle), memory_mb: bench.meter.resident_mb()? })
+    Ok(Steady { usage, micros_each: usage.micros_each(count, &idle), memory_mb: bench.resident_mb()? })
 }
