--- a/crates/distribution/src/subscriber.rs
+++ b/crates/distribution/src/subscriber.rs
@@ -39,6 +39,8 @@
 /// A connection to the current source, from its dial on.
 #[derive(Debug, Clone, Copy)]
 struct Connection {
+    /// The events after this one were asked for.
+    after: EventNumber,
     /// When it is given up, if nothing comes until then.
     silent_at: Micros,
     /// Whether an event came.
@@ -198,7 +200,12 @@
 
     fn dial(&mut self, now: Micros, out: &mut Vec<Output>) {
         let Some(source) = self.sources.current() else { return };
-        let recent = |known: &Known| self.cursor - known.number <= MOST_OVERLAP;
+        if self.history_is_unknown() {
+            self.begin_anew(out);
+        }
+        // A relay compares by its digests; a plain source has to send all from the known event on again.
+        let relay = self.terms.kind == SourceKind::Relay;
+        let recent = |known: &Known| relay || self.cursor - known.number <= MOST_OVERLAP;
         let known = self.known.filter(recent).filter(|_| self.terms.verify);
         let (after, if_match, overlap) = match (known, self.terms.kind) {
             (None, _) => (self.cursor, None, None),
@@ -213,11 +220,24 @@
             SourceKind::Relay => ADMISSION_WAIT,
         };
         let silent_at = now + wait;
-        self.link = Link::Connected(Connection { silent_at, begun: false, caught_up: false, overlap });
+        self.link = Link::Connected(Connection { after, silent_at, begun: false, caught_up: false, overlap });
         let (gzip, scope) = (self.terms.gzip, self.terms.scope.clone());
         out.push(Output::Dial(Subscription { source, after, if_match, gzip, scope }));
     }
 
+    /// Whether events were applied of which none tells the history. Danger: a relay that is asked for what follows them
+    /// without a digest may tell another history, and both would be mixed.
+    fn history_is_unknown(&self) -> bool {
+        self.terms.verify && self.terms.kind == SourceKind::Relay && self.known.is_none() && self.cursor > 0
+    }
+
+    /// Gives up all that was applied: what follows is a gap, and the next source is asked for everything.
+    fn begin_anew(&mut self, out: &mut Vec<Output>) {
+        self.gap(None, out);
+        self.cursor = 0;
+        self.asked_again = None;
+    }
+
     fn heard(&mut self, now: Micros, out: &mut Vec<Output>) {
         let Link::Connected(connection) = &mut self.link else { return };
         connection.silent_at = now + SILENT;
@@ -261,6 +281,7 @@
         let Link::Connected(connection) = &mut self.link else { return };
         let first = !std::mem::replace(&mut connection.begun, true);
         let overlap_missing = connection.overlap.is_some();
+        let asked_after = connection.after;
         let Some(number) = event.number else { return self.unreadable(now, out) };
         // The text of a relay's snapshot is its own, and says nothing about the history.
         let relay = self.terms.kind == SourceKind::Relay;
@@ -268,12 +289,15 @@
         if self.contradicts(number, digest) {
             return self.other_history(now, LeaveReason::OtherHistory, out);
         }
+        // A relay that no longer has what was asked for begins with a snapshot. It may stand for the very next number, and
+        // for one at or below the cursor where the last events told nothing of the history.
+        let snapshot = relay && first && event.whole_list && number > asked_after;
+        if snapshot {
+            self.cursor = self.cursor.min(number - 1);
+        }
         if number <= self.cursor {
             return self.repeated(number);
         }
-        // A relay that no longer has what follows the cursor begins with a snapshot, which may stand for the very next
-        // number.
-        let snapshot = relay && first && event.whole_list;
         let missing = number != self.cursor + 1 || overlap_missing;
         if missing && !snapshot && self.ask_again() {
             return self.leave_for_next(now, LeaveReason::EventMissing, out);
@@ -335,9 +359,7 @@
         let all = self.sources.disagreed();
         self.leave_for_next(now, reason, out);
         if all && self.terms.restart_history {
-            self.gap(None, out);
-            self.cursor = 0;
-            self.asked_again = None;
+            self.begin_anew(out);
             self.sources.agreed();
         }
     }
--- a/crates/distribution/src/subscriber/tests.rs
+++ b/crates/distribution/src/subscriber/tests.rs
@@ -161,8 +161,11 @@
 
 #[test]
 fn a_snapshot_is_a_gap_even_if_it_stands_for_the_next_number() {
-    let mut rig = Rig::new(terms(SourceKind::Relay, 1), 4);
+    let mut rig = Rig::new(terms(SourceKind::Relay, 1), 0);
     rig.dialled();
+    (1..=4).for_each(|number| drop(rig.event(number)));
+    rig.give(Input::Lost);
+    assert_eq!(rig.dialled().1.if_match, Some(1004));
     let snapshot = Received { whole_list: true, ..received(5) };
     let expected = [Output::Gap { after: 4, next: Some(5) }, Output::Apply(5)];
     assert_eq!(rig.give(Input::Event(snapshot)), expected);
@@ -172,8 +175,50 @@
         [Output::Apply(6)],
         "a list in the middle is an event like others"
     );
+}
+
+/// E2: without a digest a relay of another history can't refuse the cursor, and both would be mixed.
+#[test]
+fn a_cursor_whose_history_is_not_known_is_given_up_before_a_relay_is_asked() {
+    let mut rig = Rig::new(terms(SourceKind::Relay, 1), 4);
+    let request =
+        |after| Subscription { source: address(0), after, if_match: None, gzip: false, scope: None };
+    let begins_anew = |after| [Output::Gap { after, next: None }, Output::Dial(request(0))];
+    assert_eq!(rig.give(Input::Tick), begins_anew(4));
+    let snapshot = Received { whole_list: true, ..received(5) };
+    rig.give(Input::Event(snapshot));
     rig.give(Input::Lost);
-    assert_eq!((rig.dialled().1.if_match, rig.subscriber.cursor()), (None, 6));
+    rig.now += 5 * SECOND;
+    assert_eq!(rig.give(Input::Tick), begins_anew(5), "a snapshot tells nothing of the history");
+    rig.give(Input::Event(snapshot));
+    rig.event(6);
+    rig.event(7);
+    rig.give(Input::Lost);
+    rig.now += 5 * SECOND;
+    let asks_on = Subscription { if_match: Some(1007), ..request(7) };
+    assert_eq!(rig.give(Input::Tick), [Output::Dial(asks_on)]);
+}
+
+/// E1, E2: the events behind the known one tell nothing, so the snapshot may be of another history.
+#[test]
+fn a_snapshot_at_the_cursor_is_a_gap_if_it_is_past_what_was_asked_for() {
+    let mut rig = Rig::new(terms(SourceKind::Relay, 2), 0);
+    rig.dialled();
+    (1..=5).for_each(|number| drop(rig.event(number)));
+    for number in 6..=8 {
+        rig.give(Input::Event(Received { digest: None, ..received(number) }));
+    }
+    rig.give(Input::Lost);
+    assert_eq!(rig.dialled().1.after, 5);
+    let snapshot = Received { whole_list: true, ..received(8) };
+    let expected = [Output::Gap { after: 7, next: Some(8) }, Output::Apply(8)];
+    assert_eq!(rig.give(Input::Event(snapshot)), expected);
+    assert_eq!(rig.event(9), [Output::Apply(9)]);
+    // The first of a page may be a list from before the cursor, and is no snapshot.
+    rig.give(Input::Lost);
+    rig.dialled();
+    let first_of_page = Received { whole_list: true, ..received(1) };
+    assert_eq!(rig.give(Input::Event(first_of_page)), []);
 }
 
 #[test]
--- /dev/null
+++ b/crates/distribution/tests/subscriber_and_relays.rs
@@ -0,0 +1,390 @@
+//! Random histories of the program's subscriber and two of its relays, with a source that comes back with another
+//! history: E1 and E2 of `docs/design/event-distribution.md`.
+mod common;
+use common::{list, parse, purge, read, store_json, Driver, Received, MILLISECOND, SECOND};
+use larchway_distribution::batch::{placeholder, Encoding};
+use larchway_distribution::log::{EventLog, LogLimits, Logged};
+use larchway_distribution::relay::{Hello, Input, Output, Relay, RelayTerms};
+use larchway_distribution::subscriber::{self, SourceKind, Subscriber, SubscriberTerms, Subscription};
+use larchway_distribution::{Event, EventNumber};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use xxhash_rust::xxh3::xxh3_64;
+
+const RELAYS: usize = 2;
+const HISTORY_OFFSET: u64 = 100;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Purge(u64),
+    Store(u64),
+    RestartSource,
+    Feed { relay: usize, events: u64, compacted: bool },
+    Gap { relay: usize },
+    RestartRelay { relay: usize },
+    Tick,
+    CutSubscriber,
+    Pull { chunks: usize },
+    Pass { milliseconds: u64 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let relay = 0..RELAYS;
+    prop_oneof![
+        8 => (0..4_u64).prop_map(Step::Purge),
+        2 => (0..4_u64).prop_map(Step::Store),
+        1 => Just(Step::RestartSource),
+        8 => (relay.clone(), 1..12_u64, any::<bool>())
+            .prop_map(|(relay, events, compacted)| Step::Feed { relay, events, compacted }),
+        2 => relay.clone().prop_map(|relay| Step::Gap { relay }),
+        1 => relay.prop_map(|relay| Step::RestartRelay { relay }),
+        4 => Just(Step::Tick),
+        2 => Just(Step::CutSubscriber),
+        8 => (1..4_usize).prop_map(|chunks| Step::Pull { chunks }),
+        4 => (1..2000_u64).prop_map(|milliseconds| Step::Pass { milliseconds }),
+    ]
+}
+
+#[derive(Debug, Default)]
+struct View {
+    history: Option<u64>,
+    cursor: EventNumber,
+    purged: BTreeMap<String, EventNumber>,
+    floor: EventNumber,
+}
+
+struct World {
+    terms: RelayTerms,
+    history: u64,
+    events: Vec<Event>,
+    source: EventLog,
+    relays: Vec<Driver>,
+    relay_history: Vec<u64>,
+    subscriber: Subscriber,
+    connection: Option<(usize, u64, bool)>,
+    next_id: u64,
+    view: View,
+    text: String,
+}
+
+fn address(relay: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 4000 + relay as u16))
+}
+
+fn history_of(data: &str) -> Option<u64> {
+    let value: serde_json::Value = serde_json::from_str(data).expect("JSON");
+    if let Some(item) = value["recall"]["item"].as_str() {
+        return Some(u64::from_str_radix(item, 16).expect("hex") / HISTORY_OFFSET);
+    }
+    let host = value["roster"]["hosts"].get(0)?["host"].as_str()?;
+    Some(u64::from_str_radix(&host[2..], 16).expect("hex") / HISTORY_OFFSET)
+}
+
+impl World {
+    fn new(events: usize) -> World {
+        let terms = RelayTerms {
+            log: LogLimits { events, bytes: 1 << 20 },
+            ring: 2,
+            page_events: 4,
+            batch: 100 * MILLISECOND,
+            ..RelayTerms::default()
+        };
+        let subscriber = SubscriberTerms {
+            sources: (0..RELAYS).map(address).collect(),
+            kind: SourceKind::Relay,
+            verify: true,
+            restart_history: true,
+            gzip: false,
+            scope: None,
+            longest_backoff: SECOND,
+        };
+        let mut world = World {
+            relays: (0..RELAYS).map(|_| Driver::new(Relay::new(terms.clone()))).collect(),
+            relay_history: vec![0; RELAYS],
+            subscriber: Subscriber::new(SECOND, subscriber, 0, 1),
+            terms,
+            history: 0,
+            events: Vec::new(),
+            source: EventLog::new(LogLimits { events: 1 << 20, bytes: 1 << 30 }),
+            connection: None,
+            next_id: 1,
+            view: View::default(),
+            text: String::new(),
+        };
+        world.begin();
+        world
+    }
+
+    fn begin(&mut self) {
+        self.events.clear();
+        self.source = EventLog::new(LogLimits { events: 1 << 20, bytes: 1 << 30 });
+        let store = store_json(self.history * HISTORY_OFFSET, "up");
+        self.append(list(1, true, &[store]));
+    }
+
+    fn append(&mut self, event: Event) {
+        self.source.append(event.clone()).expect("in order");
+        self.events.push(event);
+    }
+
+    fn next(&self) -> EventNumber {
+        self.events.len() as EventNumber + 1
+    }
+
+    fn now(&self) -> u64 {
+        self.relays[0].now
+    }
+
+    fn input(&mut self, relay: usize, input: Input) {
+        let out = self.relays[relay].input(input);
+        self.note(relay, out);
+    }
+
+    fn note(&mut self, relay: usize, out: Vec<Output>) {
+        for output in out {
+            let Some((connected, id, accepted)) = &mut self.connection else { return };
+            if *connected != relay {
+                return;
+            }
+            match output {
+                Output::Accept(who) if who == *id => *accepted = true,
+                Output::Cut { id: who, .. } if who == *id => {
+                    self.connection = None;
+                    self.tell(subscriber::Input::Lost);
+                }
+                Output::Reject { id: who, reason, retry_after } if who == *id => {
+                    self.connection = None;
+                    let input = subscriber::Input::Refused {
+                        status: reason.status(),
+                        retry_after: Some(retry_after),
+                    };
+                    self.tell(input);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Hands an input to the subscriber; true if the event in it is to be applied.
+    fn tell(&mut self, input: subscriber::Input<'_>) -> bool {
+        let mut out = Vec::new();
+        let now = self.now();
+        self.subscriber.handle(now, input, &mut out);
+        let mut apply = false;
+        for output in out {
+            match output {
+                subscriber::Output::Dial(subscription) => self.dial(subscription),
+                subscriber::Output::Close(_) => self.hang_up(),
+                subscriber::Output::Gap { next, .. } => {
+                    // All that was applied is given up; a snapshot may be numbered below it.
+                    let cursor = next.map_or(0, |next| self.view.cursor.min(next - 1));
+                    self.view = View { floor: next.unwrap_or(0), cursor, ..View::default() };
+                }
+                subscriber::Output::Apply(_) => apply = true,
+                subscriber::Output::PassOver => panic!("all can be read"),
+                subscriber::Output::Heard(_) | subscriber::Output::Lost => {}
+            }
+        }
+        apply
+    }
+
+    fn hang_up(&mut self) {
+        self.text.clear();
+        if let Some((relay, id, _)) = self.connection.take() {
+            self.input(relay, Input::Gone(id));
+        }
+    }
+
+    fn dial(&mut self, subscription: Subscription) {
+        self.hang_up();
+        let relay = usize::from(subscription.source.port() - 4000);
+        let id = self.next_id;
+        self.next_id += 1;
+        self.connection = Some((relay, id, false));
+        let hello = Hello {
+            cursor: Some(subscription.after),
+            digest: subscription.if_match,
+            encoding: Encoding::Identity,
+            scope: None,
+            name: None,
+        };
+        self.input(relay, Input::Subscribe { id, hello });
+    }
+
+    fn pull(&mut self, chunks: usize) {
+        for _ in 0..chunks {
+            let Some((relay, id, true)) = self.connection else { return };
+            let now = self.relays[relay].now;
+            let Some(chunk) = self.relays[relay].relay.next_chunk(now, id) else {
+                self.input(relay, Input::Tick);
+                return;
+            };
+            self.text.push_str(std::str::from_utf8(&chunk).expect("text"));
+            let mut text = std::mem::take(&mut self.text);
+            self.tell(subscriber::Input::Heard);
+            for received in parse(&mut text) {
+                if self.connection.map(|(_, connected, _)| connected) != Some(id) {
+                    return;
+                }
+                self.take(received);
+            }
+        }
+    }
+
+    fn take(&mut self, received: Received) {
+        match received {
+            Received::Heartbeat { heard_ms } => {
+                let comment = format!(" heard {heard_ms}");
+                self.tell(subscriber::Input::Comment(&comment));
+            }
+            Received::Event { number, data } => {
+                let history = history_of(&data);
+                let received = subscriber::Received {
+                    number: Some(number),
+                    digest: history.map(|_| xxh3_64(data.as_bytes())),
+                    whole_list: data.contains("\"whole\":true"),
+                };
+                if self.tell(subscriber::Input::Event(received)) {
+                    self.apply(number, &data, history);
+                }
+            }
+        }
+    }
+
+    fn apply(&mut self, number: EventNumber, data: &str, history: Option<u64>) {
+        assert!(number > self.view.cursor, "E2: in order, once");
+        self.view.cursor = number;
+        assert!(
+            history.is_none() || self.view.history.is_none() || history == self.view.history,
+            "E2: histories mix at {number}"
+        );
+        self.view.history = self.view.history.or(history);
+        let value: serde_json::Value = serde_json::from_str(data).expect("JSON");
+        if let Some(item) = value["recall"]["item"].as_str() {
+            self.view.purged.insert(item.to_string(), number);
+        }
+    }
+
+    fn feed(&mut self, relay: usize, events: u64, compacted: bool) {
+        if self.relay_history[relay] != self.history {
+            self.relay_history[relay] = self.history;
+            if self.relays[relay].relay.log().last() > 0 {
+                self.input(relay, Input::OtherHistory("the source came back".to_string()));
+            }
+        }
+        let last = self.relays[relay].relay.log().last();
+        let end = (last + events).min(self.next() - 1);
+        for number in last + 1..=end {
+            let replaced = matches!(self.source.get(number), Some(Logged::Replaced));
+            let event = self.events[number as usize - 1].clone();
+            let event = if replaced && compacted { read(&placeholder(number)) } else { event };
+            self.input(relay, Input::Event(event));
+        }
+        if end == self.next() - 1 {
+            let heard = self.relays[relay].now;
+            self.input(relay, Input::Heartbeat { heard });
+        }
+    }
+
+    fn feed_snapshot(&mut self, relay: usize) {
+        let last = self.next() - 1;
+        let next = self.relays[relay].relay.log().last() + 1;
+        if last <= next || self.relay_history[relay] != self.history {
+            return;
+        }
+        let data = self.source.stores().snapshot(last - 1, |_| true).expect("a whole list");
+        self.input(relay, Input::UpstreamGap(read(&data)));
+        self.feed(relay, 1, false);
+    }
+
+    fn pass(&mut self, milliseconds: u64) {
+        for relay in 0..RELAYS {
+            let out = self.relays[relay].pass(milliseconds * MILLISECOND);
+            self.note(relay, out);
+        }
+    }
+
+    fn run(&mut self, step: &Step) {
+        let number = self.next();
+        let offset = self.history * HISTORY_OFFSET;
+        match step {
+            Step::Purge(object) => self.append(purge(number, offset + object)),
+            Step::Store(store) => self.append(list(number, false, &[store_json(offset + store, "up")])),
+            Step::RestartSource => {
+                self.history += 1;
+                self.begin();
+                for relay in 0..RELAYS {
+                    self.input(relay, Input::UpstreamLost);
+                }
+            }
+            Step::Feed { relay, events, compacted } => self.feed(*relay, *events, *compacted),
+            Step::Gap { relay } => self.feed_snapshot(*relay),
+            Step::RestartRelay { relay } => self.restart_relay(*relay),
+            Step::Tick => {
+                self.tell(subscriber::Input::Tick);
+            }
+            Step::CutSubscriber => self.cut_subscriber(),
+            Step::Pull { chunks } => self.pull(*chunks),
+            Step::Pass { milliseconds } => self.pass(*milliseconds),
+        }
+    }
+
+    fn cut_subscriber(&mut self) {
+        if self.connection.is_some() {
+            self.hang_up();
+            self.tell(subscriber::Input::Lost);
+        }
+    }
+
+    fn restart_relay(&mut self, relay: usize) {
+        if self.connection.is_some_and(|(connected, ..)| connected == relay) {
+            self.connection = None;
+            self.text.clear();
+            self.tell(subscriber::Input::Lost);
+        }
+        let now = self.relays[relay].now;
+        self.relays[relay] = Driver { now, ..Driver::new(Relay::new(self.terms.clone())) };
+    }
+
+    fn settle(&mut self) {
+        let offset = self.history * HISTORY_OFFSET;
+        for _ in 0..60 {
+            let number = self.next();
+            self.append(purge(number, offset + number % 4));
+            for relay in 0..RELAYS {
+                self.feed(relay, u64::MAX >> 1, false);
+            }
+            self.pass(1500);
+            self.tell(subscriber::Input::Tick);
+            self.pull(usize::MAX);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, max_shrink_iters: 20_000, ..ProptestConfig::default() })]
+
+    #[test]
+    fn the_subscriber_ends_with_the_naive_state_or_a_floor(
+        steps in prop::collection::vec(step(), 1..150),
+        events in 3..40_usize,
+    ) {
+        let mut world = World::new(events);
+        for step in &steps {
+            world.run(step);
+        }
+        world.settle();
+        let view = &world.view;
+        prop_assert_eq!(view.cursor, world.next() - 1, "caught up: {:?}", view);
+        let mut last = BTreeMap::new();
+        for event in world.events.iter().filter(|event| event.issued.is_some()) {
+            let value: serde_json::Value = serde_json::from_str(&event.data).expect("JSON");
+            last.insert(value["recall"]["item"].as_str().expect("item").to_string(), event.number);
+        }
+        for (item, number) in &last {
+            let covered = view.purged.get(item) == Some(number) || view.floor >= *number;
+            prop_assert!(covered, "E1: purge {} of {}: {:?}", number, item, view);
+        }
+    }
+}
