--- a/lab/src/capacity/division.rs
+++ b/lab/src/capacity/division.rs
@@ -1,4 +1,5 @@
 //! The load of each role, by division of the whole.
+use super::slopes::Slopes;
 use super::target::Target;
 
 /// What one of a role sees.
@@ -83,3 +84,9 @@
         bytes_of_machine: bytes_direct / target.fleet.control_machines,
     }
 }
+
+/// Bytes of a purge as the source sends it, by the line through the bytes received.
+pub fn bytes_per_purge(slopes: &Slopes) -> Result<f64, String> {
+    let series = slopes.find("purges", "bytes_received").ok_or("purges bytes_received is not measured")?;
+    Ok(series.fit.slope)
+}
--- a/lab/src/capacity/messages.rs
+++ b/lab/src/capacity/messages.rs
@@ -1,4 +1,5 @@
 //! The messages that reach and leave each role at the target: rates, bytes, fan-in and fan-out.
+use super::division::bytes_per_purge;
 use super::figure::{Figure, Mark};
 use super::slopes::{at, Slopes};
 use super::target::Target;
@@ -39,9 +40,10 @@
     let requests = target.load.requests_per_second / fleet.gateways;
     let to_stores = requests * (1.0 - target.assumed.answered_by_copies);
     let changes = target.changes_per_second();
+    let purge = bytes_per_purge(slopes).ok().map(|bytes| Figure::new(bytes, "bytes", Mark::Computed));
     let file = slopes.find("configuration", "file").map(|series| at(series, fleet.gateways));
     vec![
-        to_all("purge", "source to gateways", target.load.purges_per_second, purge_bytes(slopes)),
+        to_all("purge", "source to gateways", target.load.purges_per_second, purge),
         to_all("list change", "source to gateways", changes, change_bytes(slopes, changes)),
         to_all("configuration", "operators to gateways, by file", changes, file),
         Message {
@@ -55,11 +57,6 @@
     ]
 }
 
-fn purge_bytes(slopes: &Slopes) -> Option<Figure> {
-    let series = slopes.find("purges", "bytes_received")?;
-    Some(Figure::new(series.fit.slope, "bytes", Mark::Computed))
-}
-
 /// What list changes add to the comments of an idle source, over their rate.
 fn change_bytes(slopes: &Slopes, changes_per_second: f64) -> Option<Figure> {
     let with_changes = at(slopes.find("control", "bytes_list_alone")?, WHOLE).value;
--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -1,5 +1,6 @@
 //! The capacity page: `docs/CAPACITY.md` is prose with tables between markers, and the tables are worked out here from
 //! the measured series (`docs/capacity/slopes.json`) and the operators' figures (`docs/capacity/target.json`).
+pub mod bad_days;
 pub mod division;
 pub mod figure;
 pub mod messages;
--- a/lab/src/capacity/tables.rs
+++ b/lab/src/capacity/tables.rs
@@ -1,5 +1,6 @@
 //! The tables of the page, by the names of their markers.
-use super::division::{event_load, role_loads, RoleLoad};
+use super::bad_days::consequences;
+use super::division::{bytes_per_purge, event_load, role_loads, RoleLoad};
 use super::figure::{number, Figure, Mark};
 use super::messages::{messages, Message};
 use super::ranking::{ranked, Compared};
@@ -8,9 +9,6 @@
 use super::target::Target;
 use crate::trial::capacity::Series;
 
-/// Seconds of a day.
-const DAY: f64 = 86_400.0;
-
 /// The lines of a table, its heading among them.
 pub fn table(name: &str, slopes: &Slopes, target: &Target) -> Result<String, String> {
     let rows = match name {
@@ -133,12 +131,6 @@
     ]
 }
 
-/// Bytes of a purge as the source tells it, by the line through the bytes received.
-fn bytes_per_purge(slopes: &Slopes) -> Result<f64, String> {
-    let series = slopes.find("purges", "bytes_received").ok_or("purges bytes_received is not measured")?;
-    Ok(series.fit.slope)
-}
-
 fn event_rows(slopes: &Slopes, target: &Target) -> Result<Vec<Vec<String>>, String> {
     let load = event_load(target, bytes_per_purge(slopes)?);
     let rows = [
@@ -251,11 +243,6 @@
     ]
 }
 
-/// Bytes that have to be caught up with within the time in which a purge is done everywhere.
-fn catch_up_rate(target: &Target, bytes: f64) -> Figure {
-    computed(bytes / 1e6 / target.load.purge_everywhere_seconds, "MB a second")
-}
-
 fn breaks_at(compared: &Compared<'_>) -> String {
     match (&compared.breaks_at, &compared.value) {
         (Some(size), _) => size.to_string(),
@@ -265,37 +252,8 @@
 }
 
 fn bad_day_rows(slopes: &Slopes, target: &Target) -> Result<Vec<Vec<String>>, String> {
-    let (fleet, assumed) = (&target.fleet, &target.assumed);
-    let purge_bytes = bytes_per_purge(slopes)?;
-    let list = slopes.find("configuration", "file").ok_or("configuration file is not measured")?;
-    let list_bytes = list.fit.intercept;
-    let per_zone = fleet.gateways / fleet.zones;
-    let missed = target.load.purges_per_second * assumed.region_cut_seconds;
-    let per_region = fleet.gateways / fleet.regions;
-    let every = |per_day: f64| computed(DAY / per_day, "s").to_string();
-    let lists = |gateways: f64| computed(gateways * list_bytes / 1e6, "MB").to_string();
-    let events = |gateways: f64| computed(gateways * missed * purge_bytes / 1e6, "MB").to_string();
     let mut rows = vec![row(["day", "what it sets off", "figure"])];
-    let mut add = |day: &str, what: &str, figure: String| rows.push(row([day, what, &figure]));
-    add("machines fail", "one every", every(target.failures.machines_per_day));
-    add("restarts", "one every", every(target.failures.restarts_per_day));
-    add("restarts", "whole lists sent a day", lists(target.failures.restarts_per_day));
-    add(
-        "a rack",
-        "machines gone at once",
-        Figure::new(assumed.machines_in_rack, "", Mark::Assumed).to_string(),
-    );
-    add("a zone returns", "gateways at once", computed(per_zone, "").to_string());
-    add("a zone returns", "whole lists sent", lists(per_zone));
-    add("a region was cut", "purges that each gateway has missed", computed(missed, "").to_string());
-    add("a region was cut", "bytes to catch up, all its gateways, uncompressed", events(per_region));
-    let in_time = catch_up_rate(target, per_region * missed * purge_bytes);
-    add("a region was cut", "the same within the time for a purge", in_time.to_string());
-    add("all gateways start", "whole lists sent", lists(fleet.gateways));
-    add(
-        "the source is lost",
-        "events a second that nobody hears of",
-        computed(target.load.purges_per_second, "").to_string(),
-    );
+    let all = consequences(slopes, target)?;
+    rows.extend(all.iter().map(|one| row([one.day, one.what, &one.figure.to_string()])));
     Ok(rows)
 }
--- a/lab/tests/capacity.rs
+++ b/lab/tests/capacity.rs
@@ -1,5 +1,6 @@
 //! The capacity page: the arithmetic of its tables, and that the page says what its files say. Growth is counted here and
 //! never timed; times are `larchway-lab trial capacity`'s.
+use larchway_lab::capacity::bad_days::consequences;
 use larchway_lab::capacity::division::{event_load, role_loads};
 use larchway_lab::capacity::figure::{number, Figure, Growth, Mark};
 use larchway_lab::capacity::messages::messages;
@@ -215,6 +216,41 @@
     assert_eq!(purge.bytes, None);
 }
 
+#[test]
+fn a_bad_day_sets_off_what_its_machines_ask_for() {
+    let of = |case: &str, quantity: &str, points: &[(f64, f64)]| Series {
+        case: case.into(),
+        quantity: quantity.into(),
+        ..series(points)
+    };
+    let purges = of("purges", "bytes_received", &[(50.0, 5e3), (250.0, 25e3), (500.0, 50e3), (1e3, 100e3)]);
+    let file = of("configuration", "file", &[(0.0, 6e5), (120.0, 6.024e5), (1.2e3, 6.24e5), (12e3, 8.4e5)]);
+    let restarts = of(
+        "sessions",
+        "messages_of_all_that_restart",
+        &[(30.0, 1800.0), (300.0, 18e4), (1e3, 2e6), (3e3, 18e6)],
+    );
+    let slopes = Slopes { seed: 1, series: vec![purges, file, restarts] };
+    let all = consequences(&slopes, &target()).expect("all is measured");
+    let table = [
+        ("restarts", "one every", 86_400.0 / 990.0),
+        ("restarts", "whole lists sent a day", 990.0 * 0.6),
+        ("all gateways start", "whole lists sent", 12_000.0 * 0.6),
+        ("all gateways start", "messages at the ensemble", 288e6),
+        ("a region was cut", "purges that each gateway has missed", 75_000.0),
+        (
+            "a region was cut",
+            "bytes to catch up, all its gateways, uncompressed",
+            12e3 / 36.0 * 75e3 * 100.0 / 1e6,
+        ),
+    ];
+    for (day, what, value) in table {
+        let found = all.iter().find(|one| (one.day, one.what) == (day, what)).expect("it is among them");
+        assert!(close(found.figure.value, value), "{day}, {what}: {}", found.figure);
+    }
+    assert!(consequences(&Slopes::default(), &target()).is_err());
+}
+
 #[test]
 fn each_need_has_a_budget_above_0_and_is_named_once() {
     let needs = target().needs;
