--- a/lab/src/stand/source.rs
+++ b/lab/src/stand/source.rs
@@ -18,6 +18,9 @@
 const MOST_A_ROUND: usize = 256 * 1024;
 /// Most bytes of a request's head.
 const LONGEST_HEAD: usize = 4096;
+/// Connections that may wait to be accepted. With the usual 128, followers that come back at once lose their first packet,
+/// and wait whole seconds to send it again.
+const BACKLOG: i32 = 4096;
 const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
 
 /// What the source is asked for.
@@ -94,6 +97,7 @@
     /// One that has told nothing.
     pub fn start() -> std::io::Result<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        socket2::SockRef::from(&listener).listen(BACKLOG)?;
         listener.set_nonblocking(true)?;
         let poller = Poller::new()?;
         poller.add_with_mode(&listener, Event::readable(LISTENER), PollMode::Level)?;
