--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod membership;
 pub mod net;
 pub mod peers;
+pub mod relay;
 pub mod resp;
 pub mod shutdown;
 pub mod signed;
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -1,6 +1,6 @@
 //! The gateway daemon's command line.
 use argh::FromArgs;
-use larchway_gateway::{admin, config, hierarchy, signed, table, terms};
+use larchway_gateway::{admin, config, hierarchy, relay, signed, table, terms};
 use larchway_gateway::{clock, net::Gateway};
 use miniserde::json::{Number, Object, Value};
 use std::process::ExitCode;
@@ -22,6 +22,16 @@
     Members(Members),
     Schema(Schema),
     Hierarchy(HierarchyArgs),
+    Relay(Relay),
+}
+
+/// Pass numbered events on from their source, or from another relay, to subscribers, until SIGTERM.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "relay")]
+struct Relay {
+    /// file of the relay
+    #[argh(option)]
+    relay: String,
 }
 
 /// Look at the hierarchy: that of a running instance, or a file.
@@ -83,7 +93,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "schema")]
 struct Schema {
-    /// which file: ensemble, hierarchy, copies, spread or fleet
+    /// which file: ensemble, hierarchy, copies, spread, fleet or relay
     #[argh(positional)]
     file: String,
 }
@@ -250,14 +260,16 @@
         Command::CheckConfig(args) => check(&args),
         Command::Members(args) => members(&args),
         Command::Hierarchy(args) => look(&args.what),
+        Command::Relay(args) => relay::RelayDaemon::new(&args.relay).and_then(|mut daemon| daemon.run()),
         Command::Schema(args) => match args.file.as_str() {
             "ensemble" => Ok(config::ensemble_schema()),
             "hierarchy" => Ok(hierarchy::schema()),
             "copies" => Ok(config::copies_schema()),
             "spread" => Ok(config::spread_schema()),
             "fleet" => Ok(config::fleet_schema()),
+            "relay" => Ok(relay::file::schema()),
             other => Err(format!(
-                "there is no schema of {other:?}, only of ensemble, hierarchy, copies, spread and fleet"
+                "there is no schema of {other:?}, only of ensemble, hierarchy, copies, spread, fleet and relay"
             )),
         }
         .map(|schema| println!("{schema}")),
--- a/gateway/tests/net/main.rs
+++ b/gateway/tests/net/main.rs
@@ -8,6 +8,7 @@
 mod operations;
 mod platform;
 mod rare;
+mod relay;
 mod scenario;
 mod signed;
 mod spread;
--- /dev/null
+++ b/gateway/tests/relay/tree.rs
@@ -0,0 +1,84 @@
+//! Relays in a tree.
+use crate::support::{eventually, get, purge, purges, RelayProcess, Source, Subscriber};
+use std::net::SocketAddr;
+
+fn leaf(name: &str, above: &[&RelayProcess]) -> RelayProcess {
+    let sources: Vec<SocketAddr> = above.iter().map(|relay| relay.address()).collect();
+    RelayProcess::start(name, &sources, "")
+}
+
+fn done(relay: &RelayProcess, number: u64) -> serde_json::Value {
+    let response = get(relay.address(), &format!("/positions/{number}"));
+    assert_eq!(response.status, 200);
+    serde_json::from_str(&response.body).expect("JSON")
+}
+
+#[test]
+fn numbers_and_the_time_at_which_the_root_heard_the_source_pass_down_unchanged() {
+    let source = Source::start(purges(1, 50));
+    let root = RelayProcess::root(&source, "");
+    root.wait_for_event(50);
+    let middle = leaf("middle", &[&root]);
+    middle.wait_for_event(50);
+    let lowest = leaf("lowest", &[&middle]);
+    lowest.wait_for_event(50);
+    let mut above = Subscriber::after(root.address(), 50);
+    let mut below = Subscriber::after(lowest.address(), 0);
+    for number in 1..=50 {
+        assert_eq!(below.next_event(), (number, purge(number, number)));
+    }
+    let heard_by_root: Vec<u64> = (0..10).map(|_| above.next_heartbeat()).collect();
+    let mut heard = below.next_heartbeat();
+    while heard < heard_by_root[0] {
+        heard = below.next_heartbeat();
+    }
+    // Heartbeats within one batch may be merged, so not each time need arrive; those that do are the root's.
+    eventually("a time of the root's arrives", || {
+        let known = heard_by_root.contains(&heard);
+        heard = below.next_heartbeat();
+        known || heard > heard_by_root[9]
+    });
+    source.mute(true);
+    eventually("silence reaches the lowest relay", || {
+        lowest.figure("lag_ms").as_u64().is_some_and(|lag| lag > 3000)
+    });
+}
+
+#[test]
+fn positions_go_up_the_tree_and_the_root_says_who_keeps_an_event() {
+    let source = Source::start(purges(1, 10));
+    let root = RelayProcess::root(&source, "");
+    root.wait_for_event(10);
+    let leaves = [leaf("leaf-1", &[&root]), leaf("leaf-2", &[&root])];
+    leaves.iter().for_each(|leaf| leaf.wait_for_event(10));
+    let mut first = Subscriber::start(leaves[0].address(), "/bulletins", "User-Agent: g-1\r\n");
+    let mut second = Subscriber::start(leaves[1].address(), "/bulletins", "User-Agent: g-2\r\n");
+    first.report("g-1", 10);
+    second.report("g-2", 7);
+    eventually("both gateways are counted", || root.figure("positions")["gateways"] == 2);
+    assert_eq!(done(&root, 7)["done"], true);
+    let kept = done(&root, 10);
+    assert_eq!((&kept["done"], &kept["kept_by"][0]["name"]), (&false.into(), &"g-2".into()), "{kept}");
+    second.report("g-2", 10);
+    eventually("it is done everywhere", || done(&root, 10)["done"] == true);
+    assert!(done(&root, 10)["done_at_ms"].as_u64().is_some());
+    drop(first);
+    eventually("one is lost", || root.figure("positions")["lost"] == 1);
+    drop(second);
+}
+
+#[test]
+fn a_relay_whose_upstream_is_killed_goes_on_with_another_and_misses_nothing() {
+    let source = Source::start(purges(1, 10));
+    let mut middles = [RelayProcess::root(&source, ""), RelayProcess::root(&source, "")];
+    middles.iter().for_each(|middle| middle.wait_for_event(10));
+    let lowest = leaf("lowest", &[&middles[0], &middles[1]]);
+    lowest.wait_for_event(10);
+    let mut subscriber = Subscriber::after(lowest.address(), 0);
+    middles[0].process.kill();
+    source.add(purges(11, 90));
+    for number in 1..=100 {
+        assert_eq!(subscriber.next_event(), (number, purge(number, number)));
+    }
+    assert_eq!(lowest.figure("gaps"), 0);
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,6 +1,6 @@
 //! The laboratory's command line.
 use argh::FromArgs;
-use larchway_gateway::{config::Files, net::Gateway};
+use larchway_gateway::{config::Files, net::Gateway, relay::RelayDaemon};
 use larchway_lab::stand::ensemble::{command, Keepers};
 use larchway_lab::trial;
 use std::io::{BufRead, Write};
@@ -21,6 +21,7 @@
     Trial(Trial),
     Ensemble(Ensemble),
     Daemon(Daemon),
+    Relay(Relay),
 }
 
 /// Play a trial: failures against real processes, a table of figures; exits with 1 if a stated bound is broken.
@@ -57,6 +58,15 @@
     old: bool,
 }
 
+/// Run a relay as `larchway relay` does; trials start their relays by it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "relay")]
+struct Relay {
+    /// file of the relay
+    #[argh(option)]
+    relay: String,
+}
+
 /// Run the daemon as `larchway serve` does; trials start their gateways by it.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "daemon")]
@@ -120,6 +130,9 @@
     let done = match &args.command {
         Command::Trial(args) => run_trial(args),
         Command::Ensemble(args) => run_ensemble(args).map(|()| true),
+        Command::Relay(args) => {
+            RelayDaemon::new(&args.relay).and_then(|mut relay| relay.run()).map(|()| true)
+        }
         Command::Daemon(args) => {
             let hierarchy = args.hierarchy.clone();
             let (signed, ensemble) = (args.signed.clone(), args.ensemble.clone());
