--- a/gateway/tests/relay/operator.rs
+++ b/gateway/tests/relay/operator.rs
@@ -1,5 +1,7 @@
 //! The relay's file, its signals, and what an operator is told.
-use crate::support::{eventually, file, purge, purges, relay_file, request, try_request, RelayProcess, Source};
+use crate::support::{
+    eventually, file, purge, purges, relay_file, request, try_request, RelayProcess, Source,
+};
 use larchway_gateway::relay::file as relay_config;
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
