--- a/gateway/src/relay/file.rs
+++ b/gateway/src/relay/file.rs
@@ -72,7 +72,7 @@
 }
 
 fn batch_ms() -> u64 {
-    100
+    250
 }
 
 fn log_events() -> usize {
--- a/gateway/src/relay/status.rs
+++ b/gateway/src/relay/status.rs
@@ -153,6 +153,7 @@
         CutReason::Stalled => "stalled",
         CutReason::CatchUpTooSlow => "catch_up_too_slow",
         CutReason::NoSnapshot => "no_snapshot",
+        CutReason::HiddenGap => "hidden_gap",
         CutReason::StoppedServing => "stopped_serving",
     }
 }
