Begin trial distribution: hollow followers, a source for thousands, links that are cut or slow

Cause: what relays gain and what faults cost was not measured. Change: larchway-lab trial distribution plays all direct and a root with three leaves, healthy, one leaf killed or paused, a region cut, a link slow; hollow followers are the product's subscriber and event reader in a process of their own. Not yet: real gateways among the followers, 12,000 followers.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -2,6 +2,7 @@
 //! daemon does with them. Nothing here is used by the daemon.
 pub mod clock;
 pub mod faults;
+pub mod followers;
 pub mod load;
 pub mod stand;
 pub mod trial;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,6 +1,8 @@
 //! The laboratory's command line.
 use argh::FromArgs;
+use larchway_distribution::subscriber::SourceKind;
 use larchway_gateway::{config::Files, net::Gateway, relay::RelayDaemon};
+use larchway_lab::followers;
 use larchway_lab::stand::ensemble::{command, Keepers};
 use larchway_lab::trial;
 use std::io::{BufRead, Write};
@@ -22,13 +24,14 @@
     Ensemble(Ensemble),
     Daemon(Daemon),
     Relay(Relay),
+    Followers(Followers),
 }
 
 /// Play a trial: failures against real processes, a table of figures; exits with 1 if a stated bound is broken.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "trial")]
 struct Trial {
-    /// which: membership, hierarchy, upgrade, spread, fleet, cold, capacity
+    /// which: membership, hierarchy, upgrade, spread, fleet, cold, capacity, distribution
     #[argh(positional)]
     name: String,
     /// decides on times and objects (default 1)
@@ -58,6 +61,36 @@
     old: bool,
 }
 
+/// Run hollow followers of events until the standard input ends, then print what they applied as one line of JSON.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "followers")]
+struct Followers {
+    /// a source; several in order of preference, which each follower shuffles
+    #[argh(option)]
+    source: Vec<SocketAddr>,
+    /// the sources are relays
+    #[argh(switch)]
+    relays: bool,
+    /// how many followers
+    #[argh(option)]
+    count: usize,
+    /// decides on orders and jitter
+    #[argh(option)]
+    seed: u64,
+}
+
+fn run_followers(args: &Followers) -> Result<(), String> {
+    let plan = followers::Plan {
+        sources: args.source.clone(),
+        kind: if args.relays { SourceKind::Relay } else { SourceKind::Plain },
+        count: args.count,
+        seed: args.seed,
+    };
+    let seen = followers::follow(&plan).map_err(|e| format!("followers: {e}"))?;
+    println!("{}", serde_json::to_string(&seen).map_err(|e| e.to_string())?);
+    Ok(())
+}
+
 /// Run a relay as `larchway relay` does; trials start their relays by it.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "relay")]
@@ -130,6 +163,7 @@
     let done = match &args.command {
         Command::Trial(args) => run_trial(args),
         Command::Ensemble(args) => run_ensemble(args).map(|()| true),
+        Command::Followers(args) => run_followers(args).map(|()| true),
         Command::Relay(args) => {
             RelayDaemon::new(&args.relay).and_then(|mut relay| relay.run()).map(|()| true)
         }
--- a/lab/src/stand/mod.rs
+++ b/lab/src/stand/mod.rs
@@ -1,6 +1,8 @@
 //! Stand-ins, written from the public specifications of what they stand for.
 pub mod bulletin;
 pub mod ensemble;
+pub mod event_source;
+pub mod link;
 pub mod registrar;
 pub mod relay;
 pub mod store;
--- a/lab/src/trial/mod.rs
+++ b/lab/src/trial/mod.rs
@@ -1,6 +1,7 @@
 //! Trials: real processes of the daemon and stand-ins on loopback, failures, figures, and bounds that must hold.
 pub mod capacity;
 pub mod cold;
+pub mod distribution;
 pub mod fleet;
 pub mod hierarchy;
 pub mod membership;
@@ -21,7 +22,8 @@
 }
 
 /// The trials by name.
-pub const NAMES: [&str; 7] = ["membership", "hierarchy", "upgrade", "spread", "fleet", "cold", "capacity"];
+pub const NAMES: [&str; 8] =
+    ["membership", "hierarchy", "upgrade", "spread", "fleet", "cold", "capacity", "distribution"];
 
 /// Plays a trial.
 pub fn play(name: &str, seed: u64, only: Option<&str>) -> Result<Outcome, String> {
@@ -33,6 +35,7 @@
         "fleet" => tier::play(seed, only),
         "cold" => cold::play(seed, only),
         "capacity" => capacity::play(seed, only),
+        "distribution" => distribution::play(seed, only),
         other => Err(format!("there is no trial {other:?}; there are: {}", NAMES.join(", "))),
     }
 }
