--- a/gateway/tests/net/main.rs
+++ b/gateway/tests/net/main.rs
@@ -9,6 +9,7 @@
 mod operations;
 mod platform;
 mod rare;
+mod relay;
 mod scenario;
 mod signed;
 mod spread;
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod capacity;
 pub mod clock;
 pub mod faults;
+pub mod followers;
 pub mod hollow;
 pub mod load;
 pub mod stand;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,7 +1,9 @@
 //! The laboratory's command line.
 use argh::FromArgs;
-use larchway_gateway::{config::Files, net::Gateway};
+use larchway_distribution::subscriber::SourceKind;
+use larchway_gateway::{config::Files, net::Gateway, relay::RelayDaemon};
 use larchway_lab::capacity::page::PageFiles;
+use larchway_lab::followers;
 use larchway_lab::hollow::swarm;
 use larchway_lab::stand::ensemble::{command, Keepers};
 use larchway_lab::stand::source;
@@ -26,6 +28,8 @@
     Daemon(Daemon),
     Capacity(Capacity),
     Source(SourceArgs),
+    Relay(Relay),
+    Swarm(SwarmArgs),
     Followers(Followers),
 }
 
@@ -33,7 +37,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "trial")]
 struct Trial {
-    /// which: membership, hierarchy, upgrade, spread, fleet, cold, capacity
+    /// which: membership, hierarchy, upgrade, spread, fleet, cold, capacity, distribution
     #[argh(positional)]
     name: String,
     /// decides on times and objects (default 1)
@@ -63,6 +67,45 @@
     old: bool,
 }
 
+/// Run hollow followers of events until the standard input ends, then print what they applied as one line of JSON.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "followers")]
+struct Followers {
+    /// a source; several in order of preference, which each follower shuffles
+    #[argh(option)]
+    source: Vec<SocketAddr>,
+    /// the sources are relays
+    #[argh(switch)]
+    relays: bool,
+    /// how many followers
+    #[argh(option)]
+    count: usize,
+    /// decides on orders and jitter
+    #[argh(option)]
+    seed: u64,
+}
+
+fn run_followers(args: &Followers) -> Result<(), String> {
+    let plan = followers::Plan {
+        sources: args.source.clone(),
+        kind: if args.relays { SourceKind::Relay } else { SourceKind::Plain },
+        count: args.count,
+        seed: args.seed,
+    };
+    let seen = followers::follow(&plan).map_err(|e| format!("followers: {e}"))?;
+    println!("{}", serde_json::to_string(&seen).map_err(|e| e.to_string())?);
+    Ok(())
+}
+
+/// Run a relay as `larchway relay` does; trials start their relays by it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "relay")]
+struct Relay {
+    /// file of the relay
+    #[argh(option)]
+    relay: String,
+}
+
 /// Run the daemon as `larchway serve` does; trials start their gateways by it.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "daemon")]
@@ -136,8 +179,8 @@
 
 /// Run hollow followers of a source of events, driven by JSON lines; trials start them.
 #[derive(FromArgs)]
-#[argh(subcommand, name = "followers")]
-struct Followers {
+#[argh(subcommand, name = "swarm")]
+struct SwarmArgs {
     /// address of the source, on loopback
     #[argh(positional)]
     source: SocketAddr,
@@ -194,7 +237,11 @@
         Command::Capacity(Capacity { command: CapacityCommand::Page(args) }) => run_page(args),
         Command::Ensemble(args) => run_ensemble(args).map(|()| true),
         Command::Source(SourceArgs {}) => source::run().map(|()| true),
-        Command::Followers(args) => swarm::run(args.source).map(|()| true),
+        Command::Swarm(args) => swarm::run(args.source).map(|()| true),
+        Command::Followers(args) => run_followers(args).map(|()| true),
+        Command::Relay(args) => {
+            RelayDaemon::new(&args.relay).and_then(|mut relay| relay.run()).map(|()| true)
+        }
         Command::Daemon(args) => {
             let hierarchy = args.hierarchy.clone();
             let (signed, ensemble) = (args.signed.clone(), args.ensemble.clone());
--- a/lab/src/trial/capacity/source.rs
+++ b/lab/src/trial/capacity/source.rs
@@ -76,7 +76,7 @@
         let mut swarms = Vec::new();
         for swarm in 0..followers.div_ceil(FOLLOWERS_A_PROCESS) {
             let address = SocketAddr::from((Ipv4Addr::LOCALHOST, counted.port)).to_string();
-            let mut child = Child::start(&["followers", &address])?;
+            let mut child = Child::start(&["swarm", &address])?;
             let followers = FOLLOWERS_A_PROCESS.min(followers - swarm * FOLLOWERS_A_PROCESS);
             let _: swarm::Counted = child.ask(&swarm::Command::Connect { followers, after: 0 })?;
             swarms.push(child);
