Measure all control of a gateway behind a relay in trial capacity, and bound it by its budgets

Change: the case control_relayed plays the same with a relay, gzip and position reports, bytes of both directions counted by a meter before the relay; processor time and memory are bounds in both, bytes in control_relayed.

--- a/lab/src/stand/mod.rs
+++ b/lab/src/stand/mod.rs
@@ -3,6 +3,7 @@
 pub mod ensemble;
 pub mod event_source;
 pub mod link;
+pub mod meter;
 pub mod registrar;
 pub mod relay;
 pub mod source;
--- a/lab/src/trial/capacity/gateway/bench.rs
+++ b/lab/src/trial/capacity/gateway/bench.rs
@@ -4,9 +4,12 @@
 use crate::hollow::usage;
 use crate::load::{self, Load, Tally};
 use crate::stand::bulletin::Bulletin;
+use crate::stand::meter::Meter;
 use crate::stand::store::Store;
+use crate::trial::distribution::processes::RelayProcess;
 use crate::trial::fleet::{spawn, Gateway};
-use std::path::PathBuf;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
 /// Bytes of an object.
@@ -23,6 +26,9 @@
 const RELOAD_PAUSE: Duration = Duration::from_millis(250);
 /// Time between two looks into the log.
 const LOG_POLL: Duration = Duration::from_micros(200);
+/// How long a gateway may take to catch up at its relay, and time between two looks.
+const RELAY_READY_TIMEOUT: Duration = Duration::from_secs(20);
+const RELAY_READY_POLL: Duration = Duration::from_millis(50);
 /// What the gateway logs when it has read its configuration again.
 const RELOADED: &str = "the configuration is read again";
 
@@ -35,6 +41,8 @@
     pub gateways: usize,
     /// Whether datagrams between gateways are allowed.
     pub datagrams: bool,
+    /// Whether it reads its events from a relay, with gzip and position reports, in place of the bulletin.
+    pub relayed: bool,
     /// Operator files by their flag.
     pub files: Vec<(&'static str, String)>,
     /// Feeds random numbers.
@@ -48,7 +56,7 @@
     pub elapsed: Duration,
     /// Processor time of the gateway.
     pub processor: Duration,
-    /// Bytes that the bulletin wrote to the gateway.
+    /// Bytes that the bulletin wrote to the gateway; with a relay, those of both directions.
     pub received: u64,
 }
 
@@ -88,10 +96,45 @@
     pub gateway: Gateway,
     /// What its configuration was written from.
     pub site: SiteConfiguration,
+    relayed: Option<Relayed>,
     _store: Store,
     dir: PathBuf,
 }
 
+/// A relay, with a meter before it that the gateway calls.
+struct Relayed {
+    relay: RelayProcess,
+    meter: Meter,
+}
+
+impl Relayed {
+    /// A relay of the bulletin.
+    fn start(dir: &Path, bulletin: SocketAddr) -> Result<Self, String> {
+        let relay = RelayProcess::start(dir, "relay", &[bulletin], r#","root":true"#)?;
+        let meter = Meter::before(relay.address).map_err(|e| format!("the meter: {e}"))?;
+        Ok(Relayed { relay, meter })
+    }
+
+    /// The gateway's file of its events.
+    fn events_file(&self) -> String {
+        format!(r#"{{"relays":["{}"],"gzip":true,"report":true}}"#, self.meter.address)
+    }
+
+    /// Waits until the gateway has caught up, as its report of its position says.
+    fn wait_for_gateway(&self) -> Result<(), String> {
+        let end = Instant::now() + RELAY_READY_TIMEOUT;
+        while Instant::now() < end {
+            let status = self.relay.status()?;
+            let caught_up = status["positions"]["applied"] == status["last_event"];
+            if caught_up && status["positions"]["gateways"] == 1 {
+                return Ok(());
+            }
+            std::thread::sleep(RELAY_READY_POLL);
+        }
+        Err(format!("the gateway does not catch up at its relay within {RELAY_READY_TIMEOUT:?}"))
+    }
+}
+
 impl Bench {
     /// Starts one; `name` tells its files from those of others.
     pub(crate) fn start(name: &str, wanted: &Wanted) -> Result<Self, String> {
@@ -109,8 +152,14 @@
             seed: wanted.seed,
         };
         bulletin.roster(true, &site.entries());
-        let gateway = spawn(&dir, 0, &site.text(), &wanted.files)?;
-        Ok(Bench { bulletin, gateway, site, _store: store, dir })
+        let relayed = wanted.relayed.then(|| Relayed::start(&dir, bulletin.address)).transpose()?;
+        let mut files = wanted.files.clone();
+        files.extend(relayed.iter().map(|relayed| ("events", relayed.events_file())));
+        let gateway = spawn(&dir, 0, &site.text(), &files)?;
+        if let Some(relayed) = &relayed {
+            relayed.wait_for_gateway()?;
+        }
+        Ok(Bench { bulletin, gateway, site, relayed, _store: store, dir })
     }
 
     /// Processor time of the gateway so far.
@@ -118,6 +167,12 @@
         usage::processor_us(self.gateway.process_id()).map(Duration::from_micros)
     }
 
+    /// Bytes between the gateway and what tells it of events so far.
+    fn control_bytes(&self) -> u64 {
+        let relayed = self.relayed.as_ref().map(|relayed| relayed.meter.passed());
+        relayed.unwrap_or_else(|| self.bulletin.bytes_written())
+    }
+
     /// Resident memory of the gateway, MB (10^6 bytes).
     pub(crate) fn resident_mb(&self) -> Result<f64, String> {
         usage::resident_bytes(self.gateway.process_id()).map(|bytes| bytes as f64 / 1e6)
@@ -125,12 +180,11 @@
 
     /// What the gateway uses while `work` goes on.
     pub(crate) fn during<T>(&self, work: impl FnOnce() -> T) -> Result<(Usage, T), String> {
-        let (started, processor, received) =
-            (Instant::now(), self.processor_time()?, self.bulletin.bytes_written());
+        let (started, processor, received) = (Instant::now(), self.processor_time()?, self.control_bytes());
         let done = work();
         let usage = Usage {
             processor: self.processor_time()? - processor,
-            received: self.bulletin.bytes_written() - received,
+            received: self.control_bytes() - received,
             elapsed: started.elapsed(),
         };
         Ok((usage, done))
--- a/lab/src/trial/capacity/gateway/control.rs
+++ b/lab/src/trial/capacity/gateway/control.rs
@@ -12,6 +12,9 @@
 pub(crate) const LIST_CHANGES_PER_SECOND: f64 = 41_000.0 / 86_400.0;
 /// Memory that control may cost a gateway, MB.
 const MEMORY_BUDGET: f64 = 128.0;
+/// Processor time that control may cost a gateway, % of a core, and bytes a second.
+const PROCESSOR_BUDGET: f64 = 2.6;
+const BYTES_BUDGET: f64 = 9_000.0;
 /// How long each part is measured.
 const IDLE: Duration = Duration::from_secs(5);
 const LIST_ALONE: Duration = Duration::from_secs(20);
@@ -33,11 +36,20 @@
     pub memory_mb: f64,
 }
 
-/// Plays the case.
+/// Plays the case with events straight from the bulletin.
 pub(super) fn play(seed: u64) -> Result<Played, String> {
-    let sizes = Sizes::new("control", "part of the target", 1.0);
-    let sizes = sizes.at_once(&SCALES, |scale| measure_scale(scale, seed))?;
-    let broken = sizes.measured.last().map(|(_, cost)| broken_bounds(cost)).unwrap_or_default();
+    play_case("control", seed, false)
+}
+
+/// Plays the case with events from a relay: gzip, and a report of the position each second.
+pub(super) fn play_relayed(seed: u64) -> Result<Played, String> {
+    play_case("control_relayed", seed, true)
+}
+
+fn play_case(case: &'static str, seed: u64, relayed: bool) -> Result<Played, String> {
+    let sizes = Sizes::new(case, "part of the target", 1.0);
+    let sizes = sizes.at_once(&SCALES, |scale| measure_scale(scale, seed, relayed))?;
+    let broken = sizes.measured.last().map(|(_, cost)| budgets_broken(cost, relayed)).unwrap_or_default();
     Ok(Played { series: series(&sizes), broken })
 }
 
@@ -56,24 +68,34 @@
     ]
 }
 
-/// Processor time and bytes are compared with their budgets on the capacity page, for they are over them.
-fn broken_bounds(cost: &ControlCost) -> Vec<String> {
-    let over = cost.memory_mb > MEMORY_BUDGET;
-    over.then(|| format!("{:.1} MB are resident, {MEMORY_BUDGET} allowed", cost.memory_mb))
-        .into_iter()
-        .collect()
+/// What is over its budget. Without a relay bytes are, and are compared with it on the capacity page alone.
+fn budgets_broken(cost: &ControlCost, bytes_too: bool) -> Vec<String> {
+    let mut broken = Vec::new();
+    let (core, bytes) = (cost.together.core_percent(), cost.together.bytes_per_second());
+    if cost.memory_mb > MEMORY_BUDGET {
+        broken.push(format!("{:.1} MB are resident, {MEMORY_BUDGET} allowed", cost.memory_mb));
+    }
+    if core > PROCESSOR_BUDGET {
+        broken.push(format!("{core:.2} % of a core, {PROCESSOR_BUDGET} allowed"));
+    }
+    if bytes_too && bytes > BYTES_BUDGET {
+        broken.push(format!("{bytes:.0} bytes a second, {BYTES_BUDGET} allowed"));
+    }
+    broken
 }
 
-fn measure_scale(scale: f64, seed: u64) -> Result<ControlCost, String> {
+fn measure_scale(scale: f64, seed: u64, relayed: bool) -> Result<ControlCost, String> {
     let part = |whole: usize| (whole as f64 * scale).round() as usize;
     let wanted = Wanted {
         stores: part(site::STORES),
         gateways: part(site::GATEWAYS),
+        relayed,
         files: vec![("copies", purges::COPIES.to_string())],
         seed,
         ..Wanted::default()
     };
-    let bench = Bench::start(&format!("control-{scale}"), &wanted)?;
+    let path = if relayed { "relayed" } else { "direct" };
+    let bench = Bench::start(&format!("control-{path}-{scale}"), &wanted)?;
     measure(&bench, purges::TARGET_RATE * scale, LIST_CHANGES_PER_SECOND * scale)
 }
 
--- a/lab/src/trial/capacity/gateway/mod.rs
+++ b/lab/src/trial/capacity/gateway/mod.rs
@@ -18,6 +18,7 @@
         Case { name: "stores", play: stores::play },
         Case { name: "purges", play: purges::play },
         Case { name: "control", play: control::play },
+        Case { name: "control_relayed", play: control::play_relayed },
         Case { name: "configuration", play: configuration::play },
         Case { name: "clients", play: clients::play },
         Case { name: "peers", play: peers::play },
--- a/lab/src/trial/capacity/gateway/peers.rs
+++ b/lab/src/trial/capacity/gateway/peers.rs
@@ -35,7 +35,7 @@
 
 fn measure(gateways: usize, seed: u64) -> Result<Shown, String> {
     let files = vec![("fleet", FLEET.to_string())];
-    let wanted = Wanted { stores: STORES, gateways, datagrams: true, files, seed };
+    let wanted = Wanted { stores: STORES, gateways, datagrams: true, files, seed, ..Wanted::default() };
     let bench = Bench::start(&format!("peers-{gateways}"), &wanted)?;
     std::thread::sleep(SETTLE);
     let idle = bench.idle(MEASURED)?;
--- a/lab/src/trial/capacity/gateway/purges.rs
+++ b/lab/src/trial/capacity/gateway/purges.rs
@@ -46,7 +46,7 @@
     let files = vec![("copies", COPIES.to_string())];
     let bench = Bench::start(
         &format!("purges-{rate}"),
-        &Wanted { stores: STORES, gateways: 0, datagrams: false, files, seed },
+        &Wanted { stores: STORES, gateways: 0, datagrams: false, files, seed, ..Wanted::default() },
     )?;
     bench.request(FILL_RATE, FILL, seed)?;
     let idle = bench.idle(IDLE)?;
--- a/lab/src/trial/distribution/mod.rs
+++ b/lab/src/trial/distribution/mod.rs
@@ -1,6 +1,6 @@
 //! `trial distribution`: the time from an event at its source to its application by every follower, when all follow the
 //! source itself and when relays stand between, healthy and with a relay killed or paused, a region cut, a link slow.
-mod processes;
+pub(crate) mod processes;
 
 use super::Outcome;
 use crate::followers::Seen;
