--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -107,7 +107,7 @@
     get: Get,
     at: Micros,
     /// When its first byte was written.
-    pub begun: Option<Micros>,
+    begun: Option<Micros>,
     /// The connection that carries it.
     pub carrier: Option<Key>,
     /// Whether it has left a broken connection for another.
@@ -161,6 +161,8 @@
     requests: Slots<Open>,
     calls: BTreeSet<String>,
     attempts: Slots<Attempt>,
+    /// Of these, those of which no byte is written: what a purge or a drain may still hold back.
+    unsent: BTreeSet<Key>,
     stores: BTreeMap<ServerId, (String, State)>,
     /// The origin's shield, if there is one; the hub of each parent, and which stores fetch from the origin.
     shield: Option<Shield>,
@@ -220,6 +222,7 @@
             requests: Slots::default(),
             calls: BTreeSet::new(),
             attempts: Slots::default(),
+            unsent: BTreeSet::new(),
             stores: BTreeMap::new(),
             shield: None,
             hubs: BTreeMap::new(),
@@ -558,8 +561,9 @@
             }
             _ => !up(a.get.server) || !up(a.get.source),
         };
-        let late: Vec<Key> =
-            self.attempts.iter().filter(|(_, a)| a.begun.is_none() && void(a)).map(|(k, _)| k).collect();
+        let waits = |a: &Attempt| a.begun.is_none() && void(a);
+        let concerned = |key: &Key| self.attempts.get(*key).is_some_and(waits);
+        let late: Vec<Key> = self.unsent.iter().copied().filter(concerned).collect();
         for key in late {
             self.withdraw(now, key, Status::NeverSent);
         }
@@ -667,6 +671,7 @@
 
     /// The first byte of an attempt is written.
     pub fn begin(&mut self, now: Micros, key: Key) {
+        self.unsent.remove(&key);
         self.attempts.get_mut(key).into_iter().for_each(|a| a.begun = Some(now));
     }
 
@@ -770,6 +775,7 @@
         load: Vec<f64>,
     ) -> Option<Ticket> {
         let attempt = self.attempts.remove(key)?;
+        self.unsent.remove(&key);
         if let Some(at) = attempt.get.stop_at {
             self.deadlines.clear(at, Due::Attempt(key));
         }
@@ -869,6 +875,7 @@
                     moved: false,
                     fill,
                 });
+                self.unsent.insert(key);
                 open.attempts.push(key);
                 open.out += 1;
                 if let Some(at) = stop_at {
@@ -897,6 +904,7 @@
 
     fn cancel(&mut self, now: Micros, key: Key) {
         let Some(attempt) = self.attempts.remove(key) else { return };
+        self.unsent.remove(&key);
         if let Some(at) = attempt.get.stop_at {
             self.deadlines.clear(at, Due::Attempt(key));
         }
