Rename what an event tells and who applies it: EventBody, BulletinEvent, apply_event

Cause: News, tell, news and listed said nothing of what they do; each stood in several files.

Change: renames alone, without a change of behaviour: bulletin::News is EventBody, Item is BulletinEvent; Gateway::tell, news and listed are apply_event, apply_merged and apply_list; Core::news and listed are apply_event and note_stores.

--- a/gateway/src/bulletin.rs
+++ b/gateway/src/bulletin.rs
@@ -7,16 +7,16 @@
 
 /// One numbered event.
 #[derive(Debug, Clone)]
-pub struct Item {
+pub struct BulletinEvent {
     /// Its number.
     pub no: u64,
     /// What it tells.
-    pub news: News,
+    pub body: EventBody,
 }
 
 /// What an event tells.
 #[derive(Debug, Clone)]
-pub enum News {
+pub enum EventBody {
     /// Entries of the list of stores; whether they are the whole list.
     Roster {
         /// Whether the entries are the whole list.
@@ -74,27 +74,27 @@
 }
 
 /// Reads one event.
-pub fn item(value: &Value, terms: &Terms) -> Result<Item, String> {
+pub fn item(value: &Value, terms: &Terms) -> Result<BulletinEvent, String> {
     let no = get(value, "no").and_then(as_u64).ok_or("no is missing")?;
-    let news = if let Some(roster) = get(value, "roster") {
+    let body = if let Some(roster) = get(value, "roster") {
         let hosts = list(roster, "hosts")?;
         let whole = matches!(get(roster, "whole"), Some(Value::Bool(true)));
-        News::Roster { whole, stores: hosts.iter().map(|h| store(h, terms)).collect::<Result<_, _>>()? }
+        EventBody::Roster { whole, stores: hosts.iter().map(|h| store(h, terms)).collect::<Result<_, _>>()? }
     } else if let Some(recall) = get(value, "recall") {
         let object = match text(recall, "item")? {
             None => None,
             Some(t) => Some(u64::from_str_radix(t, 16).map_err(|_| format!("item: {t:?} is no object"))?),
         };
         let issued = get(recall, "issued").and_then(as_f64).ok_or("issued is missing")?;
-        News::Recall { object, group: whole(recall, "lot", 0, 0)?, issued: micros(issued) }
+        EventBody::Recall { object, group: whole(recall, "lot", 0, 0)?, issued: micros(issued) }
     } else {
-        News::Other
+        EventBody::Other
     };
-    Ok(Item { no, news })
+    Ok(BulletinEvent { no, body })
 }
 
 /// Reads the data of one event.
-pub fn event(data: &str, terms: &Terms) -> Result<Item, String> {
+pub fn event(data: &str, terms: &Terms) -> Result<BulletinEvent, String> {
     let value: Value = json::from_str(data).map_err(|_| "an event is not JSON".to_string())?;
     item(&value, terms)
 }
--- a/gateway/src/bulletin/tests.rs
+++ b/gateway/src/bulletin/tests.rs
@@ -10,12 +10,15 @@
     let read = |data: &str| event(data, &terms);
     let host = r#"{"host":"s-00c41f7a","dial":"10.1.0.9:4100","site":"edge-1","class":"std","health":"draining","share":4,"born_ms":5}"#;
     let list = format!(r#"{{"no":41,"roster":{{"seq":7,"whole":false,"hosts":[{host}]}}}}"#);
-    let News::Roster { whole: false, stores } = read(&list).expect("reads").news else { panic!("no list") };
+    let EventBody::Roster { whole: false, stores } = read(&list).expect("reads").body else {
+        panic!("no list")
+    };
     let found = &stores[0].host;
     assert_eq!((found.server, found.zone, found.kind, found.started), (0x00c4_1f7a, 1, 0, 5000));
     assert_eq!((found.state, found.weight), (State::Draining, 4.0));
     let purge = read(r#"{"no":42,"recall":{"item":"7f3a9c21e0b4d655","issued":1764576000123}}"#);
-    let Item { no: 42, news: News::Recall { object, issued, .. } } = purge.expect("reads") else {
+    let BulletinEvent { no: 42, body: EventBody::Recall { object, issued, .. } } = purge.expect("reads")
+    else {
         panic!("no purge")
     };
     assert_eq!((object, issued), (Some(0x7f3a_9c21_e0b4_d655), 1_764_576_000_123_000));
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -1,5 +1,5 @@
 //! The only place that reads, checks and defaults configuration. Errors name the faulty key.
-use crate::bulletin::{self, Item};
+use crate::bulletin::{self, BulletinEvent};
 use crate::hierarchy::{self, HierarchyFile};
 use crate::json_fields::{address, list, parse, text, texts, whole};
 use crate::peers::{self, Addresses};
@@ -44,7 +44,7 @@
     /// Number of the last event known.
     pub known: u64,
     /// The events known at the start.
-    pub items: Vec<Item>,
+    pub items: Vec<BulletinEvent>,
     /// The module's settings.
     pub settings: Settings,
     /// The classes in the order of the file; the core gives them slots.
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -1,6 +1,6 @@
 //! Requests, attempts and outcomes: feeds the module its events and carries out its actions. Knows no wire and
 //! no socket; the clock is an argument. Each request gets its final answer exactly once.
-use crate::bulletin::{News, Store};
+use crate::bulletin::{EventBody, Store};
 use crate::deadlines::{Deadlines, Due};
 use crate::hierarchy::InferFile;
 use crate::slots::{Key, Slots};
@@ -533,27 +533,27 @@
         }
     }
 
-    /// News of stores or a purge. An attempt that still waits for its connection was decided before it: one
-    /// that the news concerns ends unsent, so that nothing goes to a store after word of its drain and no old
+    /// Applies a change of the list or a purge. An attempt that still waits for its connection was decided before
+    /// it: one that it concerns ends unsent, so that nothing goes to a store after word of its drain and no old
     /// copy is asked for after word of a purge.
-    pub fn news(&mut self, now: Micros, news: &News) {
-        let event = match *news {
-            News::Roster { whole, ref stores } => {
-                self.listed(whole, stores);
+    pub fn apply_event(&mut self, now: Micros, body: &EventBody) {
+        let event = match *body {
+            EventBody::Roster { whole, ref stores } => {
+                self.note_stores(whole, stores);
                 let scope = if whole { Scope::Full } else { Scope::Changes };
                 Event::Members(Members { scope, hosts: stores.iter().map(|s| s.host.clone()).collect() })
             }
-            News::Recall { object, group, issued } => {
+            EventBody::Recall { object, group, issued } => {
                 let keep = self.remember_purges();
                 self.copies.iter_mut().for_each(|c| c.purge(now, object, group, issued, keep));
                 Event::Purged { age: now.saturating_sub(issued), group, object }
             }
-            News::Other => return,
+            EventBody::Other => return,
         };
         self.feed(now, event);
         let up = |id| self.stores.get(&id).is_some_and(|(_, state)| *state == State::Up);
-        let void = |a: &Attempt| match *news {
-            News::Recall { object, group, .. } => {
+        let void = |a: &Attempt| match *body {
+            EventBody::Recall { object, group, .. } => {
                 self.requests.get(a.request).is_some_and(|r| match object {
                     Some(object) => r.ask.object == object,
                     None => r.ask.group == group,
@@ -587,7 +587,7 @@
         self.feed(now, Event::PurgesMissed);
     }
 
-    fn listed(&mut self, whole: bool, stores: &[Store]) {
+    fn note_stores(&mut self, whole: bool, stores: &[Store]) {
         if whole {
             self.well = true;
             self.stores.clear();
@@ -897,7 +897,7 @@
                 self.cancel(now, key);
             }
             Action::Timer { at, mark } => self.deadlines.set(at, Due::Module(mark)),
-            // The bulletin brings news unasked.
+            // The source of events brings changes unasked.
             Action::Watch => {}
         }
     }
--- a/gateway/src/core/tests.rs
+++ b/gateway/src/core/tests.rs
@@ -30,7 +30,7 @@
         store(50, 1, State::Up),
         store(90, 2, State::Up),
     ];
-    core.news(START, &News::Roster { whole: true, stores });
+    core.apply_event(START, &EventBody::Roster { whole: true, stores });
     core
 }
 
@@ -54,7 +54,10 @@
     let waiting = sent(&mut core)[0];
     core.attempt(waiting).expect("there").carrier = Some(Key(5));
     let (server, _) = core.target(waiting).expect("a target");
-    core.news(START + 1, &News::Roster { whole: false, stores: vec![store(server, 0, State::Draining)] });
+    core.apply_event(
+        START + 1,
+        &EventBody::Roster { whole: false, stores: vec![store(server, 0, State::Draining)] },
+    );
     assert!(matches!(core.orders.front(), Some(Order::Kill { attempt, .. }) if *attempt == waiting));
     let again = sent(&mut core);
     assert_eq!(again.len(), 1);
@@ -70,8 +73,8 @@
     }
     let keys = sent(&mut core);
     core.attempt(keys[1]).expect("there").begun = Some(START);
-    let purge = News::Recall { object: None, group: 17, issued: START - 50 * MS };
-    core.news(START, &purge);
+    let purge = EventBody::Recall { object: None, group: 17, issued: START - 50 * MS };
+    core.apply_event(START, &purge);
     assert!(core.attempt(keys[0]).is_none() && core.attempt(keys[1]).is_some());
     let again = sent(&mut core);
     assert_eq!(core.pull(START, again[0]).expect("it waits").within, 40, "less the margin");
@@ -82,7 +85,7 @@
 #[test]
 fn the_bound_on_age_never_passes_the_fresh_time() {
     let mut core = core();
-    core.news(START, &News::Recall { object: Some(7), group: 0, issued: START - 7990 * MS });
+    core.apply_event(START, &EventBody::Recall { object: Some(7), group: 0, issued: START - 7990 * MS });
     core.request(START, ticket(1), ask(1, 7));
     let key = sent(&mut core)[0];
     assert_eq!(core.pull(START, key).expect("it waits").within, 7980);
@@ -93,13 +96,22 @@
 fn stores_that_are_replaced_for_weeks_leave_nothing_behind() {
     let mut core = core();
     for n in 0..1000 {
-        core.news(START, &News::Roster { whole: false, stores: vec![store(1000 + n, 0, State::Up)] });
+        core.apply_event(
+            START,
+            &EventBody::Roster { whole: false, stores: vec![store(1000 + n, 0, State::Up)] },
+        );
         core.request(START, ticket(n), ask(0, n));
-        core.news(START, &News::Roster { whole: false, stores: vec![store(1000 + n, 0, State::Draining)] });
-        core.news(START, &News::Roster { whole: false, stores: vec![store(1000 + n, 0, State::Removed)] });
+        core.apply_event(
+            START,
+            &EventBody::Roster { whole: false, stores: vec![store(1000 + n, 0, State::Draining)] },
+        );
+        core.apply_event(
+            START,
+            &EventBody::Roster { whole: false, stores: vec![store(1000 + n, 0, State::Removed)] },
+        );
     }
     assert_eq!((core.stores.len(), core.router.servers()), (4, 4));
-    core.news(START, &News::Roster { whole: true, stores: vec![store(1, 0, State::Up)] });
+    core.apply_event(START, &EventBody::Roster { whole: true, stores: vec![store(1, 0, State::Up)] });
     assert_eq!((core.stores.len(), core.router.servers()), (1, 1));
 }
 
--- a/gateway/src/events.rs
+++ b/gateway/src/events.rs
@@ -3,7 +3,7 @@
 //! back as [`Effect`]s.
 mod lag;
 
-use crate::bulletin::{self, Item, News};
+use crate::bulletin::{self, BulletinEvent, EventBody};
 use crate::event_stream::{Part, StreamError, StreamReader};
 use crate::log;
 use crate::terms::Terms;
@@ -58,7 +58,7 @@
     /// Purges up to now may have been missed: stores must be asked for copies that are young enough.
     PurgesMissed,
     /// Apply what an event tells.
-    Apply(News),
+    Apply(EventBody),
 }
 
 /// What an operator sees.
@@ -146,13 +146,13 @@
     }
 
     /// Takes in the events that the configuration holds, and the number of the last one known to it.
-    pub fn take_known(&mut self, items: Vec<Item>, last: u64) -> Vec<Effect> {
+    pub fn take_known(&mut self, items: Vec<BulletinEvent>, last: u64) -> Vec<Effect> {
         let mut effects = Vec::new();
         for item in items {
             let skips = item.no > self.subscriber.cursor() + 1;
             if self.subscriber.advance(item.no) {
                 effects.extend(skips.then_some(Effect::CopiesVoid));
-                effects.push(Effect::Apply(item.news));
+                effects.push(Effect::Apply(item.body));
             }
         }
         if self.subscriber.advance(last) {
@@ -245,7 +245,7 @@
     /// dropped.
     fn take_part(&mut self, at: Micros, part: Part, terms: &Terms, effects: &mut Vec<Effect>) -> bool {
         let mut outputs = Vec::new();
-        let mut news = None;
+        let mut body = None;
         match part {
             Part::Comment(text) => self.subscriber.handle(at, Input::Comment(&text), &mut outputs),
             Part::Event(data) => {
@@ -254,26 +254,26 @@
                     log!("an event cannot be used: {why}");
                 }
                 let received = self.received(&data, item.as_ref().ok());
-                news = item.ok().map(|item| item.news);
+                body = item.ok().map(|item| item.body);
                 self.subscriber.handle(at, Input::Event(received), &mut outputs);
             }
         }
         let closed = outputs.iter().any(|output| matches!(output, Output::Close(_)));
-        outputs.into_iter().for_each(|output| self.perform(output, &mut news, effects));
+        outputs.into_iter().for_each(|output| self.perform(output, &mut body, effects));
         closed
     }
 
     /// What the subscriber needs to know of an event.
-    fn received(&self, data: &str, item: Option<&Item>) -> Received {
-        let news = item.map(|item| &item.news);
+    fn received(&self, data: &str, item: Option<&BulletinEvent>) -> Received {
+        let body = item.map(|item| &item.body);
         // A placeholder of an event that was replaced says nothing of the history; a relay knows the text of a list as
         // it is in the scope.
-        let told = matches!(news, Some(News::Roster { .. } | News::Recall { .. }));
+        let told = matches!(body, Some(EventBody::Roster { .. } | EventBody::Recall { .. }));
         let verifies = told && self.config.file.is_some();
         Received {
             number: item.map(|item| item.no),
             digest: verifies.then(|| event::digest(data)),
-            whole_list: matches!(news, Some(News::Roster { whole: true, .. })),
+            whole_list: matches!(body, Some(EventBody::Roster { whole: true, .. })),
         }
     }
 
@@ -285,8 +285,8 @@
         effects
     }
 
-    /// Turns an output of the subscriber into what the loop is to do; `news` is what the event just handed in tells.
-    fn perform(&mut self, output: Output, news: &mut Option<News>, effects: &mut Vec<Effect>) {
+    /// Turns an output of the subscriber into what the loop is to do; `body` is what the event just handed in tells.
+    fn perform(&mut self, output: Output, body: &mut Option<EventBody>, effects: &mut Vec<Effect>) {
         match output {
             Output::Dial(subscription) => {
                 self.reader = StreamReader::default();
@@ -310,7 +310,7 @@
                 log!("an event of the bulletin is passed over");
                 self.missed(effects);
             }
-            Output::Apply(_) => effects.extend(news.take().map(Effect::Apply)),
+            Output::Apply(_) => effects.extend(body.take().map(Effect::Apply)),
         }
     }
 
--- a/gateway/src/membership.rs
+++ b/gateway/src/membership.rs
@@ -1,6 +1,6 @@
 //! Who is there, for the daemon: joins the session with the ensemble (`larchway-keeper`) and the merge of all sources
 //! (`larchway-members`). Knows no socket: what the loop is to do comes back as [`Effect`]s.
-use crate::bulletin::{News, Store};
+use crate::bulletin::{EventBody, Store};
 use crate::config::Ensemble;
 use crate::kept;
 use crate::log;
@@ -30,8 +30,8 @@
     Write(Vec<u8>),
     /// Close the connection; the session knows of it.
     Close(String),
-    /// News of stores for the core.
-    News(News),
+    /// Apply a change of the list of stores.
+    Apply(EventBody),
     /// By zone, the number of live gateways.
     Gateways(BTreeMap<usize, u64>),
     /// A change of the hierarchy: its node, and what it holds.
@@ -422,7 +422,7 @@
                     if self.config.state.is_some() && self.unsaved.is_none() {
                         self.unsaved = Some(at + SNAPSHOT);
                     }
-                    effects.push(Effect::News(News::Roster { whole, stores: entries }));
+                    effects.push(Effect::Apply(EventBody::Roster { whole, stores: entries }));
                 }
                 Output::Gateways(numbers) => {
                     log!("live gateways by zone: {numbers:?}");
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -1424,7 +1424,7 @@
         }
     }
 
-    // News.
+    // Events and other processes.
 
     /// Begins or changes membership.
     fn set_up(&mut self, at: Micros, fleet: Ensemble, own: Own) {
@@ -1870,7 +1870,7 @@
                 events::Effect::Lost => self.events_heard(at, None),
                 events::Effect::CopiesVoid => self.core.void_copies(at),
                 events::Effect::PurgesMissed => self.core.purges_missed(at),
-                events::Effect::Apply(news) => self.tell(at, news),
+                events::Effect::Apply(body) => self.apply_event(at, body),
             }
         }
         let due = self.events.next_due();
@@ -1965,7 +1965,7 @@
                         self.close(at, key, Some(&why));
                     }
                 }
-                Effect::News(news) => self.news(at, &news),
+                Effect::Apply(body) => self.apply_merged(at, &body),
                 Effect::Gateways(numbers) => {
                     self.alive = numbers;
                     self.count_gateways();
@@ -2011,24 +2011,24 @@
         self.core.adjust(now(), settings);
     }
 
-    /// Takes in news of the bulletin: of stores by way of the merge, where they are merged.
-    fn tell(&mut self, at: Micros, news: bulletin::News) {
-        match (news, self.membership.as_mut().filter(|m| m.merges())) {
-            (bulletin::News::Roster { whole, stores }, Some(membership)) => {
+    /// Applies an event: a change of the list by way of the merge, where sources are merged.
+    fn apply_event(&mut self, at: Micros, body: bulletin::EventBody) {
+        match (body, self.membership.as_mut().filter(|m| m.merges())) {
+            (bulletin::EventBody::Roster { whole, stores }, Some(membership)) => {
                 let effects = membership.list(at, whole, stores);
                 self.perform(at, effects);
             }
-            (news, _) => self.news(at, &news),
+            (body, _) => self.apply_merged(at, &body),
         }
     }
 
-    /// Takes in news of stores or a purge: of stores by way of what operators say of them.
-    pub fn news(&mut self, at: Micros, news: &bulletin::News) {
-        match news {
-            bulletin::News::Roster { whole, stores } => {
+    /// Applies a change of the merged list, by way of what operators say of stores, or a purge.
+    fn apply_merged(&mut self, at: Micros, body: &bulletin::EventBody) {
+        match body {
+            bulletin::EventBody::Roster { whole, stores } => {
                 self.cordon_told(at, cordon::Input::List { whole: *whole, entries: stores.clone() });
             }
-            news => self.core.news(at, news),
+            body => self.core.apply_event(at, body),
         }
     }
 
@@ -2039,7 +2039,7 @@
         for output in out {
             match output {
                 cordon::Output::List { whole, entries } => {
-                    self.listed(at, &bulletin::News::Roster { whole, stores: entries });
+                    self.apply_list(at, &bulletin::EventBody::Roster { whole, stores: entries });
                 }
                 cordon::Output::Keep(marks) => {
                     if let Some(upgrade) = &self.upgrade {
@@ -2054,10 +2054,10 @@
         verdict
     }
 
-    /// Takes in stores as they count.
-    fn listed(&mut self, at: Micros, news: &bulletin::News) {
-        self.core.news(at, news);
-        let bulletin::News::Roster { whole, stores } = news else { return };
+    /// Applies a change of the list as it counts: to the core, the hierarchy and the connections to stores.
+    fn apply_list(&mut self, at: Micros, body: &bulletin::EventBody) {
+        self.core.apply_event(at, body);
+        let bulletin::EventBody::Roster { whole, stores } = body else { return };
         if let Some(hierarchy) = &mut self.hierarchy {
             hierarchy.roster(at, stores);
             self.check_hierarchy(at);
