--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -1,6 +1,6 @@
 //! Requests, attempts and outcomes: feeds the module its events and carries out its actions. Knows no wire and
 //! no socket; the clock is an argument. Each request gets its final answer exactly once.
-use crate::bulletin::{News, Store};
+use crate::bulletin::{EventBody, Store};
 use crate::deadlines::{Deadlines, Due};
 use crate::hierarchy::InferFile;
 use crate::slots::{Key, Slots};
@@ -107,7 +107,7 @@
     get: Get,
     at: Micros,
     /// When its first byte was written.
-    pub begun: Option<Micros>,
+    begun: Option<Micros>,
     /// The connection that carries it.
     pub carrier: Option<Key>,
     /// Whether it has left a broken connection for another.
@@ -161,6 +161,8 @@
     requests: Slots<Open>,
     calls: BTreeSet<String>,
     attempts: Slots<Attempt>,
+    /// Of these, those of which no byte is written: what a purge or a drain may still hold back.
+    unsent: BTreeSet<Key>,
     stores: BTreeMap<ServerId, (String, State)>,
     /// The origin's shield, if there is one; the hub of each parent, and which stores fetch from the origin.
     shield: Option<Shield>,
@@ -220,6 +222,7 @@
             requests: Slots::default(),
             calls: BTreeSet::new(),
             attempts: Slots::default(),
+            unsent: BTreeSet::new(),
             stores: BTreeMap::new(),
             shield: None,
             hubs: BTreeMap::new(),
@@ -530,27 +533,27 @@
         }
     }
 
-    /// News of stores or a purge. An attempt that still waits for its connection was decided before it: one
-    /// that the news concerns ends unsent, so that nothing goes to a store after word of its drain and no old
+    /// Applies a change of the list or a purge. An attempt that still waits for its connection was decided before
+    /// it: one that it concerns ends unsent, so that nothing goes to a store after word of its drain and no old
     /// copy is asked for after word of a purge.
-    pub fn news(&mut self, now: Micros, news: &News) {
-        let event = match *news {
-            News::Roster { whole, ref stores } => {
-                self.listed(whole, stores);
+    pub fn apply_event(&mut self, now: Micros, body: &EventBody) {
+        let event = match *body {
+            EventBody::Roster { whole, ref stores } => {
+                self.note_stores(whole, stores);
                 let scope = if whole { Scope::Full } else { Scope::Changes };
                 Event::Members(Members { scope, hosts: stores.iter().map(|s| s.host.clone()).collect() })
             }
-            News::Recall { object, group, issued } => {
+            EventBody::Recall { object, group, issued } => {
                 let keep = self.remember_purges();
                 self.copies.iter_mut().for_each(|c| c.purge(now, object, group, issued, keep));
                 Event::Purged { age: now.saturating_sub(issued), group, object }
             }
-            News::Other => return,
+            EventBody::Other => return,
         };
         self.feed(now, event);
         let up = |id| self.stores.get(&id).is_some_and(|(_, state)| *state == State::Up);
-        let void = |a: &Attempt| match *news {
-            News::Recall { object, group, .. } => {
+        let void = |a: &Attempt| match *body {
+            EventBody::Recall { object, group, .. } => {
                 self.requests.get(a.request).is_some_and(|r| match object {
                     Some(object) => r.ask.object == object,
                     None => r.ask.group == group,
@@ -558,8 +561,9 @@
             }
             _ => !up(a.get.server) || !up(a.get.source),
         };
-        let late: Vec<Key> =
-            self.attempts.iter().filter(|(_, a)| a.begun.is_none() && void(a)).map(|(k, _)| k).collect();
+        let waits = |a: &Attempt| a.begun.is_none() && void(a);
+        let concerned = |key: &Key| self.attempts.get(*key).is_some_and(waits);
+        let late: Vec<Key> = self.unsent.iter().copied().filter(concerned).collect();
         for key in late {
             self.withdraw(now, key, Status::NeverSent);
         }
@@ -583,7 +587,7 @@
         self.feed(now, Event::PurgesMissed);
     }
 
-    fn listed(&mut self, whole: bool, stores: &[Store]) {
+    fn note_stores(&mut self, whole: bool, stores: &[Store]) {
         if whole {
             self.well = true;
             self.stores.clear();
@@ -667,6 +671,7 @@
 
     /// The first byte of an attempt is written.
     pub fn begin(&mut self, now: Micros, key: Key) {
+        self.unsent.remove(&key);
         self.attempts.get_mut(key).into_iter().for_each(|a| a.begun = Some(now));
     }
 
@@ -770,6 +775,7 @@
         load: Vec<f64>,
     ) -> Option<Ticket> {
         let attempt = self.attempts.remove(key)?;
+        self.unsent.remove(&key);
         if let Some(at) = attempt.get.stop_at {
             self.deadlines.clear(at, Due::Attempt(key));
         }
@@ -869,6 +875,7 @@
                     moved: false,
                     fill,
                 });
+                self.unsent.insert(key);
                 open.attempts.push(key);
                 open.out += 1;
                 if let Some(at) = stop_at {
@@ -890,13 +897,14 @@
                 self.cancel(now, key);
             }
             Action::Timer { at, mark } => self.deadlines.set(at, Due::Module(mark)),
-            // The bulletin brings news unasked.
+            // The source of events brings changes unasked.
             Action::Watch => {}
         }
     }
 
     fn cancel(&mut self, now: Micros, key: Key) {
         let Some(attempt) = self.attempts.remove(key) else { return };
+        self.unsent.remove(&key);
         if let Some(at) = attempt.get.stop_at {
             self.deadlines.clear(at, Due::Attempt(key));
         }
