--- a/crates/distribution/src/subscriber.rs
+++ b/crates/distribution/src/subscriber.rs
@@ -11,7 +11,7 @@
 mod sources;
 
 pub use messages::{Input, LeaveReason, Output, Received, SourceKind, SubscriberTerms};
-pub use request::{Subscription, EVENTS_PATH};
+pub use request::{position_request, Subscription, EVENTS_PATH, POSITION_PATH};
 pub use sources::{shuffled, FIRST_BACKOFF};
 
 use crate::event::EventNumber;
@@ -198,8 +198,10 @@
 
     fn dial(&mut self, now: Micros, out: &mut Vec<Output>) {
         let Some(source) = self.sources.current() else { return };
-        let recent = |known: &Known| self.cursor - known.number <= MOST_OVERLAP;
-        let known = self.known.filter(recent).filter(|_| self.terms.verify);
+        let known = self.comparable();
+        if known.is_none() && self.terms.verify && self.cursor > 0 {
+            self.begin_anew(out);
+        }
         let (after, if_match, overlap) = match (known, self.terms.kind) {
             (None, _) => (self.cursor, None, None),
             (Some(known), SourceKind::Relay) => (known.number, Some(known.digest), None),
@@ -218,6 +220,20 @@
         out.push(Output::Dial(Subscription { source, after, if_match, gzip, scope }));
     }
 
+    /// The event by which the next source's history is compared.
+    fn comparable(&self) -> Option<Known> {
+        let recent = |known: &Known| self.cursor - known.number <= MOST_OVERLAP;
+        self.known.filter(recent).filter(|_| self.terms.verify)
+    }
+
+    /// Gives up the cursor. Danger: where nothing tells which history it was in, what follows it elsewhere may be of
+    /// another one, and purges of both would be missed.
+    fn begin_anew(&mut self, out: &mut Vec<Output>) {
+        self.gap(None, out);
+        // What was asked for once more stays so: one unreadable event behind a snapshot must not be asked for for ever.
+        self.cursor = 0;
+    }
+
     fn heard(&mut self, now: Micros, out: &mut Vec<Output>) {
         let Link::Connected(connection) = &mut self.link else { return };
         connection.silent_at = now + SILENT;
@@ -275,7 +291,7 @@
         // number.
         let snapshot = relay && first && event.whole_list;
         let missing = number != self.cursor + 1 || overlap_missing;
-        if missing && !(relay && first) && self.ask_again() {
+        if missing && !snapshot && self.ask_again() {
             return self.leave_for_next(now, LeaveReason::EventMissing, out);
         }
         if missing || snapshot {
@@ -335,9 +351,7 @@
         let all = self.sources.disagreed();
         self.leave_for_next(now, reason, out);
         if all && self.terms.restart_history {
-            self.gap(None, out);
-            self.cursor = 0;
-            self.asked_again = None;
+            self.begin_anew(out);
             self.sources.agreed();
         }
     }
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -93,7 +93,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "schema")]
 struct Schema {
-    /// which file: ensemble, hierarchy, copies, spread, fleet or relay
+    /// which file: ensemble, hierarchy, copies, spread, fleet, events or relay
     #[argh(positional)]
     file: String,
 }
@@ -120,6 +120,9 @@
     /// file of the fleet; without it, gateways know nothing of each other
     #[argh(option)]
     fleet: Option<String>,
+    /// file of the events; without it, they come from the configuration's bulletin
+    #[argh(option)]
+    events: Option<String>,
 }
 
 /// Print the version.
@@ -149,6 +152,9 @@
     /// file of the fleet
     #[argh(option)]
     fleet: Option<String>,
+    /// file of the events
+    #[argh(option)]
+    events: Option<String>,
 }
 
 /// Issue a signed URL or a token for one object.
@@ -186,6 +192,7 @@
         copies: args.copies.clone(),
         spread: args.spread.clone(),
         fleet: args.fleet.clone(),
+        events: args.events.clone(),
     };
     Gateway::new(files)?.run()
 }
@@ -198,6 +205,7 @@
         copies: args.copies.clone(),
         spread: args.spread.clone(),
         fleet: args.fleet.clone(),
+        events: args.events.clone(),
     };
     println!("{} is well configured", files.read()?.config.name);
     Ok(())
@@ -267,9 +275,10 @@
             "copies" => Ok(config::copies_schema()),
             "spread" => Ok(config::spread_schema()),
             "fleet" => Ok(config::fleet_schema()),
+            "events" => Ok(config::events_schema()),
             "relay" => Ok(relay::file::schema()),
             other => Err(format!(
-                "there is no schema of {other:?}, only of ensemble, hierarchy, copies, spread, fleet and relay"
+                "there is no schema of {other:?}, only of ensemble, hierarchy, copies, spread, fleet, events and relay"
             )),
         }
         .map(|schema| println!("{schema}")),
--- a/gateway/src/relay/mod.rs
+++ b/gateway/src/relay/mod.rs
@@ -44,7 +44,7 @@
     upstream: Upstream,
     relay: Relay,
     counters: Counters,
-    /// Why it serves nobody any more.
+    /// Why it stopped serving last.
     stopped: Option<String>,
 }
 
@@ -179,9 +179,6 @@
 
     /// Tells the relay what has happened and does what it asks for.
     fn feed(&mut self, at: Micros, input: Input) {
-        if matches!(input, Input::UpstreamGap(_)) {
-            self.stopped = None;
-        }
         let mut outputs = Vec::new();
         self.relay.handle(at, input, &mut outputs);
         for output in outputs {
@@ -205,15 +202,10 @@
             }
             Output::Ready => self.server.wake_streams(),
             Output::Report(report) => self.upstream.report(report),
-            Output::StopServing(reason) => self.stop_serving(reason),
-        }
-    }
-
-    fn stop_serving(&mut self, reason: String) {
-        log!("stopped serving: {reason}");
-        self.stopped = Some(reason);
-        if !self.file.restart_history {
-            self.upstream.stop();
+            Output::StopServing(reason) => {
+                log!("stopped serving: {reason}");
+                self.stopped = Some(reason);
+            }
         }
     }
 
@@ -237,7 +229,7 @@
         let surroundings = Surroundings {
             name: &self.file.name,
             root: self.file.root,
-            stopped: self.stopped.as_deref(),
+            stopped: self.stopped.as_deref().filter(|_| !self.relay.is_ready()),
             source: self.upstream.source(),
             lag: self.upstream.lag(at),
             gaps: self.upstream.gaps(),
--- a/gateway/src/relay/request.rs
+++ b/gateway/src/relay/request.rs
@@ -3,6 +3,7 @@
 use larchway_distribution::batch::Encoding;
 use larchway_distribution::positions::PositionReport;
 use larchway_distribution::relay::Hello;
+use larchway_distribution::subscriber::{EVENTS_PATH, POSITION_PATH};
 use larchway_distribution::EventNumber;
 
 /// Bytes of a request's head at most.
@@ -13,9 +14,6 @@
 /// Hexadecimal digits of an event's digest.
 const DIGEST_DIGITS: usize = 16;
 
-const EVENTS: &str = "/bulletins";
-/// Where subscribers send their position reports.
-pub const POSITION: &str = "/bulletins/position";
 const POSITIONS: &str = "/positions";
 
 /// A request.
@@ -92,10 +90,10 @@
     let target = head.path.unwrap_or_default();
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
     match (path, method) {
-        (EVENTS, "GET") => Ok(Request::Subscribe(hello(head, query)?)),
-        (POSITION, "PUT") => position(body),
+        (EVENTS_PATH, "GET") => Ok(Request::Subscribe(hello(head, query)?)),
+        (POSITION_PATH, "PUT") => position(body),
         (POSITIONS, "GET") => Ok(Request::Status),
-        (EVENTS | POSITION | POSITIONS, _) => Err(RequestError::Method),
+        (EVENTS_PATH | POSITION_PATH | POSITIONS, _) => Err(RequestError::Method),
         _ => done(path, method),
     }
 }
--- a/gateway/src/relay/upstream.rs
+++ b/gateway/src/relay/upstream.rs
@@ -1,6 +1,5 @@
 //! The connection to the relay's source: bytes to a [`Subscriber`], and its orders to the socket and the relay.
 use super::file::RelayFile;
-use super::request::POSITION;
 use crate::event_stream::{Part, StreamError, StreamReader};
 use crate::log;
 use larchway::Micros;
@@ -8,9 +7,9 @@
 use larchway_distribution::positions::PositionReport;
 use larchway_distribution::relay::Input as RelayInput;
 use larchway_distribution::subscriber::{
-    Input, LeaveReason, Output, Received, SourceKind, Subscriber, Subscription,
+    position_request, Input, LeaveReason, Output, Received, SourceKind, Subscriber, Subscription,
 };
-use larchway_distribution::{Event, Subject};
+use larchway_distribution::{Event, EventNumber, Subject};
 use polling::{Event as Readiness, PollMode, Poller};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io::{self, ErrorKind, Read, Write};
@@ -25,6 +24,7 @@
 
 struct Connection {
     stream: TcpStream,
+    source: SocketAddr,
     reader: StreamReader,
     /// The request, then at most one position report; the next one waits in `Upstream::report`.
     output: Vec<u8>,
@@ -47,7 +47,9 @@
     gap: bool,
     /// The last report that is not sent yet.
     report: Option<PositionReport>,
-    /// No source is dialled any more.
+    /// Whether another history is taken over without an operator.
+    restart_history: bool,
+    /// All sources told another history: none is dialled any more.
     stopped: bool,
 }
 
@@ -65,6 +67,7 @@
             left: String::new(),
             gap: false,
             report: None,
+            restart_history: file.restart_history,
             stopped: false,
         }
     }
@@ -96,17 +99,12 @@
     pub fn configure(&mut self, now: Micros, file: &RelayFile) -> Vec<RelayInput> {
         let mut outputs = Vec::new();
         let mut inputs = Vec::new();
+        self.restart_history = file.restart_history;
         self.subscriber.configure(now, file.subscriber_terms(), &mut outputs);
         self.carry_out(now, outputs, None, &mut inputs);
         inputs
     }
 
-    /// Leaves the source for good.
-    pub fn stop(&mut self) {
-        self.stopped = true;
-        self.close();
-    }
-
     /// Time has passed. Returns what the relay is to be told.
     pub fn tick(&mut self, now: Micros) -> Vec<RelayInput> {
         let mut inputs = Vec::new();
@@ -218,6 +216,9 @@
         mut event: Option<Event>,
         inputs: &mut Vec<RelayInput>,
     ) {
+        // A history that is given up while a source is left is another one than the source's. Else nothing tells which one
+        // it is, and it is only asked for from the beginning.
+        let left = outputs.iter().any(|output| matches!(output, Output::Close(_)));
         for output in outputs {
             match output {
                 Output::Dial(subscription) => self.dial(now, &subscription),
@@ -234,8 +235,9 @@
                 }
                 Output::Gap { after, next: None } => {
                     self.gap = true;
-                    let left = &self.left;
-                    inputs.push(RelayInput::OtherHistory(format!("after event {after}, {left}")));
+                    if left {
+                        inputs.push(self.leave_history(after));
+                    }
                 }
                 Output::Apply(_) => inputs.extend(event.take().map(|event| self.apply(event))),
                 Output::PassOver => {
@@ -246,6 +248,11 @@
         }
     }
 
+    fn leave_history(&mut self, after: EventNumber) -> RelayInput {
+        self.stopped = !self.restart_history;
+        RelayInput::OtherHistory(format!("after event {after}, {}", self.left))
+    }
+
     fn apply(&mut self, event: Event) -> RelayInput {
         match std::mem::take(&mut self.gap) {
             true => RelayInput::UpstreamGap(event),
@@ -278,6 +285,7 @@
         self.poller.add_with_mode(&stream, Readiness::all(self.key), PollMode::Level)?;
         Ok(Connection {
             stream,
+            source: address,
             reader: StreamReader::default(),
             output: self.request(subscription).into_bytes(),
             connected: false,
@@ -301,8 +309,9 @@
             connection.connected = true;
         }
         if connection.output.is_empty() && connection.streaming {
-            connection.output =
-                self.report.take().map(|report| position_request(&report)).unwrap_or_default();
+            let source = connection.source;
+            let request = self.report.take().map(|report| position_request(source, &report));
+            connection.output = request.unwrap_or_default().into_bytes();
         }
         while !connection.output.is_empty() {
             match connection.stream.write(&connection.output) {
@@ -347,12 +356,3 @@
     let digest = (!replaced).then_some(event.digest);
     Received { number: Some(event.number), digest, whole_list }
 }
-
-fn position_request(report: &PositionReport) -> Vec<u8> {
-    let body = serde_json::to_string(report).unwrap_or_default();
-    let length = body.len();
-    format!(
-        "PUT {POSITION} HTTP/1.1\r\nHost: relay\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n{body}"
-    )
-    .into_bytes()
-}
