--- a/lab/src/hollow/gateway.rs
+++ b/lab/src/hollow/gateway.rs
@@ -22,7 +22,7 @@
         core.copies = copies.map(|file| Copies::new(file, config.uplink));
         core.configure(now, config.settings, config.classes);
         for item in &config.items {
-            core.news(now, &item.news);
+            core.apply_event(now, &item.body);
         }
         Ok(HollowGateway { core, terms: config.terms, cursor: config.known })
     }
@@ -37,7 +37,7 @@
         let item = bulletin::event(data, &self.terms)?;
         if item.no > self.cursor {
             self.cursor = item.no;
-            self.core.news(now, &item.news);
+            self.core.apply_event(now, &item.body);
         }
         Ok(())
     }
--- a/lab/tests/capacity_growth.rs
+++ b/lab/tests/capacity_growth.rs
@@ -1,5 +1,5 @@
 //! Scale tests of what one gateway is configured with: they count entries and bytes at n, 4n and 16n, and time nothing.
-use larchway_gateway::bulletin::{self, News};
+use larchway_gateway::bulletin::{self, EventBody};
 use larchway_gateway::config::{self, Config};
 use larchway_lab::trial::capacity::gateway::site::SiteConfiguration;
 use std::net::SocketAddr;
@@ -39,7 +39,7 @@
         let site = site(stores, 12);
         let config = read(&site);
         let [item] = &config.items[..] else { panic!("{} items", config.items.len()) };
-        let News::Roster { whole: true, stores: listed } = &item.news else { panic!("{:?}", item.news) };
+        let EventBody::Roster { whole: true, stores: listed } = &item.body else { panic!("{:?}", item.body) };
         assert_eq!(listed.len(), stores);
         let added = site.text().len() - alone;
         assert!(added <= MOST_PER_STORE * stores, "{stores} stores add {added} bytes");
@@ -53,7 +53,9 @@
         let entry = site.entry(stores - 1, "draining");
         let event = format!(r#"{{"no":2,"roster":{{"seq":2,"whole":false,"hosts":[{entry}]}}}}"#);
         let item = bulletin::event(&event, &read(&site).terms).expect("the event is read");
-        let News::Roster { whole: false, stores: changed } = &item.news else { panic!("{:?}", item.news) };
+        let EventBody::Roster { whole: false, stores: changed } = &item.body else {
+            panic!("{:?}", item.body)
+        };
         assert_eq!(changed.len(), 1);
         assert!(entry.len() <= MOST_OF_A_CHANGE, "{stores} stores: {} bytes", entry.len());
     }
