--- a/lab/src/hollow/swarm.rs
+++ b/lab/src/hollow/swarm.rs
@@ -24,6 +24,8 @@
         followers: usize,
         /// The number.
         after: u64,
+        /// Whether they accept gzip.
+        gzip: bool,
     },
     /// Close all connections, and connect as many again.
     Return {
@@ -68,6 +70,8 @@
     source: SocketAddr,
     poller: Poller,
     followers: Vec<Option<Follower>>,
+    /// Whether they accept gzip.
+    gzip: bool,
     /// The first so many are not read.
     stalled: usize,
     counted: Counted,
@@ -79,7 +83,15 @@
     pub fn new(source: SocketAddr) -> Result<Self, String> {
         let poller = Poller::new().map_err(|e| format!("a poller: {e}"))?;
         let buffer = vec![0; BUFFER];
-        Ok(Swarm { source, poller, followers: Vec::new(), stalled: 0, counted: Counted::default(), buffer })
+        Ok(Swarm {
+            source,
+            poller,
+            followers: Vec::new(),
+            gzip: false,
+            stalled: 0,
+            counted: Counted::default(),
+            buffer,
+        })
     }
 
     /// Carries out commands until there are none any more.
@@ -100,7 +112,10 @@
 
     fn obey(&mut self, command: &Command) -> Result<Counted, String> {
         match *command {
-            Command::Connect { followers, after } => self.connect(followers, after)?,
+            Command::Connect { followers, after, gzip } => {
+                self.gzip = gzip;
+                self.connect(followers, after)?;
+            }
             Command::Return { after } => {
                 let followers = self.followers.len();
                 self.followers.iter().flatten().for_each(|f| drop(self.poller.delete(f.stream())));
@@ -115,7 +130,7 @@
     }
 
     fn connect(&mut self, followers: usize, after: u64) -> Result<(), String> {
-        let request = request_after(self.source, after);
+        let request = request_after(self.source, after, self.gzip);
         for _ in 0..followers {
             let follower = Follower::connect(self.source, request.as_bytes())
                 .map_err(|e| format!("follower {} cannot connect: {e}", self.followers.len()))?;
--- a/lab/src/trial/capacity/gateway/mod.rs
+++ b/lab/src/trial/capacity/gateway/mod.rs
@@ -17,6 +17,7 @@
     vec![
         Case { name: "stores", play: stores::play },
         Case { name: "purges", play: purges::play },
+        Case { name: "purges_relayed", play: purges::play_relayed },
         Case { name: "control", play: control::play },
         Case { name: "control_relayed", play: control::play_relayed },
         Case { name: "configuration", play: configuration::play },
--- a/lab/src/trial/capacity/gateway/purges.rs
+++ b/lab/src/trial/capacity/gateway/purges.rs
@@ -29,10 +29,19 @@
     memory_mb: f64,
 }
 
-/// Plays the case: all rates at the same time, each on a gateway of its own.
+/// Plays the case with events straight from the bulletin: all rates at the same time, each on a gateway of its own.
 pub(super) fn play(seed: u64) -> Result<Played, String> {
-    let sizes = Sizes::new("purges", "purges/s", TARGET_RATE);
-    let sizes = sizes.at_once(&RATES, |rate| measure(rate, seed))?;
+    play_case("purges", seed, false)
+}
+
+/// Plays the case with events from a relay, in batches and with gzip.
+pub(super) fn play_relayed(seed: u64) -> Result<Played, String> {
+    play_case("purges_relayed", seed, true)
+}
+
+fn play_case(case: &'static str, seed: u64, relayed: bool) -> Result<Played, String> {
+    let sizes = Sizes::new(case, "purges/s", TARGET_RATE);
+    let sizes = sizes.at_once(&RATES, |rate| measure(rate, seed, relayed))?;
     let series = vec![
         sizes.series("cpu_per_purge", "us", |steady| steady.micros_each),
         sizes.series("cpu_share", "% of a core", |steady| steady.usage.core_percent()),
@@ -42,12 +51,11 @@
     Ok(Played { series, broken: Vec::new() })
 }
 
-fn measure(rate: f64, seed: u64) -> Result<Steady, String> {
+fn measure(rate: f64, seed: u64, relayed: bool) -> Result<Steady, String> {
     let files = vec![("copies", COPIES.to_string())];
-    let bench = Bench::start(
-        &format!("purges-{rate}"),
-        &Wanted { stores: STORES, gateways: 0, datagrams: false, files, seed, ..Wanted::default() },
-    )?;
+    let wanted = Wanted { stores: STORES, files, seed, relayed, ..Wanted::default() };
+    let path = if relayed { "relayed" } else { "direct" };
+    let bench = Bench::start(&format!("purges-{path}-{rate}"), &wanted)?;
     bench.request(FILL_RATE, FILL, seed)?;
     let idle = bench.idle(IDLE)?;
     let before = publish_at(rate, REMEMBERED, 0, |number| bench.purge(number));
--- a/lab/src/trial/capacity/source/calibration.rs
+++ b/lab/src/trial/capacity/source/calibration.rs
@@ -44,7 +44,7 @@
 impl Hollow {
     fn start(source: SocketAddr, configuration: &str) -> Result<Self, String> {
         let gateway = HollowGateway::new(crate::clock::now(), configuration, None)?;
-        let request = request_after(source, gateway.cursor());
+        let request = request_after(source, gateway.cursor(), false);
         let follower = Follower::connect(source, request.as_bytes()).map_err(|e| e.to_string())?;
         let poller = Poller::new().map_err(|e| e.to_string())?;
         let interest = Event::readable(0);
--- a/lab/src/trial/distribution/processes.rs
+++ b/lab/src/trial/distribution/processes.rs
@@ -48,6 +48,11 @@
         Ok(RelayProcess { address, child })
     }
 
+    /// The id of its process.
+    pub fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Processor time so far.
     pub fn cpu(&self) -> Duration {
         Duration::from_millis(cpu_ms(&format!("/proc/{}/stat", self.child.id())).unwrap_or(0))
--- a/lab/tests/hollow.rs
+++ b/lab/tests/hollow.rs
@@ -31,7 +31,8 @@
     let mut source = Child::start(&["source"]).expect("the source starts");
     let told: source::Counted = source.ask(&source::Command::Report).expect("a report");
     let mut swarm = Child::start(&["swarm", &format!("127.0.0.1:{}", told.port)]).expect("followers start");
-    let _: Counted = swarm.ask(&Command::Connect { followers: FOLLOWERS, after: 0 }).expect("they connect");
+    let _: Counted =
+        swarm.ask(&Command::Connect { followers: FOLLOWERS, after: 0, gzip: false }).expect("they connect");
     let _: source::Counted = source.ask(&source::Command::Burst { events: 100 }).expect("events");
     let counted = until_read(&mut swarm, 100, FOLLOWERS as u64);
     assert_eq!((counted.events, counted.ended), (100 * FOLLOWERS as u64, 0));
