--- a/lab/src/capacity/bad_days.rs
+++ b/lab/src/capacity/bad_days.rs
@@ -69,11 +69,16 @@
     let per_region = target.fleet.gateways / target.fleet.regions;
     let megabytes = per_region * missed * bytes_per_purge(slopes)? / BYTES_PER_MB;
     let rate = megabytes / target.load.purge_everywhere_seconds;
-    Ok(vec![
+    let mut all = vec![
         computed(day, "purges that each gateway has missed", missed, ""),
         computed(day, "bytes to catch up, all its gateways, uncompressed", megabytes, "MB"),
         computed(day, "the same within the time for a purge", rate, "MB a second"),
-    ])
+    ];
+    if let Some(relayed) = slopes.find("purges_relayed", "bytes_received") {
+        let rate = rate * relayed.fit.slope / bytes_per_purge(slopes)?;
+        all.push(computed(day, "the same from relays, with gzip", rate, "MB a second"));
+    }
+    Ok(all)
 }
 
 /// Each gateway's node that goes or comes is told to all gateways that watch; nothing where that is not measured.
--- a/lab/src/capacity/tables.rs
+++ b/lab/src/capacity/tables.rs
@@ -9,6 +9,9 @@
 use super::target::Target;
 use crate::trial::capacity::Series;
 
+/// The whole target, as a size of the cases of control.
+const WHOLE_TARGET: f64 = 1.0;
+
 /// The lines of a table, its heading among them.
 pub fn table(name: &str, slopes: &Slopes, target: &Target) -> Result<String, String> {
     let rows = match name {
@@ -143,6 +146,7 @@
     ];
     let mut all = vec![row(["what", "figure"])];
     all.extend(rows.iter().map(|(what, figure)| row([what, &figure.to_string()])));
+    all.extend(relayed_rows(slopes, target, load.relays));
     for role in role_loads(target).iter().filter(|role| ["site", "zone", "region"].contains(&role.role)) {
         let what = format!("bytes into a {}, a stream for each of its gateways", role.role);
         let figure = computed(load.bytes_to_each * role.gateways, "a second");
@@ -151,6 +155,21 @@
     Ok(all)
 }
 
+/// Events by relays with gzip, if that is measured: to a gateway, from a leaf, from each of the roots.
+fn relayed_rows(slopes: &Slopes, target: &Target, leaves: f64) -> Vec<Vec<String>> {
+    let Some(series) = slopes.find("control_relayed", "bytes_together") else { return Vec::new() };
+    let to_each = at(series, WHOLE_TARGET);
+    let of_leaf = computed(to_each.value * target.assumed.subscribers_of_relay, "a second");
+    let of_root = computed(to_each.value * leaves, "a second");
+    [
+        ("bytes to one gateway by a relay, with gzip, and of its reports", to_each),
+        ("bytes from one relay on the lowest level, with gzip", of_leaf),
+        ("bytes from a root, if all leaves read from it", of_root),
+    ]
+    .map(|(what, figure)| row([what, &figure.to_string()]))
+    .to_vec()
+}
+
 fn series_rows(slopes: &Slopes, case: &str) -> Vec<Vec<String>> {
     let mut rows =
         vec![row(["quantity", "measured, by size", "at the target", "slope", "exponent", "residual"])];
