Take a first whole list for the beginning; name subscribers; tell gaps apart by a typed reason

A gateway's requests had no User-Agent, so that its position was not tied to it across connections; at a start it reported position 0. A history begun anew was told from one that all sources refuse only by a Close in the same outputs.

Subscription::to_http takes the subscriber's name. A gateway reports no position before it has caught up once. Output::Gap carries a GapReason, which the relay daemon acts on and logs. The test of reported positions no longer passes over reports of position 0.

Left: a relay that takes over another history which begins with a whole list still serves a subscriber with nothing only from event 2 on.

--- a/crates/distribution/src/event.rs
+++ b/crates/distribution/src/event.rs
@@ -7,6 +7,9 @@
 /// The number of an event: 1 for the first of a history, each next one larger by 1.
 pub type EventNumber = u64;
 
+/// Number of the first event of a history.
+pub const FIRST_EVENT: EventNumber = 1;
+
 /// The largest number of an event: the largest integer that every JSON reader keeps exact (RFC 8259, section 6).
 pub const MAX_EVENT_NUMBER: EventNumber = (1 << 53) - 1;
 
--- a/crates/distribution/src/subscriber.rs
+++ b/crates/distribution/src/subscriber.rs
@@ -10,11 +10,11 @@
 mod request;
 mod sources;
 
-pub use messages::{Input, LeaveReason, Output, Received, SourceKind, SubscriberTerms};
+pub use messages::{GapReason, Input, LeaveReason, Output, Received, SourceKind, SubscriberTerms};
 pub use request::{position_request, Subscription, EVENTS_PATH, POSITION_PATH};
 pub use sources::{shuffled, FIRST_BACKOFF};
 
-use crate::event::EventNumber;
+use crate::event::{EventNumber, FIRST_EVENT};
 use larchway::Micros;
 use sources::Sources;
 use std::net::SocketAddr;
@@ -202,7 +202,7 @@
         let Some(source) = self.sources.current() else { return };
         let known = self.comparable();
         if known.is_none() && self.terms.verify && self.cursor > 0 {
-            self.begin_anew(out);
+            self.begin_anew(GapReason::HistoryUnknown, out);
         }
         let (after, if_match, overlap) = match (known, self.terms.kind) {
             (None, _) => (self.cursor, None, None),
@@ -232,8 +232,8 @@
 
     /// Gives up the cursor. Danger: where nothing tells which history it was in, what follows it elsewhere may be of
     /// another one, and purges of both would be missed.
-    fn begin_anew(&mut self, out: &mut Vec<Output>) {
-        self.gap(None, out);
+    fn begin_anew(&mut self, reason: GapReason, out: &mut Vec<Output>) {
+        self.gap(reason, out);
         // What was asked for once more stays so: one unreadable event behind a snapshot must not be asked for for ever.
         self.cursor = 0;
     }
@@ -283,15 +283,18 @@
         let overlap_missing = connection.overlap.is_some();
         let asked_after = connection.after;
         let Some(number) = event.number else { return self.unreadable(now, out) };
-        // The text of a relay's snapshot is its own, and says nothing about the history.
         let relay = self.terms.kind == SourceKind::Relay;
-        let digest = event.digest.filter(|_| !(relay && event.whole_list));
+        // A snapshot's number shows a jump, so event 1 to one that has nothing yet is the beginning of the history.
+        let beginning = asked_after == 0 && self.cursor == 0 && number == FIRST_EVENT;
+        // The text of a relay's snapshot is its own, and says nothing about the history.
+        let may_be_snapshot = relay && event.whole_list && !beginning;
+        let digest = event.digest.filter(|_| !may_be_snapshot);
         if self.contradicts(number, digest) {
             return self.other_history(now, LeaveReason::OtherHistory, out);
         }
         // A relay that no longer has what was asked for begins with a snapshot. It may stand for the very next number, and
         // for one at or below the cursor where the last events told nothing of the history.
-        let snapshot = relay && first && event.whole_list && number > asked_after;
+        let snapshot = may_be_snapshot && first && number > asked_after;
         if snapshot {
             self.cursor = self.cursor.min(number - 1);
         }
@@ -303,7 +306,7 @@
             return self.leave_for_next(now, LeaveReason::EventMissing, out);
         }
         if missing || snapshot {
-            self.gap(Some(number), out);
+            self.gap(GapReason::EventsMissing { next: number }, out);
         }
         self.apply(number, digest, out);
     }
@@ -348,18 +351,18 @@
         self.asked_again.replace(self.cursor) != Some(self.cursor)
     }
 
-    fn gap(&mut self, next: Option<EventNumber>, out: &mut Vec<Output>) {
+    fn gap(&mut self, reason: GapReason, out: &mut Vec<Output>) {
         self.gaps += 1;
         // Across a gap the digest of before says nothing of what is applied after it.
         self.known = None;
-        out.push(Output::Gap { after: self.cursor, next });
+        out.push(Output::Gap { after: self.cursor, reason });
     }
 
     fn other_history(&mut self, now: Micros, reason: LeaveReason, out: &mut Vec<Output>) {
         let all = self.sources.disagreed();
         self.leave_for_next(now, reason, out);
         if all && self.terms.restart_history {
-            self.begin_anew(out);
+            self.begin_anew(GapReason::OtherHistory, out);
             self.sources.agreed();
         }
     }
--- a/crates/distribution/src/subscriber/messages.rs
+++ b/crates/distribution/src/subscriber/messages.rs
@@ -106,6 +106,30 @@
     }
 }
 
+/// Why events are missing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GapReason {
+    /// The sources don't have the events before this one any more; it is the next to be applied.
+    EventsMissing {
+        /// Number of the next event.
+        next: EventNumber,
+    },
+    /// All sources tell another history than what was applied: theirs is read from its beginning.
+    OtherHistory,
+    /// Nothing tells in which history the events applied were: it is read from its beginning.
+    HistoryUnknown,
+}
+
+impl std::fmt::Display for GapReason {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            GapReason::EventsMissing { next } => write!(f, "the next one is event {next}"),
+            GapReason::OtherHistory => write!(f, "all sources tell another history"),
+            GapReason::HistoryUnknown => write!(f, "nothing tells in which history they were"),
+        }
+    }
+}
+
 /// What the caller has to do, in order.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Output {
@@ -117,12 +141,12 @@
     Heard(Micros),
     /// There is no connection any more on which the source could be heard.
     Lost,
-    /// Events after `after` and before `next` are missing, and won't come: whatever they may have purged is void.
+    /// Events after `after` may be missing, and won't come: whatever they may have purged is void.
     Gap {
         /// The last event applied.
         after: EventNumber,
-        /// The next event to be applied; none if the history begins anew, with any number.
-        next: Option<EventNumber>,
+        /// Why, and what comes next.
+        reason: GapReason,
     },
     /// Apply the event just handed in.
     Apply(EventNumber),
--- a/crates/distribution/src/subscriber/request.rs
+++ b/crates/distribution/src/subscriber/request.rs
@@ -26,8 +26,9 @@
 }
 
 impl Subscription {
-    /// The head of the HTTP request; it has no body.
-    pub fn to_http(&self) -> String {
+    /// The head of the HTTP request; it has no body. `name`: that of the subscriber, sent as `User-Agent`: a relay counts
+    /// the positions of subscribers by it across connections. A name that no header can hold is left out.
+    pub fn to_http(&self, name: Option<&str>) -> String {
         let scope = self.scope.as_ref().map(|scope| format!("?scope={scope}")).unwrap_or_default();
         let mut head = format!(
             "GET {EVENTS_PATH}{scope} HTTP/1.1\r\nHost: {}\r\nAccept: text/event-stream\r\nLast-Event-ID: {}\r\n",
@@ -39,11 +40,20 @@
         if self.gzip {
             head.push_str("Accept-Encoding: gzip\r\n");
         }
+        if let Some(name) = name.filter(|name| is_header_value(name)) {
+            let _ = write!(head, "User-Agent: {name}\r\n");
+        }
         head.push_str("\r\n");
         head
     }
 }
 
+/// Whether a header's value can hold a text: visible ASCII and spaces within.
+fn is_header_value(text: &str) -> bool {
+    let legal = text.bytes().all(|byte| byte.is_ascii_graphic() || byte == b' ');
+    legal && !text.is_empty() && text.trim() == text
+}
+
 /// The HTTP request that reports a position; it is sent behind the request for events, and gets no response.
 pub fn position_request(source: SocketAddr, report: &PositionReport) -> String {
     // A report is numbers and names: there is nothing in it that can't be written as JSON.
--- a/crates/distribution/src/subscriber/tests.rs
+++ b/crates/distribution/src/subscriber/tests.rs
@@ -23,6 +23,10 @@
     Received { number: Some(number), digest: Some(1000 + number), whole_list: false }
 }
 
+fn missing(after: EventNumber, next: EventNumber) -> Output {
+    Output::Gap { after, reason: GapReason::EventsMissing { next } }
+}
+
 /// A subscriber with its clock and the outputs of the last step.
 struct Rig {
     now: Micros,
@@ -93,12 +97,12 @@
     assert_eq!(rig.event(1), [Output::Apply(1)]);
     assert_eq!(rig.event(3), [Output::Close(LeaveReason::EventMissing), Output::Lost]);
     assert_eq!(rig.dialled().1.after, 1);
-    assert_eq!(rig.event(3), [Output::Gap { after: 1, next: Some(3) }, Output::Apply(3)]);
+    assert_eq!(rig.event(3), [missing(1, 3), Output::Apply(3)]);
     assert_eq!(rig.event(2), [], "it comes too late");
     assert_eq!(rig.give(unreadable), [Output::Close(LeaveReason::EventUnreadable), Output::Lost]);
     rig.dialled();
     assert_eq!(rig.give(unreadable), [Output::PassOver]);
-    assert_eq!(rig.event(5), [Output::Gap { after: 3, next: Some(5) }, Output::Apply(5)]);
+    assert_eq!(rig.event(5), [missing(3, 5), Output::Apply(5)]);
     assert_eq!(rig.subscriber.gaps(), 3);
 }
 
@@ -149,7 +153,7 @@
     let refused = Input::Refused { status: 412, retry_after: None };
     assert_eq!(rig.give(refused), [Output::Close(LeaveReason::Refused(412)), Output::Lost]);
     rig.dialled();
-    assert_eq!(rig.give(refused)[2..], [Output::Gap { after: 1, next: None }]);
+    assert_eq!(rig.give(refused)[2..], [Output::Gap { after: 1, reason: GapReason::OtherHistory }]);
     assert_eq!((rig.dialled().1.after, rig.subscriber.cursor()), (0, 0));
     // One that keeps its history goes on asking.
     let mut rig = Rig::new(SubscriberTerms { restart_history: false, ..terms(SourceKind::Relay, 1) }, 0);
@@ -167,7 +171,7 @@
     rig.give(Input::Lost);
     rig.dialled();
     let snapshot = Received { whole_list: true, ..received(5) };
-    let expected = [Output::Gap { after: 4, next: Some(5) }, Output::Apply(5)];
+    let expected = [missing(4, 5), Output::Apply(5)];
     assert_eq!(rig.give(Input::Event(snapshot)), expected);
     let list = Received { whole_list: true, ..received(6) };
     assert_eq!(
@@ -179,10 +183,40 @@
     // Nothing tells in which history these numbers were, so the subscriber begins anew.
     rig.now = rig.subscriber.next_due().expect("a dial");
     let outputs = rig.give(Input::Tick);
-    assert_eq!(outputs[0], Output::Gap { after: 6, next: None });
+    assert_eq!(outputs[0], Output::Gap { after: 6, reason: GapReason::HistoryUnknown });
     assert!(matches!(&outputs[1], Output::Dial(request) if request.after == 0), "{outputs:?}");
 }
 
+/// A relay shows a jump of numbers to whoever it gives a snapshot, so event 1 is the source's own.
+#[test]
+fn a_whole_list_at_the_beginning_of_the_history_is_no_snapshot() {
+    let mut rig = Rig::new(terms(SourceKind::Relay, 1), 0);
+    rig.dialled();
+    let list = Received { whole_list: true, ..received(1) };
+    assert_eq!(rig.give(Input::Event(list)), [Output::Apply(1)]);
+    rig.give(Input::Lost);
+    let (_, request) = rig.dialled();
+    assert_eq!((request.after, request.if_match), (1, Some(1001)), "its history is known by it");
+    // One that knows of events by other means has no history to begin with.
+    let mut rig = Rig::new(terms(SourceKind::Relay, 1), 0);
+    rig.dialled();
+    rig.subscriber.advance(3);
+    assert_eq!(rig.give(Input::Event(list)), [missing(0, 1), Output::Apply(1)]);
+}
+
+#[test]
+fn the_name_of_a_subscriber_is_sent_where_a_header_can_hold_it() {
+    let mut rig = Rig::new(terms(SourceKind::Relay, 1), 0);
+    let (_, request) = rig.dialled();
+    let unnamed = request.to_http(None);
+    assert!(!unnamed.contains("User-Agent"), "{unnamed}");
+    let named = request.to_http(Some("gateway 7"));
+    assert_eq!(named, unnamed.replace("\r\n\r\n", "\r\nUser-Agent: gateway 7\r\n\r\n"));
+    for name in ["", " n", "n\r\nIf-Match: \"0\"", "g\u{e9}"] {
+        assert_eq!(request.to_http(Some(name)), unnamed, "{name:?}");
+    }
+}
+
 #[test]
 fn an_unreadable_event_behind_a_snapshot_is_passed_over_in_the_end() {
     let mut rig = Rig::new(terms(SourceKind::Relay, 1), 0);
@@ -192,7 +226,11 @@
     rig.give(snapshot);
     assert_eq!(rig.give(unreadable)[0], Output::Close(LeaveReason::EventUnreadable));
     rig.now = rig.subscriber.next_due().expect("a dial");
-    assert_eq!(rig.give(Input::Tick)[0], Output::Gap { after: 5, next: None }, "it begins anew");
+    assert_eq!(
+        rig.give(Input::Tick)[0],
+        Output::Gap { after: 5, reason: GapReason::HistoryUnknown },
+        "it begins anew"
+    );
     rig.give(snapshot);
     assert_eq!(rig.give(unreadable), [Output::PassOver]);
 }
@@ -209,7 +247,7 @@
     rig.give(Input::Lost);
     assert_eq!(rig.dialled().1.after, 5);
     let snapshot = Received { whole_list: true, ..received(8) };
-    let expected = [Output::Gap { after: 7, next: Some(8) }, Output::Apply(8)];
+    let expected = [missing(7, 8), Output::Apply(8)];
     assert_eq!(rig.give(Input::Event(snapshot)), expected);
     assert_eq!(rig.event(9), [Output::Apply(9)]);
     // The first of a page may be a list from before the cursor, and is no snapshot.
@@ -334,11 +372,11 @@
                     self.queue.clear();
                 }
                 Output::Heard(_) => {}
-                Output::Gap { after, next } => {
+                Output::Gap { after, reason } => {
                     assert_eq!(after, self.accounted.len() as u64, "a gap begins where the last event was");
-                    match next {
-                        Some(next) => self.accounted.resize(next as usize - 1, false),
-                        None => self.accounted.clear(),
+                    match reason {
+                        GapReason::EventsMissing { next } => self.accounted.resize(next as usize - 1, false),
+                        GapReason::OtherHistory | GapReason::HistoryUnknown => self.accounted.clear(),
                     }
                     self.history = None;
                 }
--- a/crates/distribution/tests/subscriber_and_relays.rs
+++ b/crates/distribution/tests/subscriber_and_relays.rs
@@ -5,7 +5,9 @@
 use larchway_distribution::batch::{placeholder, Encoding};
 use larchway_distribution::log::{EventLog, LogLimits, Logged};
 use larchway_distribution::relay::{Hello, Input, Output, Relay, RelayTerms};
-use larchway_distribution::subscriber::{self, SourceKind, Subscriber, SubscriberTerms, Subscription};
+use larchway_distribution::subscriber::{
+    self, GapReason, SourceKind, Subscriber, SubscriberTerms, Subscription,
+};
 use larchway_distribution::{Event, EventNumber};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -176,7 +178,11 @@
             match output {
                 subscriber::Output::Dial(subscription) => self.dial(subscription),
                 subscriber::Output::Close(_) => self.hang_up(),
-                subscriber::Output::Gap { next, .. } => {
+                subscriber::Output::Gap { reason, .. } => {
+                    let next = match reason {
+                        GapReason::EventsMissing { next } => Some(next),
+                        GapReason::OtherHistory | GapReason::HistoryUnknown => None,
+                    };
                     // All that was applied is given up; a snapshot may be numbered below it.
                     let cursor = next.map_or(0, |next| self.view.cursor.min(next - 1));
                     self.view = View { floor: next.unwrap_or(0), cursor, ..View::default() };
@@ -362,6 +368,33 @@
     }
 }
 
+/// A leaf that subscribed while its upstream relay was empty: event 1, a whole list, is no snapshot to it, so that its
+/// own log begins with event 1 and serves those who have nothing.
+#[test]
+fn a_leaf_of_an_empty_relay_begins_its_log_with_the_first_list() {
+    let mut world = World::new(20);
+    let heard = world.now();
+    world.input(0, Input::Heartbeat { heard });
+    world.tell(subscriber::Input::Tick);
+    world.pull(usize::MAX);
+    assert!(
+        matches!(world.connection, Some((0, _, true))),
+        "taken by the empty relay: {:?}",
+        world.connection
+    );
+    world.feed(0, 1, false);
+    world.pass(200);
+    world.pull(usize::MAX);
+    assert_eq!((world.view.cursor, world.subscriber.gaps()), (1, 0));
+    // The leaf's own log, with what its subscriber applied.
+    let mut leaf = Driver::new(Relay::new(world.terms.clone()));
+    leaf.input(Input::Event(world.events[0].clone()));
+    leaf.heartbeat();
+    let hello = common::hello(0);
+    assert!(leaf.subscribe(1, hello).contains(&Output::Accept(1)));
+    assert_eq!((leaf.relay.log().first(), leaf.relay.log().last()), (1, 1));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 400, max_shrink_iters: 20_000, ..ProptestConfig::default() })]
 
--- a/gateway/src/events.rs
+++ b/gateway/src/events.rs
@@ -13,7 +13,8 @@
 use larchway_distribution::events_file::EventsFile;
 use larchway_distribution::positions::PositionReport;
 use larchway_distribution::subscriber::{
-    position_request, shuffled, Input, LeaveReason, Output, Received, SourceKind, Subscriber, SubscriberTerms,
+    position_request, shuffled, GapReason, Input, LeaveReason, Output, Received, SourceKind, Subscriber,
+    SubscriberTerms,
 };
 use serde::Serialize;
 use std::net::SocketAddr;
@@ -84,6 +85,9 @@
     reader: StreamReader,
     /// The lag's limit, if there is one.
     lag: Option<LagWatch>,
+    /// Whether it has caught up since the start, from sources that positions are reported to. A gateway that has not is not counted: it serves nothing old, and its
+    /// position would hold back that of all.
+    has_caught_up: bool,
     /// The position reported last on this connection, and from when the next may be.
     reported: Option<u64>,
     report_from: Micros,
@@ -100,6 +104,7 @@
             subscriber: Subscriber::new(at, terms, 0, seed),
             reader: StreamReader::default(),
             lag: None,
+            has_caught_up: false,
             reported: None,
             report_from: 0,
         }
@@ -222,8 +227,12 @@
     /// Reports how far events are applied, if that is wanted and new.
     fn report_position(&mut self, at: Micros, effects: &mut Vec<Effect>) {
         let wanted = self.config.file.as_ref().is_some_and(|file| file.report);
+        if !wanted {
+            return;
+        }
+        self.has_caught_up |= self.subscriber.caught_up();
         let cursor = self.subscriber.cursor();
-        if !wanted || at < self.report_from || self.reported == Some(cursor) {
+        if !self.has_caught_up || at < self.report_from || self.reported == Some(cursor) {
             return;
         }
         let Some(source) = self.subscriber.source() else { return };
@@ -291,7 +300,8 @@
             Output::Dial(subscription) => {
                 self.reader = StreamReader::default();
                 self.reported = None;
-                effects.push(Effect::Dial(subscription.source, subscription.to_http().into_bytes()));
+                let name = self.config.file.is_some().then_some(self.config.name.as_str());
+                effects.push(Effect::Dial(subscription.source, subscription.to_http(name).into_bytes()));
             }
             Output::Close(LeaveReason::Reconfigured) => {
                 effects.push(Effect::Close("it is another now".into()))
@@ -301,8 +311,11 @@
             // With a limit on the lag it does not matter which relay told what is known.
             Output::Lost if self.lag.is_some() => {}
             Output::Lost => effects.push(Effect::Lost),
-            Output::Gap { after, next } => {
-                let to = next.map_or("a history begun anew".to_string(), |next| format!("event {next}"));
+            Output::Gap { after, reason } => {
+                let to = match reason {
+                    GapReason::EventsMissing { next } => format!("event {next}"),
+                    GapReason::OtherHistory | GapReason::HistoryUnknown => "a history begun anew".to_string(),
+                };
                 log!("events are missing from {} to {to}: they may have been purges", after + 1);
                 self.missed(effects);
             }
--- a/gateway/src/relay/upstream.rs
+++ b/gateway/src/relay/upstream.rs
@@ -7,7 +7,7 @@
 use larchway_distribution::positions::PositionReport;
 use larchway_distribution::relay::Input as RelayInput;
 use larchway_distribution::subscriber::{
-    position_request, Input, LeaveReason, Output, Received, SourceKind, Subscriber, Subscription,
+    position_request, GapReason, Input, LeaveReason, Output, Received, SourceKind, Subscriber, Subscription,
 };
 use larchway_distribution::{Event, EventNumber, Subject};
 use polling::{Event as Readiness, PollMode, Poller};
@@ -216,9 +216,6 @@
         mut event: Option<Event>,
         inputs: &mut Vec<RelayInput>,
     ) {
-        // A history that is given up while a source is left is another one than the source's. Else nothing tells which one
-        // it is, and it is only asked for from the beginning.
-        let left = outputs.iter().any(|output| matches!(output, Output::Close(_)));
         for output in outputs {
             match output {
                 Output::Dial(subscription) => self.dial(now, &subscription),
@@ -229,13 +226,10 @@
                 // A heartbeat goes out after the events that came with these bytes; see `take_comment`.
                 Output::Heard(_) => {}
                 Output::Lost => inputs.push(RelayInput::UpstreamLost),
-                Output::Gap { after, next: Some(next) } => {
-                    log!("events after {after} and before {next} are missing");
+                Output::Gap { after, reason } => {
+                    log!("events after {after} may be missing: {reason}");
                     self.gap = true;
-                }
-                Output::Gap { after, next: None } => {
-                    self.gap = true;
-                    if left {
+                    if reason == GapReason::OtherHistory {
                         inputs.push(self.leave_history(after));
                     }
                 }
@@ -287,18 +281,12 @@
             stream,
             source: address,
             reader: StreamReader::default(),
-            output: self.request(subscription).into_bytes(),
+            output: subscription.to_http(Some(&self.name)).into_bytes(),
             connected: false,
             streaming: false,
         })
     }
 
-    /// The request, with the own name: the relay above counts a report of the same name as of the same relay.
-    fn request(&self, subscription: &Subscription) -> String {
-        let user_agent = format!("\r\nUser-Agent: {}\r\n\r\n", self.name);
-        subscription.to_http().replacen("\r\n\r\n", &user_agent, 1)
-    }
-
     /// Writes what there is, and asks for writability only while there is more.
     fn flush(&mut self) -> io::Result<()> {
         let Some(connection) = &mut self.connection else { return Ok(()) };
--- a/gateway/tests/net/events.rs
+++ b/gateway/tests/net/events.rs
@@ -306,9 +306,6 @@
     let _gateway = gateway(&relays);
     relays.expect("GET");
     let mut report = relays.expect("PUT /bulletins/position HTTP/1.1");
-    while report.body.contains("\"applied\":0") {
-        report = relays.expect("PUT");
-    }
     let first = r#"{"applied":1,"gateways":1,"lost":0,"furthest":[{"name":"n1","applied":1}]}"#;
     assert_eq!(report.body, first);
     relays.send(2, &purge(2, 7));
@@ -320,6 +317,39 @@
     assert!(report.body.starts_with(r#"{"applied":3,"gateways":1,"#), "{}", report.body);
 }
 
+/// Its position would hold back the least of all.
+#[test]
+fn a_gateway_that_has_not_caught_up_since_its_start_reports_no_position() {
+    let relays = Relays::start(1);
+    relays.set(|state| state.silent = true);
+    let mut s = gateway(&relays);
+    relays.expect("GET");
+    for number in 2..=4 {
+        std::thread::sleep(Duration::from_millis(500));
+        relays.send(number, &purge(number, 7));
+        s.report("/ops/events", &format!("\"cursor\":{number},\"caught_up\":false"));
+    }
+    assert!(relays.calls.try_recv().is_err(), "no position is reported");
+    relays.set(|state| state.silent = false);
+    let report = relays.expect("PUT");
+    assert!(report.body.starts_with(r#"{"applied":4,"#), "{}", report.body);
+}
+
+/// A relay counts the positions of one name as those of one gateway, across connections.
+#[test]
+fn each_request_for_events_names_the_gateway() {
+    let relays = Relays::start(1);
+    let mut s = gateway(&relays);
+    let named = "\r\nUser-Agent: n1\r\n";
+    let first = relays.expect("GET");
+    assert!(first.head.contains(named), "{}", first.head);
+    s.report("/ops/events", "\"cursor\":1,\"caught_up\":true");
+    // A jump of numbers is asked for once more.
+    relays.send(9, &purge(9, 7));
+    let second = relays.expect("GET");
+    assert!(second.head.contains(named), "{}", second.head);
+}
+
 #[test]
 fn a_misspelt_key_is_named_and_what_ran_goes_on() {
     let relays = Relays::start(1);
--- a/gateway/tests/relay/operator.rs
+++ b/gateway/tests/relay/operator.rs
@@ -84,6 +84,7 @@
     let mut subscriber = crate::support::Subscriber::after(relay.address(), 4);
     assert_eq!(subscriber.next_event().0, 5);
     source.come_back_with((1..=6).map(|number| purge(number, number + 100)).collect());
+    relay.process.log_until("events after 5 may be missing: all sources tell another history");
     relay.process.log_until("stopped serving");
     while subscriber.next().is_some() {}
     eventually("it says why", || relay.figure("stopped").as_str().is_some_and(|why| why.contains("history")));
@@ -92,6 +93,22 @@
     assert_eq!(refused.status, 503);
 }
 
+#[test]
+fn a_relay_that_only_begins_anew_goes_on_serving() {
+    // An event that was replaced says nothing of the history.
+    let replaced = r#"{"no":1}"#.to_string();
+    let source = Source::start(vec![replaced.clone()]);
+    let mut relay = RelayProcess::root(&source, "");
+    relay.wait_for_event(1);
+    source.come_back_with([vec![replaced.clone()], purges(2, 5)].concat());
+    relay.process.log_until("events after 1 may be missing: nothing tells in which history they were");
+    relay.wait_for_event(6);
+    assert_eq!((source.connections(), relay.figure("stopped")), (2, serde_json::Value::Null));
+    let mut subscriber = crate::support::Subscriber::after(relay.address(), 0);
+    assert_eq!(subscriber.next_event(), (1, replaced));
+    assert_eq!(subscriber.next_event(), (2, purge(2, 2)));
+}
+
 /// E4: whoever connects cannot take the descriptors that the source's connection needs.
 #[test]
 fn with_few_descriptors_the_source_is_still_heard_and_room_is_made_by_those_who_leave() {
--- a/gateway/tests/relay/tree.rs
+++ b/gateway/tests/relay/tree.rs
@@ -1,5 +1,5 @@
 //! Relays in a tree.
-use crate::support::{eventually, get, purge, purges, RelayProcess, Source, Subscriber};
+use crate::support::{eventually, get, list, purge, purges, store, RelayProcess, Source, Subscriber};
 use std::net::SocketAddr;
 
 fn leaf(name: &str, above: &[&RelayProcess]) -> RelayProcess {
@@ -44,6 +44,23 @@
     });
 }
 
+#[test]
+fn a_leaf_of_an_empty_root_takes_the_first_list_for_the_beginning_of_the_history() {
+    let source = Source::start(Vec::new());
+    let root = RelayProcess::root(&source, "");
+    root.wait_for_event(0);
+    let lowest = leaf("lowest", &[&root]);
+    lowest.wait_for_event(0);
+    let first = list(1, true, &[store("s-1", "east", SocketAddr::from(([127, 0, 0, 1], 9)))]);
+    source.add(vec![first.clone()]);
+    lowest.wait_for_event(1);
+    let mut subscriber = Subscriber::after(lowest.address(), 0);
+    assert_eq!(subscriber.next_event(), (1, first));
+    source.add(purges(2, 1));
+    assert_eq!(subscriber.next_event(), (2, purge(2, 2)));
+    assert_eq!(lowest.figure("gaps"), 0);
+}
+
 #[test]
 fn positions_go_up_the_tree_and_the_root_says_who_keeps_an_event() {
     let source = Source::start(purges(1, 10));
--- a/lab/src/followers.rs
+++ b/lab/src/followers.rs
@@ -269,8 +269,7 @@
         _ => {}
     }
     let mut stream = TcpStream::from(socket);
-    let user_agent = format!("\r\nUser-Agent: {name}\r\n\r\n");
-    let request = subscription.to_http().replacen("\r\n\r\n", &user_agent, 1);
+    let request = subscription.to_http(Some(name));
     stream.write_all(request.as_bytes())?;
     poller.add_with_mode(&stream, Readiness::readable(key), PollMode::Level)?;
     Ok(stream)
--- a/lab/src/hollow/follower.rs
+++ b/lab/src/hollow/follower.rs
@@ -69,7 +69,7 @@
 
 /// The request for the events after a number, as a gateway without a file of its events sends it.
 pub fn request_after(source: SocketAddr, after: EventNumber) -> String {
-    Subscription { source, after, if_match: None, gzip: false, scope: None }.to_http()
+    Subscription { source, after, if_match: None, gzip: false, scope: None }.to_http(None)
 }
 
 fn event_data(part: Part) -> Option<String> {
