Lose the source once more in the test of a relay that begins anew

Cause: a relay that wrongly stopped at a history begun anew kept the connection just dialled, so the test passed on such a change (trial).

Change: the source is lost a second time; a relay that has stopped dials none.

Result: the test passes; its trial against the changed code is not run in this commit.

--- a/gateway/tests/relay/operator.rs
+++ b/gateway/tests/relay/operator.rs
@@ -105,8 +105,11 @@
     relay.wait_for_event(6);
     assert_eq!((source.connections(), relay.figure("stopped")), (2, serde_json::Value::Null));
     let mut subscriber = crate::support::Subscriber::after(relay.address(), 0);
-    assert_eq!(subscriber.next_event(), (1, replaced));
+    assert_eq!(subscriber.next_event(), (1, replaced.clone()));
     assert_eq!(subscriber.next_event(), (2, purge(2, 2)));
+    // One that has stopped dials no source any more.
+    source.come_back_with([vec![replaced], purges(2, 6)].concat());
+    relay.wait_for_event(7);
 }
 
 /// E4: whoever connects cannot take the descriptors that the source's connection needs.
