Move connections and their buffers out of net.rs into a module of their own

Change: Buffer, Role, Final, Undialled, Life, Conn, Pool and the limits of connections are in connection.rs, which does not import net; thrift, resp and signed import them from there. No change of behaviour.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod bulletin;
 pub mod clock;
 pub mod config;
+pub mod connection;
 pub mod console;
 pub mod core;
 pub mod deadlines;
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -3,6 +3,9 @@
 use crate::bulletin::{self, Store};
 use crate::clock::now;
 use crate::config::{Config, Ensemble, Files, Front, Loaded, Shape};
+use crate::connection::{
+    Buffer, Conn, Final, Life, Pool, Role, Undialled, CROWDED, IDLE, LINGER, STALLED, TURN, WHOLE,
+};
 use crate::console::{self, Console};
 use crate::core::{Core, Order, Ticket};
 use crate::deadlines::Due;
@@ -61,172 +64,10 @@
 const ADMIN_AGAIN: Micros = 1_000_000;
 /// µs for which no client is taken in once there is no descriptor for one.
 const ACCEPT_AGAIN: Micros = 50_000;
-/// µs after which a client that reads nothing of its answers, or asks for nothing, is cut off.
-const STALLED: Micros = 10_000_000;
-const IDLE: Micros = 60_000_000;
-/// µs in which a client's message must be whole, the first one from when it connected.
-const WHOLE: Micros = 2_000_000;
-/// µs for which a connection lingers after its last answer.
-const LINGER: Micros = 1_000_000;
-/// Bytes waiting for a client of the second front above which nothing more is read from it.
-const CROWDED: usize = 1 << 20;
 /// Parts of the memory limit that the bytes of all clients' connections, read and not dealt with or written and not
 /// sent, may take: from the first on, who has answers waiting is refused more; from the second on, everybody is; at the
 /// third, whoever holds most is cut off. Slow readers are no fault, and cutting one off loses what it was owed.
 const CLIENTS_HOLD: (usize, usize, usize) = (6, 4, 3);
-/// Bytes read from one connection before others get their turn.
-const TURN: usize = 512 * 1024;
-/// Bytes on their way in or out.
-#[derive(Default)]
-pub struct Buffer {
-    /// The bytes, those already dealt with in front.
-    pub bytes: Vec<u8>,
-    /// How many are dealt with.
-    pub done: usize,
-}
-
-impl Buffer {
-    /// What is not dealt with.
-    pub fn rest(&self) -> &[u8] {
-        &self.bytes[self.done..]
-    }
-    /// Deals with so many bytes; a buffer that is empty gives its room back, so that a quiet connection costs
-    /// next to nothing.
-    pub fn consume(&mut self, n: usize) {
-        self.done += n;
-        if self.done >= self.bytes.len() {
-            *self = Buffer::default();
-        }
-    }
-    fn compact(&mut self) {
-        if self.done > 64 * 1024 {
-            self.bytes.drain(..self.done);
-            self.done = 0;
-        }
-    }
-}
-
-/// What a connection is for.
-pub enum Role {
-    /// A client of the platform's front.
-    Client(Calls),
-    /// A client of the second front.
-    Web(Session),
-    /// A connection to a store.
-    Store(Link),
-    /// The source of events.
-    Events,
-    /// A server of the ensemble.
-    Keeper,
-}
-
-impl Role {
-    /// Whether a client is at the other end.
-    fn client(&self) -> bool {
-        matches!(self, Role::Client(_) | Role::Web(_))
-    }
-    /// Whether a client is at the other end that waits for no answer.
-    fn resting(&self) -> bool {
-        match self {
-            Role::Client(calls) => calls.open.is_empty(),
-            Role::Web(session) => session.open.is_none(),
-            _ => false,
-        }
-    }
-}
-
-/// A final answer.
-pub enum Final<'a> {
-    /// Served by this answer of a store.
-    Served(&'a Reply<'a>),
-    /// Refused; come back after so long, or at will if 0.
-    Refused(Micros),
-    /// Failed.
-    Failed {
-        /// Since its time was up.
-        late: bool,
-    },
-}
-
-/// Why a connection could not even be dialled.
-enum Undialled {
-    /// There is no room for it on this machine, which says nothing of the other side.
-    Here,
-    /// The other side cannot be reached.
-    There,
-}
-
-/// How far a connection has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Life {
-    /// It is being dialled.
-    Dialling,
-    /// Bytes go both ways.
-    Open,
-    /// It is half-closed once all that is written has gone out; what comes in is passed over.
-    Finishing,
-    /// Its write side is shut: no answer could be delivered. What comes in is read and passed over, since a close over
-    /// unread bytes would reset what is still on its way, until the other side has closed or this time has come.
-    HalfClosed {
-        /// When it is closed all the same.
-        until: Micros,
-    },
-}
-
-impl Life {
-    /// Whether it is up, in any way.
-    fn up(self) -> bool {
-        self != Life::Dialling
-    }
-    /// Whether what comes in is passed over.
-    fn over(self) -> bool {
-        matches!(self, Life::Finishing | Life::HalfClosed { .. })
-    }
-}
-
-/// A connection.
-pub struct Conn {
-    stream: TcpStream,
-    input: Buffer,
-    /// What is to be written.
-    pub output: Buffer,
-    /// What it is for.
-    pub role: Role,
-    /// How far it has come.
-    pub life: Life,
-    since: Micros,
-    /// When bytes last moved on it.
-    pub moved: Micros,
-    /// When bytes last came in, or began to be awaited.
-    pub heard: Micros,
-    /// Whether a whole message has come in on it, and when the first byte came of one that is not whole.
-    asked: bool,
-    partial: Option<Micros>,
-    armed: (bool, bool),
-    due: Micros,
-    /// Bytes that count among those of all clients.
-    holds: usize,
-}
-
-impl Conn {
-    /// Whether a client is at the other end that is owed nothing and has asked for nothing that was read.
-    fn rests(&self) -> bool {
-        self.role.resting()
-            && self.life == Life::Open
-            && self.output.rest().is_empty()
-            && self.partial.is_none()
-    }
-    /// Whether nothing waits to be read, not even the end.
-    fn quiet(&self) -> bool {
-        matches!(self.stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
-    }
-}
-
-/// A store: its name, its address and the connections to it.
-struct Pool {
-    store: Store,
-    links: Vec<Key>,
-}
 
 /// The gateway.
 pub struct Gateway {
--- a/gateway/src/resp.rs
+++ b/gateway/src/resp.rs
@@ -1,6 +1,7 @@
 //! The wire to stores, parents and the origin: RESP arrays of bulk strings.
+use crate::connection::{Conn, Final, Role};
 use crate::core::Pull;
-use crate::net::{Conn, Final, Gateway, Role};
+use crate::net::Gateway;
 use crate::slots::Key;
 use larchway::{Micros, Note, ServerId, Status};
 use std::collections::VecDeque;
--- a/gateway/src/signed/mod.rs
+++ b/gateway/src/signed/mod.rs
@@ -5,10 +5,11 @@
 pub mod token;
 
 use crate::config::Front;
+use crate::connection::{Conn, Final, Life, Role};
 use crate::core::{Ask, Ticket};
 use crate::json_fields;
 use crate::log;
-use crate::net::{Conn, Final, Gateway, Life, Role};
+use crate::net::Gateway;
 use crate::slots::Key;
 use crate::terms::Terms;
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
--- a/gateway/src/thrift.rs
+++ b/gateway/src/thrift.rs
@@ -1,7 +1,8 @@
 //! The platform's front: Thrift, framed transport, strict binary protocol.
+use crate::connection::{Conn, Final, Role};
 use crate::core::{Ask, Ticket};
 use crate::log;
-use crate::net::{Conn, Final, Gateway, Role};
+use crate::net::Gateway;
 use crate::slots::Key;
 use crate::terms::Terms;
 use larchway::Micros;
