Wait in the scenarios until a killed process's listener is gone before new clients call

The kernel closes a killed process's sockets one by one: the other process may log its end while its listener still stands and takes clients into a queue that nobody serves. The daemon cannot help clients whom the kernel queued at a killed process. Change: `old kill` ends only once the process can be waited for, by when its sockets are closed, and asserts that SIGKILL ended it.

--- a/gateway/tests/net/scenario/mod.rs
+++ b/gateway/tests/net/scenario/mod.rs
@@ -26,11 +26,13 @@
 //! A body `#N` stands for N bytes of every value. Expectations have seconds to be met, so no timing is tight.
 pub mod ensemble;
 
+use signal_hook::consts::SIGKILL;
 use socket2::{Domain, SockRef, Socket, Type};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::os::unix::process::ExitStatusExt;
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
@@ -389,10 +391,15 @@
 }
 
 fn exit(child: &mut Child, code: i32) {
+    assert_eq!(ended(child).code(), Some(code));
+}
+
+/// Waits until a process has ended and its descriptors are closed.
+fn ended(child: &mut Child) -> ExitStatus {
     let end = Instant::now() + PATIENCE;
     loop {
         if let Some(status) = child.try_wait().expect("waits") {
-            return assert_eq!(status.code(), Some(code));
+            return status;
         }
         assert!(Instant::now() < end, "it does not exit");
         std::thread::sleep(Duration::from_millis(10));
@@ -612,6 +619,15 @@
             ["old", "exit", code] => {
                 exit(self.old.as_mut().expect("an old one"), code.parse().expect("a code"));
             }
+            // The kernel closes the sockets of a killed process one by one, so that the other processes may know of its
+            // end while its listener still takes clients into a queue that nobody serves. Once it can be waited for, all
+            // are closed.
+            ["old", "kill"] => {
+                let old = self.old.as_mut().expect("an old one");
+                old.kill().expect("kills");
+                let signal = ended(old).signal();
+                assert_eq!(signal, Some(SIGKILL), "it was killed");
+            }
             ["old", signal] => {
                 let id = self.old.as_ref().expect("an old one").id();
                 let line = format!("kill -{} {id}", signal.to_uppercase());
