Begin connections without blocking by one function of sockets.rs

Cause: the same non-blocking connect stood in net.rs and in the relay's upstream, each with its own EINPROGRESS. Change: sockets::begin_connect; both call it, with the options they had (non-blocking, no delay of small writes).

--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -19,7 +19,7 @@
 use crate::shutdown::{Begun, Shutdown, ACCEPTING};
 use crate::signed::{self, Session};
 use crate::slots::{Key, Slots};
-use crate::sockets::{closed, drain, exhausted, hung_up, polled, polled_in_time, signal_pipe};
+use crate::sockets::{begin_connect, closed, drain, exhausted, hung_up, polled, polled_in_time, signal_pipe};
 use crate::terms::Terms;
 use crate::thrift::{self, Calls};
 use crate::turn;
@@ -32,7 +32,6 @@
 use larchway_operations::tally::Gauges;
 use polling::{Event, PollMode, Poller};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown as Side, SocketAddr, TcpListener, TcpStream};
@@ -729,18 +728,7 @@
         role: Role,
         due: Micros,
     ) -> Result<Key, Undialled> {
-        let open = || -> io::Result<TcpStream> {
-            let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-            socket.set_nonblocking(true)?;
-            socket.set_nodelay(true)?;
-            match socket.connect(&address.into()) {
-                Ok(()) => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock || e.raw_os_error() == Some(115) => {}
-                Err(e) => return Err(e),
-            }
-            Ok(socket.into())
-        };
-        match open() {
+        match begin_connect(address) {
             Ok(stream) => self.adopt(at, stream, role, Life::Dialling, due).ok_or(Undialled::Here),
             Err(e) => {
                 log!("cannot connect to {address}: {e}");
--- a/gateway/src/relay/upstream.rs
+++ b/gateway/src/relay/upstream.rs
@@ -2,6 +2,7 @@
 use super::file::RelayFile;
 use crate::event_stream::{Part, StreamError, StreamReader};
 use crate::log;
+use crate::sockets::begin_connect;
 use larchway::Micros;
 use larchway_distribution::batch::placeholder;
 use larchway_distribution::positions::PositionReport;
@@ -11,7 +12,6 @@
 };
 use larchway_distribution::{Event, EventNumber, Subject};
 use polling::{Event as Readiness, PollMode, Poller};
-use socket2::{Domain, Protocol, Socket, Type};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -19,8 +19,6 @@
 /// Bytes read at a time, and reads in a turn at most.
 const READ_STEP: usize = 16 << 10;
 const READS_AT_ONCE: usize = 16;
-/// `EINPROGRESS`: the connection is being made.
-const IN_PROGRESS: i32 = 115;
 
 struct Connection {
     stream: TcpStream,
@@ -272,16 +270,7 @@
 
     fn connect(&self, subscription: &Subscription) -> io::Result<Connection> {
         let address = subscription.source;
-        let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-        socket.set_nonblocking(true)?;
-        socket.set_nodelay(true)?;
-        match socket.connect(&address.into()) {
-            Err(e) if e.kind() != ErrorKind::WouldBlock && e.raw_os_error() != Some(IN_PROGRESS) => {
-                return Err(e)
-            }
-            _ => {}
-        }
-        let stream = TcpStream::from(socket);
+        let stream = begin_connect(address)?;
         self.poller.add_with_mode(&stream, Readiness::all(self.key), PollMode::Level)?;
         Ok(Connection {
             stream,
--- a/gateway/src/sockets.rs
+++ b/gateway/src/sockets.rs
@@ -1,4 +1,4 @@
-//! Listening sockets, and the pipes that signals write to.
+//! Listening and connecting sockets, and the pipes that signals write to.
 use crate::log;
 use polling::{Event, PollMode, Poller};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
@@ -12,6 +12,8 @@
 /// counts a process that takes over 30 s to be ready as failed.
 const BIND_FOR: Duration = Duration::from_secs(25);
 const BIND_AGAIN: Duration = Duration::from_millis(50);
+/// `EINPROGRESS`: the connection is being made.
+const IN_PROGRESS: i32 = 115;
 
 /// Whether an error says that this machine, not the other side, has no room for one more connection.
 pub fn exhausted(e: &io::Error) -> bool {
@@ -44,6 +46,18 @@
     poll(&mut asked, Some(&Timespec::default())).is_ok_and(|n| n > 0) && asked[0].revents().intersects(over)
 }
 
+/// Begins to connect without blocking; that it is made, or why not, is known once the stream is writable. An error is
+/// one of this machine ([`exhausted`]) or a refusal known at once.
+pub fn begin_connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    socket.set_nodelay(true)?;
+    match socket.connect(&address.into()) {
+        Err(e) if e.kind() != ErrorKind::WouldBlock && e.raw_os_error() != Some(IN_PROGRESS) => Err(e),
+        _ => Ok(socket.into()),
+    }
+}
+
 /// Listens at an address; `shared`: with the gateway's other processes, which must ask for it too.
 fn listen(address: SocketAddr, shared: bool) -> Result<TcpListener, (String, ErrorKind)> {
     let open = || -> io::Result<TcpListener> {
