Let a connection say by itself when its time is up and what it is polled for

Cause: both were worked out in the loop, from nothing but the connection's own fields. Change: Conn::limit and Conn::interest in connection.rs, moved as they were. No change of behaviour.

--- a/gateway/src/connection.rs
+++ b/gateway/src/connection.rs
@@ -1,22 +1,23 @@
 //! Connections of the daemon: their buffers, what each is for, and how far it has come.
 use crate::bulletin::Store;
-use crate::resp::{Link, Reply};
-use crate::signed::Session;
+use crate::resp::{self, Link, Reply};
+use crate::signed::{self, Session};
 use crate::slots::Key;
 use crate::thrift::Calls;
 use larchway::Micros;
 use std::io::ErrorKind;
 use std::net::TcpStream;
 
-/// µs after which a client that reads nothing of its answers, or asks for nothing, is cut off.
+/// µs after which a client that reads nothing of its answers is cut off.
 pub(crate) const STALLED: Micros = 10_000_000;
-pub(crate) const IDLE: Micros = 60_000_000;
+/// µs after which a client that asks for nothing is cut off.
+const IDLE: Micros = 60_000_000;
 /// µs in which a client's message must be whole, the first one from when it connected.
 pub(crate) const WHOLE: Micros = 2_000_000;
 /// µs for which a connection lingers after its last answer.
 pub(crate) const LINGER: Micros = 1_000_000;
 /// Bytes waiting for a client of the second front above which nothing more is read from it.
-pub(crate) const CROWDED: usize = 1 << 20;
+const CROWDED: usize = 1 << 20;
 /// Bytes read from one connection before others get their turn.
 pub(crate) const TURN: usize = 512 * 1024;
 
@@ -160,6 +161,40 @@
             && self.output.rest().is_empty()
             && self.partial.is_none()
     }
+    /// When it is to be ended unless something moves on it; `timeout` and `idle`: of connections to stores, in µs.
+    pub(crate) fn limit(&self, at: Micros, timeout: Micros, idle: Micros) -> Micros {
+        let pending = !self.output.rest().is_empty();
+        match &self.role {
+            _ if matches!(self.life, Life::HalfClosed { .. }) => self.due,
+            _ if !self.life.up() => self.since + timeout,
+            role if role.client() && pending => self.moved + STALLED,
+            Role::Client(_) if self.partial.is_some() => self.partial.unwrap_or(at) + WHOLE,
+            Role::Client(_) if !self.asked => self.since + WHOLE,
+            Role::Web(_) if !self.asked => self.since + signed::SLOW,
+            // What stops within an answer keeps all that is behind it from coming.
+            Role::Store(_) if self.partial.is_some() => self.heard + resp::CUT_SHORT,
+            // A request that comes byte by byte is cut off however lively it looks.
+            Role::Web(Session { begun: Some(begun), .. }) => begun + signed::SLOW,
+            role if role.resting() => self.moved + IDLE,
+            role if role.client() => at + IDLE,
+            // Closed well before the store does: a request that crosses a close is lost time.
+            Role::Store(link) if link.open.is_empty() && link.waiting.is_empty() => self.moved + idle / 2,
+            _ => at + idle / 2,
+        }
+    }
+
+    /// Whether it is to be polled for reading, and for writing.
+    pub(crate) fn interest(&self) -> (bool, bool) {
+        let pending = self.output.rest().len();
+        // A client of the second front that reads no answers, or sends on and on before one, is not read from.
+        // One of the platform's is always: its requests are taken once they are written, and would be lost
+        // unread. They are few, and so are their answers.
+        let crowded = matches!(self.role, Role::Web(_)) && pending.max(self.input.rest().len()) > CROWDED;
+        // An attempt whose first byte found no room waits for the connection to be writable too.
+        let waits = matches!(&self.role, Role::Store(link) if !link.waiting.is_empty());
+        (!crowded, !self.life.up() || pending > 0 || waits)
+    }
+
     /// Whether nothing waits to be read, not even the end.
     pub(crate) fn quiet(&self) -> bool {
         matches!(self.stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -3,9 +3,7 @@
 use crate::bulletin::{self, Store};
 use crate::clock::now;
 use crate::config::{Config, Ensemble, Files, Front, Loaded, Shape};
-use crate::connection::{
-    Buffer, Conn, Final, Life, Pool, Role, Undialled, CROWDED, IDLE, LINGER, STALLED, TURN, WHOLE,
-};
+use crate::connection::{Buffer, Conn, Final, Life, Pool, Role, Undialled, LINGER, STALLED, TURN, WHOLE};
 use crate::console::{self, Console};
 use crate::core::{Core, Order, Ticket};
 use crate::deadlines::Due;
@@ -907,14 +905,7 @@
 
     fn arm(&mut self, key: Key) {
         let Some(conn) = self.conns.get_mut(key) else { return };
-        let pending = conn.output.rest().len();
-        // A client of the second front that reads no answers, or sends on and on before one, is not read from.
-        // One of the platform's is always: its requests are taken once they are written, and would be lost
-        // unread. They are few, and so are their answers.
-        let crowded = matches!(conn.role, Role::Web(_)) && pending.max(conn.input.rest().len()) > CROWDED;
-        // An attempt whose first byte found no room waits for the connection to be writable too.
-        let waits = matches!(&conn.role, Role::Store(link) if !link.waiting.is_empty());
-        let armed = (!crowded, !conn.life.up() || pending > 0 || waits);
+        let armed = conn.interest();
         if armed != conn.armed {
             conn.armed = armed;
             let interest = Event { key: key.0 as usize, readable: armed.0, writable: armed.1 };
@@ -990,24 +981,7 @@
     fn look(&mut self, at: Micros, key: Key) {
         let (timeout, idle) = (self.terms.connect_timeout, self.terms.idle);
         let Some(conn) = self.conns.get_mut(key) else { return };
-        let pending = !conn.output.rest().is_empty();
-        let limit = match &conn.role {
-            _ if matches!(conn.life, Life::HalfClosed { .. }) => conn.due,
-            _ if !conn.life.up() => conn.since + timeout,
-            role if role.client() && pending => conn.moved + STALLED,
-            Role::Client(_) if conn.partial.is_some() => conn.partial.unwrap_or(at) + WHOLE,
-            Role::Client(_) if !conn.asked => conn.since + WHOLE,
-            Role::Web(_) if !conn.asked => conn.since + signed::SLOW,
-            // What stops within an answer keeps all that is behind it from coming.
-            Role::Store(_) if conn.partial.is_some() => conn.heard + resp::CUT_SHORT,
-            // A request that comes byte by byte is cut off however lively it looks.
-            Role::Web(Session { begun: Some(begun), .. }) => begun + signed::SLOW,
-            role if role.resting() => conn.moved + IDLE,
-            role if role.client() => at + IDLE,
-            // Closed well before the store does: a request that crosses a close is lost time.
-            Role::Store(link) if link.open.is_empty() && link.waiting.is_empty() => conn.moved + idle / 2,
-            _ => at + idle / 2,
-        };
+        let limit = conn.limit(at, timeout, idle);
         if limit <= at && conn.rests() {
             if conn.quiet() {
                 return self.half_close(at, key);
