--- a/lab/src/followers.rs
+++ b/lab/src/followers.rs
@@ -8,9 +8,9 @@
 };
 use larchway_distribution::{Event, EventNumber, Subject};
 use larchway_gateway::event_stream::{Part, StreamError, StreamReader};
+use larchway_gateway::sockets::begin_connect;
 use polling::{Event as Readiness, PollMode, Poller};
 use serde::{Deserialize, Serialize};
-use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -20,8 +20,6 @@
 const REPORT_EVERY: Micros = 1_000_000;
 const LONGEST_BACKOFF: Micros = 1_000_000;
 const READ_STEP: usize = 64 << 10;
-/// `EINPROGRESS`: the connection is being made.
-const IN_PROGRESS: i32 = 115;
 
 /// Who follows what.
 #[derive(Debug, Clone)]
@@ -262,13 +260,7 @@
 
 /// Connects and sends the request. On loopback a connection is made at once or refused.
 fn connect(poller: &Poller, key: usize, subscription: &Subscription, name: &str) -> io::Result<TcpStream> {
-    let socket = Socket::new(Domain::for_address(subscription.source), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_nonblocking(true)?;
-    match socket.connect(&subscription.source.into()) {
-        Err(e) if e.raw_os_error() != Some(IN_PROGRESS) => return Err(e),
-        _ => {}
-    }
-    let mut stream = TcpStream::from(socket);
+    let mut stream = begin_connect(subscription.source)?;
     let user_agent = format!("\r\nUser-Agent: {name}\r\n\r\n");
     let request = subscription.to_http().replacen("\r\n\r\n", &user_agent, 1);
     stream.write_all(request.as_bytes())?;
