--- a/lab/src/followers.rs
+++ b/lab/src/followers.rs
@@ -19,10 +19,16 @@
 
 const REPORT_EVERY: Micros = 1_000_000;
 const LONGEST_BACKOFF: Micros = 1_000_000;
+const LONGEST_ORDER: usize = 64;
 const READ_STEP: usize = 64 << 10;
 /// `EINPROGRESS`: the connection is being made.
 const IN_PROGRESS: i32 = 115;
 
+/// The line on the standard input at which all followers close their connections.
+pub const LEAVE: &str = "leave";
+/// The line at which all come back at once.
+pub const COME_BACK: &str = "come back";
+
 /// Who follows what.
 #[derive(Debug, Clone)]
 pub struct Plan {
@@ -73,6 +79,8 @@
     kind: SourceKind,
     all: Vec<Follower>,
     deadlines: BTreeSet<(Micros, usize)>,
+    /// All have left: nothing is due.
+    away: bool,
     seen: Seen,
 }
 
@@ -87,14 +95,21 @@
     loop {
         followers.run_due(now());
         events.clear();
-        let wait =
-            followers.deadlines.first().map(|(due, _)| Duration::from_micros(due.saturating_sub(now())));
-        followers.poller.wait(&mut events, wait)?;
+        followers.poller.wait(&mut events, followers.wait())?;
         for event in &events {
-            if event.key == input_key {
-                return Ok(followers.seen);
+            if event.key != input_key {
+                followers.ready(now(), event.key);
+                continue;
+            }
+            // An order is one line in one write.
+            let mut order = [0; LONGEST_ORDER];
+            let count = input.lock().read(&mut order)?;
+            match std::str::from_utf8(&order[..count]).map(str::trim) {
+                _ if count == 0 => return Ok(followers.seen),
+                Ok(LEAVE) => followers.leave(),
+                Ok(COME_BACK) => followers.come_back(now()),
+                _ => return Err(io::Error::new(ErrorKind::InvalidInput, "no order of followers")),
             }
-            followers.ready(now(), event.key);
         }
     }
 }
@@ -128,11 +143,34 @@
             kind: plan.kind,
             all: (0..plan.count).map(follower).collect(),
             deadlines: (0..plan.count).map(|index| (at, index)).collect(),
+            away: false,
             seen: Seen::default(),
         })
     }
 
+    /// Until something is due.
+    fn wait(&self) -> Option<Duration> {
+        let (due, _) = self.deadlines.first().filter(|_| !self.away)?;
+        Some(Duration::from_micros(due.saturating_sub(now())))
+    }
+
+    fn leave(&mut self) {
+        self.away = true;
+        (0..self.all.len()).for_each(|index| self.close(index));
+    }
+
+    fn come_back(&mut self, at: Micros) {
+        self.away = false;
+        for index in 0..self.all.len() {
+            self.handle(at, index, Input::Lost);
+            self.set_due(index);
+        }
+    }
+
     fn run_due(&mut self, at: Micros) {
+        if self.away {
+            return;
+        }
         while let Some(&(due, index)) = self.deadlines.first().filter(|(due, _)| *due <= at) {
             self.deadlines.remove(&(due, index));
             self.all[index].due = None;
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod faults;
 pub mod followers;
 pub mod hollow;
+pub mod http;
 pub mod load;
 pub mod stand;
 pub mod trial;
--- a/lab/src/stand/event_source.rs
+++ b/lab/src/stand/event_source.rs
@@ -1,12 +1,15 @@
 //! A stand-in source of events for thousands of followers: one thread that gives each the same bytes from its cursor on.
+//! It can be killed, and come back at its address with its history or with another one.
 use crate::clock::now;
 use larchway::Micros;
 use larchway_distribution::batch::write_event;
 use larchway_distribution::EventNumber;
+use socket2::SockRef;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 const COMMENT_EVERY: Micros = 1_000_000;
@@ -14,6 +17,8 @@
 const STEP: Duration = Duration::from_millis(20);
 /// Clock ticks of the system a second, as the kernel reports times (`USER_HZ`).
 const TICKS_PER_SECOND: u64 = 100;
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 4096;
 const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
 
 #[derive(Default)]
@@ -30,7 +35,14 @@
     pub address: SocketAddr,
     /// When each event was told, the first one first, Unix µs.
     pub sent: Vec<Micros>,
+    /// The data of each event told, the first one first.
+    history: Vec<String>,
     shared: Arc<Shared>,
+    /// Bytes sent and processor time used before it came back last.
+    bytes_before: u64,
+    cpu_before: Duration,
+    /// Its thread; none while it is dead.
+    thread: Option<JoinHandle<()>>,
 }
 
 struct Follower {
@@ -55,38 +67,81 @@
     /// Starts one that has told nothing.
     pub fn start() -> std::io::Result<EventSource> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        listener.set_nonblocking(true)?;
-        let address = listener.local_addr()?;
-        let shared = Arc::new(Shared::default());
-        let own = shared.clone();
-        let server =
-            Server { listener, followers: Vec::new(), text: Vec::new(), ends: Vec::new(), commented: 0 };
-        std::thread::spawn(move || server.run(&own));
-        Ok(EventSource { address, sent: Vec::new(), shared })
+        let mut source = EventSource {
+            address: listener.local_addr()?,
+            sent: Vec::new(),
+            history: Vec::new(),
+            shared: Arc::default(),
+            bytes_before: 0,
+            cpu_before: Duration::ZERO,
+            thread: None,
+        };
+        source.serve(listener)?;
+        Ok(source)
     }
 
-    /// Tells an event; `data` is given its number.
+    /// Tells an event; `data` is given its number. One that is told while the source is dead comes with its return.
     pub fn tell(&mut self, data: impl FnOnce(EventNumber) -> String) {
-        let number = self.sent.len() as EventNumber + 1;
+        let data = data(self.last() + 1);
         self.sent.push(now());
+        self.history.push(data.clone());
         let mut pending = self.shared.pending.lock().unwrap_or_else(PoisonError::into_inner);
-        pending.push(data(number));
+        pending.push(data);
+    }
+
+    /// The number of the last event told.
+    pub fn last(&self) -> EventNumber {
+        self.history.len() as EventNumber
+    }
+
+    /// Ends all its connections and listens no more.
+    pub fn kill(&mut self) {
+        self.shared.stop.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            // A thread that panicked is as dead.
+            let _ = thread.join();
+        }
+    }
+
+    /// Comes back at the same address, with the history that it had.
+    pub fn come_back(&mut self) -> std::io::Result<()> {
+        self.kill();
+        (self.bytes_before, self.cpu_before) = (self.bytes(), self.cpu());
+        self.serve(TcpListener::bind(self.address)?)
+    }
+
+    /// Comes back at the same address, with another history.
+    pub fn come_back_with(&mut self, history: Vec<String>) -> std::io::Result<()> {
+        self.sent = vec![now(); history.len()];
+        self.history = history;
+        self.come_back()
+    }
+
+    fn serve(&mut self, listener: TcpListener) -> std::io::Result<()> {
+        listener.set_nonblocking(true)?;
+        SockRef::from(&listener).listen(BACKLOG)?;
+        self.shared = Arc::new(Shared { pending: Mutex::new(self.history.clone()), ..Shared::default() });
+        let shared = self.shared.clone();
+        let server =
+            Server { listener, followers: Vec::new(), text: Vec::new(), ends: Vec::new(), commented: 0 };
+        self.thread = Some(std::thread::spawn(move || server.run(&shared)));
+        Ok(())
     }
 
     /// Bytes sent so far.
     pub fn bytes(&self) -> u64 {
-        self.shared.bytes.load(Ordering::Relaxed)
+        self.bytes_before + self.shared.bytes.load(Ordering::Relaxed)
     }
 
     /// Processor time of its thread so far.
     pub fn cpu(&self) -> Duration {
-        Duration::from_millis(self.shared.cpu_ms.load(Ordering::Relaxed))
+        self.cpu_before + Duration::from_millis(self.shared.cpu_ms.load(Ordering::Relaxed))
     }
 }
 
 impl Drop for EventSource {
     fn drop(&mut self) {
-        self.shared.stop.store(true, Ordering::Relaxed);
+        self.kill();
     }
 }
 
--- a/lab/src/trial/distribution/processes.rs
+++ b/lab/src/trial/distribution/processes.rs
@@ -1,7 +1,9 @@
 //! The processes of the trial: relays and hollow followers, each this same program.
-use crate::followers::Seen;
+use crate::followers::{self, Seen};
+use crate::http;
 use crate::stand::event_source::cpu_ms;
-use std::io::{BufRead, BufReader, Read};
+use larchway_distribution::EventNumber;
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -21,18 +23,50 @@
     /// Where it listens.
     pub address: SocketAddr,
     child: Child,
+    file: RelayFile,
+}
+
+/// What a relay's file is written from.
+#[derive(Clone)]
+struct RelayFile {
+    path: PathBuf,
+    name: String,
+    /// Its sources, as a JSON list.
+    sources: String,
+    /// Further keys, each with a comma before it.
+    more: String,
+}
+
+impl RelayFile {
+    fn write(&self, listen: SocketAddr) -> Result<(), String> {
+        let RelayFile { path, name, sources, more } = self;
+        let text = format!(r#"{{"listen":"{listen}","sources":{sources},"name":"{name}"{more}}}"#);
+        std::fs::write(path, text).map_err(|e| format!("cannot write {}: {e}", path.display()))
+    }
 }
 
 impl RelayProcess {
     /// Starts one; `more`: further keys of its file, each with a comma before it.
     pub fn start(dir: &Path, name: &str, sources: &[SocketAddr], more: &str) -> Result<RelayProcess, String> {
-        let sources: Vec<String> = sources.iter().map(|source| format!("\"{source}\"")).collect();
-        let sources = sources.join(",");
-        let text = format!(r#"{{"listen":"127.0.0.1:0","sources":[{sources}],"name":"{name}"{more}}}"#);
-        let path = dir.join(format!("{name}.json"));
-        std::fs::write(&path, text).map_err(|e| format!("cannot write {}: {e}", path.display()))?;
+        let file = RelayFile {
+            path: dir.join(format!("{name}.json")),
+            name: name.to_string(),
+            sources: json_list(sources),
+            more: more.to_string(),
+        };
+        Self::spawn(SocketAddr::from(([127, 0, 0, 1], 0)), file)
+    }
+
+    /// Kills it and starts it anew at its address, without its log.
+    pub fn restart(mut self) -> Result<RelayProcess, String> {
+        self.kill();
+        Self::spawn(self.address, self.file.clone())
+    }
+
+    fn spawn(listen: SocketAddr, file: RelayFile) -> Result<RelayProcess, String> {
+        file.write(listen)?;
         let mut command = Command::new(own_program()?);
-        command.arg("relay").arg("--relay").arg(&path).stderr(Stdio::piped());
+        command.arg("relay").arg("--relay").arg(&file.path).stderr(Stdio::piped());
         let mut child = command.spawn().map_err(|e| format!("a relay: {e}"))?;
         let log = child.stderr.take().ok_or("a relay without a log")?;
         let (found, address) = channel();
@@ -43,9 +77,9 @@
                 }
             }
         });
-        let address = address.recv_timeout(START).map_err(|_| format!("{name} does not listen"))?;
-        let address = address.map_err(|e| format!("{name}: {e}"))?;
-        Ok(RelayProcess { address, child })
+        let address = address.recv_timeout(START).map_err(|_| format!("{} does not listen", file.name))?;
+        let address = address.map_err(|e| format!("{}: {e}", file.name))?;
+        Ok(RelayProcess { address, child, file })
     }
 
     /// Processor time so far.
@@ -68,8 +102,12 @@
 
     /// The figures at `/positions`.
     pub fn status(&self) -> Result<serde_json::Value, String> {
-        let text = get(self.address, "/positions").map_err(|e| format!("/positions: {e}"))?;
-        serde_json::from_str(&text).map_err(|e| format!("/positions: {e}"))
+        http::get_json(self.address, "/positions")
+    }
+
+    /// How it stands with an event, as `/positions/N` answers.
+    pub fn done(&self, event: EventNumber) -> Result<serde_json::Value, String> {
+        http::get_json(self.address, &format!("/positions/{event}"))
     }
 }
 
@@ -79,14 +117,10 @@
     }
 }
 
-fn get(address: SocketAddr, path: &str) -> std::io::Result<String> {
-    use std::io::Write;
-    let mut stream = std::net::TcpStream::connect(address)?;
-    stream.set_read_timeout(Some(START))?;
-    stream.write_all(format!("GET {path} HTTP/1.1\r\n\r\n").as_bytes())?;
-    let mut text = String::new();
-    stream.read_to_string(&mut text)?;
-    Ok(text.split_once("\r\n\r\n").map(|(_, body)| body.to_string()).unwrap_or_default())
+/// Addresses as a JSON list.
+pub(super) fn json_list(addresses: &[SocketAddr]) -> String {
+    let quoted: Vec<String> = addresses.iter().map(|address| format!("\"{address}\"")).collect();
+    format!("[{}]", quoted.join(","))
 }
 
 /// A process of hollow followers.
@@ -119,6 +153,22 @@
         Duration::from_millis(cpu_ms(&format!("/proc/{}/stat", self.child.id())).unwrap_or(0))
     }
 
+    /// Has all its followers leave their sources until [`FollowerProcess::come_back`].
+    pub fn leave(&mut self) -> Result<(), String> {
+        self.order(followers::LEAVE)
+    }
+
+    /// Has all its followers come back at once.
+    pub fn come_back(&mut self) -> Result<(), String> {
+        self.order(followers::COME_BACK)
+    }
+
+    fn order(&mut self, order: &str) -> Result<(), String> {
+        let input = self.child.stdin.as_mut().ok_or("followers without an input")?;
+        // In one write, as the followers read it.
+        input.write_all(format!("{order}\n").as_bytes()).map_err(|e| format!("followers: {e}"))
+    }
+
     /// Ends it and returns what its followers have seen.
     pub fn finish(mut self) -> Result<Seen, String> {
         drop(self.child.stdin.take());
