--- a/lab/src/trial/distribution/figures.rs
+++ b/lab/src/trial/distribution/figures.rs
@@ -1,7 +1,7 @@
 //! What a case measured: its figures, their table, and the bounds that must hold.
 use super::observer::Samples;
 use super::world::{FaultEnd, GroupSeen, Spent, World};
-use super::{Case, FIRST_EVENTS, GATEWAYS};
+use super::{Case, FIRST_EVENTS, GATEWAYS, SPAN};
 use hdrhistogram::Histogram;
 use larchway::Micros;
 use larchway_distribution::EventNumber;
@@ -14,7 +14,8 @@
 const PURGE_BOUND: Micros = 9_100_000;
 const LIST_BOUND: Micros = 4_000_000;
 
-/// The figures of a case. Times are in ms. What could not be heard during a cut, a pause or an absence counts from its end.
+/// The figures of a case. Times are in ms; bytes and processor time of the whole case, that of stragglers included, are
+/// divided by the time for which events were told. What could not be heard during a cut, a pause or an absence counts from its end.
 #[derive(Debug, Clone, Serialize)]
 pub(super) struct Figures {
     case: String,
@@ -110,7 +111,7 @@
     }
 }
 
-/// Works the figures out; `spent` and `elapsed` are of the whole case.
+/// Works the figures out; `spent` is of the whole case.
 pub(super) fn measure(
     case: &Case,
     sent: &[Micros],
@@ -118,7 +119,6 @@
     seen: &[GroupSeen],
     samples: &[Samples],
     spent: &Spent,
-    elapsed: Duration,
 ) -> Result<Figures, String> {
     let links_only = case.fault == super::Fault::RegionCut;
     let applications = Applications { seen, samples, fault_end: fault_end.as_ref(), links_only };
@@ -136,7 +136,7 @@
             gateway_purge_max = gateway_purge_max.max(gateway_delay);
         }
     }
-    let seconds = elapsed.as_secs_f64();
+    let seconds = SPAN.as_secs_f64();
     let per_mille = |spent: Duration| spent.as_secs_f64() * 1000.0 / seconds;
     let read: u64 = seen.iter().map(|group| group.seen.bytes).sum();
     let (followers, gateways) = (case.followers as f64, GATEWAYS as f64);
--- a/lab/src/trial/distribution/mod.rs
+++ b/lab/src/trial/distribution/mod.rs
@@ -12,7 +12,7 @@
 use larchway_distribution::EventNumber;
 use serde_json::json;
 use std::fmt::Write as _;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use world::World;
 
 /// Events by which all are known to have connected; they are not measured.
@@ -106,13 +106,11 @@
     world.wait_for_followers(case)?;
     let observer = observer::Observer::start(world.gateways.clone());
     let before = world.spent();
-    let began = Instant::now();
     world.tell(case)?;
     std::thread::sleep(SETTLE);
-    let elapsed = began.elapsed();
     let after = world.spent();
     let samples = observer.finish();
     let seen = world.finish_followers()?;
     let sent = &world.source.sent;
-    figures::measure(case, sent, &world.fault_end, &seen, &samples, &(after - before), elapsed)
+    figures::measure(case, sent, &world.fault_end, &seen, &samples, &(after - before))
 }
