Begin anew after several refusals also where one relay is dead for good

Cause: by reading and a trial of the test with twenty gateways: a subscriber gave up its history only once all its sources had told another one, and a relay that is dead says nothing, so that a gateway with one dead and one live relay could be refused by the live one for ever.

Change: four answers of another history for each source, with none that agrees between them, are enough. All sources are dialled in turn meanwhile, and one that agrees begins the count anew.

Result: the new test fails without the change (no gap after 20 refusals); the tests of larchway-distribution pass.

--- a/crates/distribution/src/subscriber/sources.rs
+++ b/crates/distribution/src/subscriber/sources.rs
@@ -8,6 +8,9 @@
 /// Longest random pause before another source is dialled, µs: a relay's subscribers don't all arrive at once.
 const FAILOVER_JITTER: Micros = 50_000;
 
+/// Answers of another history, for each source, from which on sources that give no answer are not waited for.
+const DISAGREEMENTS_PER_SOURCE: usize = 4;
+
 /// The sources of a subscriber and how their attempts went.
 #[derive(Debug)]
 pub struct Sources {
@@ -16,6 +19,8 @@
     not_before: Vec<Micros>,
     /// Sources that told another history since an event was last applied.
     diverged: BTreeSet<usize>,
+    /// Answers of another history since then.
+    disagreements: usize,
     current: usize,
     /// Attempts in a row that brought nothing.
     failures: usize,
@@ -32,6 +37,7 @@
             not_before: vec![0; addresses.len()],
             addresses,
             diverged: BTreeSet::new(),
+            disagreements: 0,
             current: 0,
             failures: 0,
             backoff: FIRST_BACKOFF,
@@ -60,12 +66,17 @@
     /// An event of the current source was applied: its history is the own one.
     pub fn agreed(&mut self) {
         self.diverged.clear();
+        self.disagreements = 0;
     }
 
-    /// The current source tells another history. Returns whether all sources do.
+    /// The current source tells another history. Returns whether all sources do, as far as they can be asked: one that is
+    /// dead must not keep the subscriber from the others for ever. All are dialled in turn meanwhile, and one that agrees
+    /// begins the count anew.
     pub fn disagreed(&mut self) -> bool {
         self.diverged.insert(self.current);
-        self.diverged.len() == self.addresses.len()
+        self.disagreements += 1;
+        let patient = DISAGREEMENTS_PER_SOURCE * self.addresses.len();
+        self.diverged.len() == self.addresses.len() || self.disagreements >= patient
     }
 
     /// The current source is not to be dialled before this time.
--- a/crates/distribution/src/subscriber/tests.rs
+++ b/crates/distribution/src/subscriber/tests.rs
@@ -163,6 +163,35 @@
     assert_eq!(rig.dialled().1.after, 1);
 }
 
+/// Liveness: a relay that is dead for good can't say that its history is another one.
+#[test]
+fn a_dead_relay_does_not_keep_a_subscriber_in_a_history_that_the_others_refuse() {
+    let mut rig = Rig::new(terms(SourceKind::Relay, 2), 0);
+    rig.dialled();
+    rig.event(1);
+    rig.give(Input::Lost);
+    let refused = Input::Refused { status: 412, retry_after: None };
+    let (dead, alive) = (address(0), address(1));
+    let mut refusals = 0;
+    let gap = loop {
+        let (_, request) = rig.dialled();
+        if request.source == dead {
+            rig.give(Input::Lost);
+            continue;
+        }
+        assert_eq!((request.source, request.if_match), (alive, Some(1001)));
+        refusals += 1;
+        let outputs = rig.give(refused);
+        if outputs.len() > 2 {
+            break outputs[2].clone();
+        }
+        assert!(refusals < 20, "it never begins anew");
+    };
+    assert_eq!(gap, Output::Gap { after: 1, reason: GapReason::OtherHistory });
+    assert_eq!(refusals, 8);
+    assert_eq!(rig.subscriber.cursor(), 0);
+}
+
 #[test]
 fn a_snapshot_is_a_gap_even_if_it_stands_for_the_next_number() {
     let mut rig = Rig::new(terms(SourceKind::Relay, 1), 0);
