--- a/gateway/src/events.rs
+++ b/gateway/src/events.rs
@@ -85,8 +85,8 @@
     reader: StreamReader,
     /// The lag's limit, if there is one.
     lag: Option<LagWatch>,
-    /// Whether it has caught up since the start, from sources that positions are reported to. A gateway that has not is not counted: it serves nothing old, and its
-    /// position would hold back that of all.
+    /// Whether it has caught up since the start, from sources that positions are reported to. A gateway that has not is
+    /// not counted: it serves nothing old, and its position would hold back that of all.
     has_caught_up: bool,
     /// The position reported last on this connection, and from when the next may be.
     reported: Option<u64>,
