--- a/crates/operations/src/request_counters.rs
+++ b/crates/operations/src/request_counters.rs
@@ -1,6 +1,7 @@
 //! Counters of requests by class, attempts and reloads, each counted in one place: where the event happens.
 mod statsd;
 
+use larchway::RejectionCounts;
 use std::collections::BTreeMap;
 
 /// Most classes that are counted by name. Further names are counted under [`OTHER_CLASSES`], so that weeks of renamed
@@ -49,6 +50,10 @@
     pub skipped_stores: usize,
     /// Files whose newest content is not on stable storage.
     pub unsaved_files: usize,
+    /// Stores and parents that are warming up.
+    pub warming_stores: usize,
+    /// Requests that the decision module has given up by itself, by the reason.
+    pub rejections: RejectionCounts,
 }
 
 /// Counters since the process began.
--- a/crates/operations/src/request_counters/statsd.rs
+++ b/crates/operations/src/request_counters/statsd.rs
@@ -19,6 +19,12 @@
         write_figure(&mut report, "loads", self.reloads, COUNTER);
         write_figure(&mut report, "load_errors", self.reload_errors, COUNTER);
         write_figure(&mut report, "unsaved_files", gauges.unsaved_files as u64, GAUGE);
+        write_figure(&mut report, "warming_stores", gauges.warming_stores as u64, GAUGE);
+        let rejections = gauges.rejections;
+        write_figure(&mut report, "given_up.attempts", rejections.attempts_exhausted, COUNTER);
+        write_figure(&mut report, "given_up.no_store", rejections.no_server, COUNTER);
+        write_figure(&mut report, "given_up.slow_start", rejections.slow_start, COUNTER);
+        write_figure(&mut report, "given_up.not_in_time", rejections.not_in_time, COUNTER);
         report
     }
 }
--- a/crates/operations/src/request_counters/tests.rs
+++ b/crates/operations/src/request_counters/tests.rs
@@ -1,11 +1,16 @@
 use super::*;
 
+fn gauges() -> Gauges {
+    let rejections = RejectionCounts { attempts_exhausted: 4, no_server: 5, slow_start: 6, not_in_time: 7 };
+    Gauges { known_stores: 9, skipped_stores: 1, unsaved_files: 2, warming_stores: 3, rejections }
+}
+
 #[test]
 fn a_name_never_breaks_a_line() {
     let mut counters = RequestCounters::default();
     counters.declare(["a:b|c\n.d e", "plain-1"].into_iter());
     counters.count_received();
-    let report = counters.report(Gauges { known_stores: 9, skipped_stores: 1, unsaved_files: 2 });
+    let report = counters.report(gauges());
     assert!(report.contains("svc.passed.a%3Ab%7Cc%0A%2Ed%20e:0|c\n"), "{report}");
     for line in report.lines() {
         let (name, value) = line.split_once(':').expect("a name and a value");
@@ -37,10 +42,11 @@
     }
     counters.count_received();
     counters.count_attempt();
-    let gauges = Gauges { known_stores: 9, skipped_stores: 1, unsaved_files: 2 };
     let expected = "svc.passed.a:1|c\nsvc.dropped.a:1|c\nsvc.bad_gateway.a:0|c\n\
                     svc.passed.b:0|c\nsvc.dropped.b:0|c\nsvc.bad_gateway.b:1|c\n\
                     svc.upstream_tries:1|c\nsvc.in_progress:1|g\nsvc.known_stores:9|g\nsvc.skipped_stores:1|g\n\
-                    svc.loads:0|c\nsvc.load_errors:0|c\nsvc.unsaved_files:2|g\n";
-    assert_eq!(counters.report(gauges), expected);
+                    svc.loads:0|c\nsvc.load_errors:0|c\nsvc.unsaved_files:2|g\n\
+                    svc.warming_stores:3|g\nsvc.given_up.attempts:4|c\nsvc.given_up.no_store:5|c\n\
+                    svc.given_up.slow_start:6|c\nsvc.given_up.not_in_time:7|c\n";
+    assert_eq!(counters.report(gauges()), expected);
 }
--- a/gateway/src/core/endpoints.rs
+++ b/gateway/src/core/endpoints.rs
@@ -5,7 +5,9 @@
 use crate::bulletin::Change;
 use crate::slots::Key;
 use larchway::purges::PurgeTarget;
-use larchway::{Event, Members, MonotonicTime, ParentWeights, Scope, ServerId, State, Status};
+use larchway::{
+    Event, Members, MonotonicTime, ParentWeights, RejectionCounts, Scope, ServerId, State, Status,
+};
 use larchway_endpoints::{Endpoint, ListScope};
 
 /// A listed store.
@@ -109,6 +111,16 @@
         self.handle_event(now, Event::Suspected(store));
     }
 
+    /// The stores that are warming up now.
+    pub fn warming(&self, now: MonotonicTime) -> impl Iterator<Item = ServerId> + '_ {
+        self.router.warming(now)
+    }
+
+    /// Requests that the module has given up by itself, by the reason.
+    pub fn rejections(&self) -> RejectionCounts {
+        self.router.rejections()
+    }
+
     /// The stores that the module avoids now by its own choice.
     pub fn avoided(&self, now: MonotonicTime) -> impl Iterator<Item = ServerId> + '_ {
         self.router.avoided(now)
--- a/gateway/src/net/operators.rs
+++ b/gateway/src/net/operators.rs
@@ -259,6 +259,8 @@
             known_stores: self.manual_ejections.listed_count(),
             skipped_stores: skipped.len(),
             unsaved_files: self.saver.as_ref().map_or(0, StateSaver::unsaved),
+            warming_stores: self.core.warming(now).count(),
+            rejections: self.core.rejections(),
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,6 @@
 
 pub use hashing::{mix, place, unit};
 pub use interface::*;
-pub use logic::{EntriesTouched, Learned, Router, SentWork};
+pub use logic::{EntriesTouched, Learned, RejectionCounts, Router, SentWork};
 pub use statistics::{miss_chance, Indication, IndicationRates};
 pub use time::{duration_micros, MonotonicTime};
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -38,7 +38,7 @@
 mod subset;
 mod view;
 pub use learned::{Learned, SentWork};
-pub use view::EntriesTouched;
+pub use view::{EntriesTouched, RejectionCounts};
 
 /// The decisions of one router.
 #[derive(Default)]
@@ -83,6 +83,8 @@
     offload_shares: BTreeMap<ServerId, f64>,
     /// By role, FP, FN and q of all caches taken together.
     all_caches: PerRole<Indicator>,
+    /// Requests given up, by the reason.
+    rejections: RejectionCounts,
 }
 
 impl Router {
--- a/src/logic/admission.rs
+++ b/src/logic/admission.rs
@@ -1,9 +1,11 @@
 //! Admission: a request is taken in, is declined where no answer can be in time, and is given its final
 //! answer.
 use super::load::{CROWDED_STRETCH, LOAD_REPORT_SPAN};
+use super::server::Server;
 use super::state::{
     OpenRequest, HIT_RECORD_LIFETIME, INITIAL_MISS_PENALTY, INITIAL_SENDING_TIME, OBSERVATION_WEIGHT,
 };
+use super::view::RejectionReason;
 use super::Router;
 use crate::hashing::{mix, unit};
 use crate::interface::*;
@@ -78,6 +80,21 @@
         self.close(id, actions);
     }
 
+    /// Why no server was chosen for a request that may still be tried.
+    pub(super) fn rejection_reason(&self, open: &OpenRequest) -> RejectionReason {
+        let key = mix(open.req.object ^ mix(open.req.part + 1));
+        let own = &self.candidates.own;
+        let is_up = |s: &Server| s.host.state == State::Up && !s.is_ejected(self.now);
+        if self.first(own, key, is_up).is_none() {
+            return RejectionReason::NoServer;
+        }
+        let mean = self.mean_work(open);
+        match self.first(own, key, |s| self.usable(s, mean)) {
+            None => RejectionReason::SlowStart,
+            Some(_) => RejectionReason::NotInTime,
+        }
+    }
+
     /// Ends a request: withdraws what is out and forgets it when all outcomes are in.
     pub(super) fn close(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.open.get_mut(&id) else { return };
--- a/src/logic/retry.rs
+++ b/src/logic/retry.rs
@@ -4,6 +4,7 @@
 use super::load::{LOAD_SPAN, USUAL_RATE_SPAN};
 use super::slow_start::RECORDED_FILL_SHARE;
 use super::state::{Attempt, Location, OpenRequest, CACHE_EPOCH_REQUESTS, FLEET_EPOCH_REQUESTS};
+use super::view::RejectionReason;
 use super::Router;
 use crate::interface::*;
 use crate::records::Choice;
@@ -39,10 +40,18 @@
     /// Makes the next attempt of a request, or gives it up.
     pub(super) fn advance(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id) else { return };
-        let class = &self.settings.classes[open.req.class];
-        let choice = if self.exhausted(open, class) { None } else { self.choose(open, class) };
+        let class_index = open.req.class;
+        let class = &self.settings.classes[class_index];
+        let exhausted = self.exhausted(open, class);
+        let choice = if exhausted { None } else { self.choose(open, class) };
         let Some(choice) = choice else {
             if open.in_flight() == 0 {
+                let reason = match exhausted {
+                    true => RejectionReason::AttemptsExhausted,
+                    false => self.rejection_reason(open),
+                };
+                self.rejections.count(reason);
+                let class = &self.settings.classes[class_index];
                 let retry_after = duration_micros(class.latency_objective) / RETRY_AFTER_DIVISOR;
                 self.give_up(id, Duration::from_micros(retry_after), actions);
             }
--- a/src/logic/slow_start.rs
+++ b/src/logic/slow_start.rs
@@ -53,9 +53,14 @@
 
     /// Share of its capacity that a server can give, if it warms at the slowest pace.
     pub(super) fn warm_share(&self, s: &Server) -> f64 {
+        self.warm_share_at(s, self.now)
+    }
+
+    /// The same at another time.
+    pub(super) fn warm_share_at(&self, s: &Server, now: MonotonicTime) -> f64 {
         let Some(started) = s.started else { return 1.0 };
         let SlowStart { from, span, .. } = self.settings.slow_start(self.tier(s));
-        let gone = micros_f64(self.now.saturating_since(started)) / micros_f64(span.max(MICROSECOND));
+        let gone = micros_f64(now.saturating_since(started)) / micros_f64(span.max(MICROSECOND));
         (from + (1.0 - from) * gone).clamp(0.0, 1.0)
     }
 
