--- a/lab/src/stand/mod.rs
+++ b/lab/src/stand/mod.rs
@@ -6,6 +6,7 @@
 pub mod meter;
 pub mod registrar;
 pub mod relay;
+pub mod service_time;
 pub mod source;
 pub mod store;
 pub mod tier;
--- a/lab/src/stand/store.rs
+++ b/lab/src/stand/store.rs
@@ -1,5 +1,6 @@
 //! A stand-in store: answers the wire to stores (RESP arrays of bulk strings) at a fixed capacity, and can go silent,
 //! die and come back. It records when which gateway sent it a request.
+use super::service_time::ServiceTime;
 use crate::clock::now;
 use larchway::Micros;
 use larchway_gateway::resp;
@@ -64,7 +65,7 @@
     busy_workers: Mutex<usize>,
     worker_idle: Condvar,
     workers: usize,
-    service: Duration,
+    service: ServiceTime,
     body: Vec<u8>,
     /// The last spans, the newest last.
     load_spans: Mutex<VecDeque<LoadSpan>>,
@@ -98,19 +99,19 @@
         let (spans, current) = (lock(&self.load_spans), time / LOAD_SPAN);
         let reported = current.saturating_sub(1 + self.report_delay.load(Ordering::Relaxed));
         let requests = spans.iter().find(|span| span.number == reported).map_or(0, |span| span.requests);
-        requests as f64 * self.service.as_micros() as f64 / (LOAD_SPAN as f64 * self.workers as f64)
+        requests as f64 * self.service.mean().as_micros() as f64 / (LOAD_SPAN as f64 * self.workers as f64)
     }
 
     fn is_in_mode(&self, mode: Mode) -> bool {
         self.mode.load(Ordering::Relaxed) == mode as u8
     }
 
-    /// Waits for an idle worker, and occupies it for the service time.
-    fn work(&self) {
+    /// Waits for an idle worker, and occupies it for the service time of an object.
+    fn work(&self, object: u64) {
         let is_full = |busy: &mut usize| *busy >= self.workers;
         let waited = self.worker_idle.wait_while(lock(&self.busy_workers), is_full);
         *waited.unwrap_or_else(PoisonError::into_inner) += 1;
-        std::thread::sleep(self.service);
+        std::thread::sleep(self.service.of(object));
         *lock(&self.busy_workers) -= 1;
         self.worker_idle.notify_one();
     }
@@ -131,6 +132,11 @@
 
     /// Starts one with several workers.
     pub fn wide(service: Duration, body: usize, workers: usize) -> std::io::Result<Self> {
+        Store::with_service_time(ServiceTime::Equal(service), body, workers)
+    }
+
+    /// Starts one with several workers that take so long.
+    pub fn with_service_time(service: ServiceTime, body: usize, workers: usize) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
@@ -259,7 +265,8 @@
     if shared.is_in_mode(Mode::Silent) {
         return None;
     }
-    shared.work();
+    let object = resp::field(fields, "thing").and_then(|digits| u64::from_str_radix(digits, 16).ok());
+    shared.work(object.unwrap_or(0));
     if shared.is_in_mode(Mode::Silent) {
         return None;
     }
--- a/lab/src/trial/cold/run.rs
+++ b/lab/src/trial/cold/run.rs
@@ -1,22 +1,20 @@
-//! The script of the trial, and what the cold store got.
+//! The script of the trial, and what the store that starts got.
 use super::budget::{worst_window, Window};
-use super::world::World;
-use crate::clock::now;
+use super::scenario::{Kill, Killed, Scenario};
+use super::world::{Knowledge, World};
 use crate::load::LoadResult;
 use crate::trial::gateway::Gateway;
-use crate::trial::parallel::sleep_until;
+use crate::trial::parallel::{play_all, sleep_until};
 use crate::trial::TrialError;
 use larchway::Micros;
 use serde_json::{json, Value};
 use std::thread::JoinHandle;
 use std::time::Instant;
 
-/// ms of the script: the store is listed, half of the gateways are killed and come back, the end.
+/// ms from the start of all gateways to that of the store.
 const LISTED_MS: u64 = 1000;
-const RESTART_MS: u64 = 3000;
-const END_MS: u64 = 9000;
 
-/// What a cold store got.
+/// What the store that starts got.
 #[derive(Debug, Clone, Copy)]
 pub struct Figures {
     /// Requests that came to it in all.
@@ -34,39 +32,72 @@
         self.in_time as f64 / self.asked.max(1) as f64
     }
 
+    /// Whether no window held more than the budget and what is put down to chance.
+    pub fn within_budget(&self) -> bool {
+        self.worst.requests as f64 <= self.worst.bound()
+    }
+
     /// The figures as the trial writes them.
-    pub(super) fn json(&self, gateways: usize) -> Value {
+    pub(super) fn json(&self, name: &str) -> Value {
         let worst = (self.worst.requests, self.worst.budget);
-        json!({ "gateways": gateways, "calls": self.requests, "worst": worst, "served": self.service() })
+        json!({ "case": name, "calls": self.requests, "worst": worst, "served": self.service() })
     }
 }
 
-/// Plays the script with so many gateways; `name` distinguishes its files from those of others.
-pub fn run(name: &str, gateways: usize, seed: u64) -> Result<Figures, TrialError> {
-    let world = World::start(name, gateways, seed)?;
-    let mut running =
-        (0..gateways).map(|number| world.start_gateway(number)).collect::<Result<Vec<_>, _>>()?;
-    let start = Instant::now();
-    // Clients of those that are killed stop before.
-    let span = |gateway: &Gateway| if stays(gateway) { END_MS } else { RESTART_MS };
-    let mut clients: Vec<_> =
-        running.iter().map(|gateway| world.start_clients(gateway, span(gateway))).collect();
-    sleep_until(start, LISTED_MS);
-    let started_at = now();
-    world.list_store(started_at);
-    sleep_until(start, RESTART_MS);
-    for gateway in running.iter_mut().filter(|gateway| !stays(gateway)) {
-        gateway.kill();
-        *gateway = world.start_gateway(gateway.number)?;
-        let rest_ms = END_MS.saturating_sub(start.elapsed().as_millis() as u64);
-        clients.push(world.start_clients(gateway, rest_ms));
+/// The gateways that run, and their clients.
+struct Fleet<'a> {
+    world: &'a World,
+    start: Instant,
+    end_ms: u64,
+    running: Vec<Gateway>,
+    clients: Vec<JoinHandle<Option<LoadResult>>>,
+}
+
+impl Fleet<'_> {
+    fn start_clients(&mut self, gateway: &Gateway) {
+        let rest_ms = self.end_ms.saturating_sub(self.start.elapsed().as_millis() as u64);
+        self.clients.push(self.world.start_clients(gateway, rest_ms));
+    }
+
+    /// Kills gateways outright, and starts them again.
+    fn restart(&mut self, kill: &Kill) -> Result<(), TrialError> {
+        let is_killed = |gateway: &Gateway| match kill.killed {
+            Killed::All => true,
+            Killed::EveryOther => !gateway.number.is_multiple_of(2),
+        };
+        let killed_at = self.start.elapsed().as_millis() as u64;
+        let (mut killed, stay): (Vec<Gateway>, Vec<Gateway>) =
+            std::mem::take(&mut self.running).into_iter().partition(is_killed);
+        self.running = stay;
+        killed.iter_mut().for_each(Gateway::kill);
+        sleep_until(self.start, killed_at + kill.down_ms);
+        let numbers: Vec<usize> = killed.iter().map(|gateway| gateway.number).collect();
+        let world = self.world;
+        let again =
+            play_all(numbers.len(), |index| world.start_gateway(numbers[index], Knowledge::AfterStart))?;
+        again.iter().for_each(|gateway| self.start_clients(gateway));
+        self.running.extend(again);
+        Ok(())
     }
-    figures(&world, started_at, clients)
 }
 
-/// Every other gateway is killed.
-fn stays(gateway: &Gateway) -> bool {
-    gateway.number.is_multiple_of(2)
+/// Plays a scenario; `name` distinguishes its files from those of others.
+pub fn run(name: &str, scenario: &Scenario) -> Result<Figures, TrialError> {
+    let mut world = World::start(name, scenario)?;
+    let running = play_all(scenario.gateways, |number| world.start_gateway(number, Knowledge::BeforeStart))?;
+    let (start, end_ms) = (Instant::now(), LISTED_MS + scenario.end_ms);
+    let clients = running.iter().map(|gateway| world.start_clients(gateway, end_ms)).collect();
+    sleep_until(start, LISTED_MS);
+    let started_at = world.list_store();
+    let mut fleet = Fleet { world: &world, start, end_ms, running, clients };
+    for kill in &scenario.kills {
+        sleep_until(start, LISTED_MS + kill.at_ms);
+        fleet.restart(kill)?;
+    }
+    let Fleet { clients, running, .. } = fleet;
+    let figures = figures(&world, started_at, clients);
+    drop(running);
+    figures
 }
 
 fn figures(
--- a/lab/src/trial/cold/world.rs
+++ b/lab/src/trial/cold/world.rs
@@ -1,6 +1,7 @@
-//! The processes of the trial: gateways that know nothing of each other, and the one store.
+//! The processes of the trial: gateways that know nothing of each other, the store that starts and the warm ones.
 use super::budget::{COLD_START_SHARE, WARM_UP_MS};
-use super::{capacity, LOAD, OBJECTIVE_MS, SERVICE_MS, WORKERS};
+use super::scenario::{Scenario, StartKnownFrom};
+use super::{capacity, OBJECTIVE_MS, WORKERS};
 use crate::clock::now;
 use crate::load::{self, Load, LoadResult};
 use crate::stand::bulletin::Bulletin;
@@ -8,75 +9,143 @@
 use crate::trial::edge_stores::settings;
 use crate::trial::gateway::Gateway;
 use crate::trial::list_entry::ListEntry;
+use crate::trial::wall_clock;
 use crate::trial::TrialError;
 use larchway::Micros;
 use std::path::PathBuf;
 use std::thread::JoinHandle;
-use std::time::Duration;
 
 /// Bytes of an object.
 const BODY_BYTES: usize = 500;
 const OBJECTS: u64 = 20_000;
+/// The name of the store that starts.
+const STARTED_NAME: &str = "s-a0";
+
+/// What a gateway knows when it is started, and by which clock.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Knowledge {
+    /// The list from before the store's start.
+    BeforeStart,
+    /// What the scenario says of gateways that are started again.
+    AfterStart,
+}
+
+/// The configuration's part about the list, and the source of its changes.
+struct KnownList<'a> {
+    known: String,
+    source: &'a Bulletin,
+}
 
 /// A store before many gateways.
 pub(super) struct World {
     dir: PathBuf,
     bulletin: Bulletin,
+    /// Sends the complete list, once the store has started, as its first event.
+    late_bulletin: Bulletin,
+    /// The store that starts.
     pub store: Store,
-    gateways: usize,
-    seed: u64,
+    warm: Vec<Store>,
+    scenario: Scenario,
+    started_at: Micros,
 }
 
 impl World {
-    /// Starts the store, which is not listed yet; `name` distinguishes the files from those of others.
-    pub fn start(name: &str, gateways: usize, seed: u64) -> Result<Self, TrialError> {
+    /// Starts the stores, the one that is to start not listed yet; `name` distinguishes the files from those of others.
+    pub fn start(name: &str, scenario: &Scenario) -> Result<Self, TrialError> {
         let dir = std::env::temp_dir().join(format!("larchway-lab-{}-cold-{name}", std::process::id()));
         std::fs::create_dir_all(&dir).map_err(TrialError::io(dir.display().to_string()))?;
-        let bulletin = Bulletin::start().map_err(TrialError::io("the bulletin"))?;
-        let store = Store::wide(Duration::from_millis(SERVICE_MS), BODY_BYTES, WORKERS);
-        let store = store.map_err(TrialError::io("a box"))?;
-        let world = World { dir, bulletin, store, gateways, seed };
-        world.bulletin.roster(true, &[]);
+        let bulletin = || Bulletin::start().map_err(TrialError::io("the bulletin"));
+        let store = || {
+            let store = Store::with_service_time(scenario.service, BODY_BYTES, WORKERS);
+            store.map_err(TrialError::io("a box"))
+        };
+        let warm = (0..scenario.warm_stores).map(|_| store()).collect::<Result<_, _>>()?;
+        let world = World {
+            dir,
+            bulletin: bulletin()?,
+            late_bulletin: bulletin()?,
+            store: store()?,
+            warm,
+            scenario: scenario.clone(),
+            started_at: 0,
+        };
+        world.bulletin.roster(true, &world.warm_entries());
         Ok(world)
     }
 
-    /// Lists the store as one that started at a time.
-    pub fn list_store(&self, started_at: Micros) {
-        let entry = ListEntry {
-            host: "s-a0",
-            address: self.store.address,
-            site: "edge",
-            class: "standard",
-            health: "up",
-            units: WORKERS as f64,
-            started_ms: started_at / 1000,
+    /// Lists the store as one that starts now, and returns the time.
+    pub fn list_store(&mut self) -> Micros {
+        self.started_at = now();
+        self.bulletin.roster(false, &[self.started_entry()]);
+        self.late_bulletin.roster(true, &self.all_entries());
+        self.started_at
+    }
+
+    fn warm_entries(&self) -> Vec<String> {
+        let entry = |(index, store)| entry(&format!("s-w{index}"), store, 0);
+        self.warm.iter().enumerate().map(entry).collect()
+    }
+
+    fn started_entry(&self) -> String {
+        entry(STARTED_NAME, &self.store, self.started_at)
+    }
+
+    fn all_entries(&self) -> Vec<String> {
+        self.warm_entries().into_iter().chain([self.started_entry()]).collect()
+    }
+
+    fn known_list(&self, knowledge: Knowledge) -> KnownList<'_> {
+        let source = &self.bulletin;
+        let list = |no: usize, complete: bool, hosts: Vec<String>| {
+            let hosts = hosts.join(",");
+            format!(r#"{{"no":{no},"roster":{{"seq":{no},"whole":{complete},"hosts":[{hosts}]}}}}"#)
+        };
+        let known = |last: usize, items: &[String]| {
+            format!(r#","known":{{"no":{last},"items":[{}]}}"#, items.join(","))
         };
-        self.bulletin.roster(false, &[entry.to_string()]);
+        let before = list(1, true, self.warm_entries());
+        let known = match (knowledge, self.scenario.start_known_from) {
+            (Knowledge::BeforeStart, _) | (_, StartKnownFrom::Change) => known(1, &[before]),
+            (_, StartKnownFrom::KnownList) => known(2, &[list(2, true, self.all_entries())]),
+            (_, StartKnownFrom::KnownChange) => {
+                known(2, &[before, list(2, false, vec![self.started_entry()])])
+            }
+            (_, StartKnownFrom::FirstList) => {
+                return KnownList { known: String::new(), source: &self.late_bulletin };
+            }
+        };
+        KnownList { known, source }
     }
 
-    /// Starts a gateway, with the list as it was before the store.
-    pub fn start_gateway(&self, number: usize) -> Result<Gateway, TrialError> {
-        let all = self.gateways;
+    /// Starts a gateway.
+    pub fn start_gateway(&self, number: usize, knowledge: Knowledge) -> Result<Gateway, TrialError> {
+        let all = self.scenario.gateways;
         let settings = settings(all)
             .replace("\"startCapacity\":0.3", &format!("\"startCapacity\":{COLD_START_SHARE}"))
             .replace("\"warmWithinMs\":10000", &format!("\"warmWithinMs\":{WARM_UP_MS}"))
             .replace("\"targetMs\":250", &format!("\"targetMs\":{OBJECTIVE_MS}"))
             .replace("\"deadlineMs\":2000", &format!("\"deadlineMs\":{}", 2 * OBJECTIVE_MS));
+        let KnownList { known, source } = self.known_list(knowledge);
         let config = format!(
-            r#"{{"seed":"{:x}","limits":{{"cores":1.0,"memory_mb":32,"sockets":96}},"bulletin":"{}",
-            "known":{{"no":1,"items":[{{"no":1,"roster":{{"seq":1,"whole":true,"hosts":[]}}}}]}},
+            r#"{{"seed":"{:x}","limits":{{"cores":1.0,"memory_mb":32,"sockets":96}},"bulletin":"{}"{known},
             "settings":{{"balancers":{all},"me":{number},{settings}}}}}"#,
-            larchway::mix(self.seed ^ number as u64 ^ now() << 16),
-            self.bulletin.address,
+            larchway::mix(self.scenario.seed ^ number as u64 ^ now() << 16),
+            source.address,
         );
-        Gateway::start(&self.dir, number, &config, &[])
+        let clock_ahead = match knowledge {
+            Knowledge::BeforeStart => 0,
+            Knowledge::AfterStart => self.scenario.clock_ahead,
+        };
+        let environment = wall_clock::ahead_by(clock_ahead, &self.dir.join(format!("g{number}.faults")))?;
+        Gateway::start_in(&self.dir, number, &config, &[], &environment)
     }
 
     /// Starts clients of a gateway for so long. Those of one that is killed end with nothing.
     pub fn start_clients(&self, gateway: &Gateway, ms: u64) -> JoinHandle<Option<LoadResult>> {
+        let stores = 1 + self.scenario.warm_stores;
         let load = Load {
             gateway: gateway.number as u8,
-            rate: capacity() * LOAD / self.gateways as f64,
+            rate: capacity() * stores as f64 * self.scenario.load / self.scenario.gateways as f64,
             ttl_ms: 2 * OBJECTIVE_MS,
             objective_ms: OBJECTIVE_MS,
             class: "history-files".into(),
@@ -84,7 +153,7 @@
             zipf: 0.0,
             writes: 0.0,
             span: ms * 1000,
-            seed: larchway::mix(self.seed ^ (gateway.number as u64) << 20 ^ ms),
+            seed: larchway::mix(self.scenario.seed ^ (gateway.number as u64) << 20 ^ ms),
             connections: load::Connections { count: 2, poll_interval: 2000 },
         };
         let front = gateway.front;
@@ -92,6 +161,19 @@
     }
 }
 
+fn entry(name: &str, store: &Store, started_at: Micros) -> String {
+    let entry = ListEntry {
+        host: name,
+        address: store.address,
+        site: "edge",
+        class: "standard",
+        health: "up",
+        units: WORKERS as f64,
+        started_ms: started_at / 1000,
+    };
+    entry.to_string()
+}
+
 impl Drop for World {
     fn drop(&mut self) {
         if std::env::var_os("LARCHWAY_LAB_KEEP").is_none() {
--- a/lab/src/trial/gateway.rs
+++ b/lab/src/trial/gateway.rs
@@ -32,6 +32,17 @@
         number: usize,
         config: &str,
         files: &[(&str, String)],
+    ) -> Result<Self, TrialError> {
+        Gateway::start_in(dir, number, config, files, &[])
+    }
+
+    /// The same, with further environment variables.
+    pub fn start_in(
+        dir: &Path,
+        number: usize,
+        config: &str,
+        files: &[(&str, String)],
+        environment: &[(&str, String)],
     ) -> Result<Self, TrialError> {
         let path = |what: &str| dir.join(format!("g{number}.{what}"));
         let (config_path, log) = (path("config.json"), path("log"));
@@ -46,6 +57,7 @@
             .env("EDGE_CONFIG", config_path)
             .env("EDGE_NAME", format!("g{number}"))
             .env("EDGE_LISTEN", "127.0.0.1:0")
+            .envs(environment.iter().map(|(name, value)| (name, value)))
             .stderr(Stdio::piped())
             .spawn()
             .map_err(TrialError::io("a gateway"))?;
@@ -97,7 +109,7 @@
 }
 
 /// The laboratory's program. A test is another program, and names it.
-fn laboratory() -> Result<PathBuf, TrialError> {
+pub(super) fn laboratory() -> Result<PathBuf, TrialError> {
     let named = std::env::var_os("LARCHWAY_LAB").map(PathBuf::from);
     named.map_or_else(std::env::current_exe, Ok).map_err(TrialError::io("the own program"))
 }
--- a/lab/src/trial/mod.rs
+++ b/lab/src/trial/mod.rs
@@ -17,6 +17,7 @@
 pub mod site_lists;
 pub mod spread;
 pub mod upgrade;
+mod wall_clock;
 
 pub use error::TrialError;
 
