--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub(crate) mod polled_signals;
 pub(crate) mod pools;
 pub mod postponed;
+pub mod random_numbers;
 pub mod relay;
 pub mod resp;
 pub mod rollout;
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -39,6 +39,7 @@
 use crate::peers::Peers;
 use crate::pools::Pools;
 use crate::postponed::Postponed;
+use crate::random_numbers::RandomNumbers;
 use crate::shutdown::{Begun, Shutdown, Successor, ACCEPTING};
 use crate::signed::FrontSettings;
 use crate::slots::{Key, Slots};
@@ -140,10 +141,8 @@
     first_unserved: Option<usize>,
     /// Connections whose next request may be taken from what was read before.
     resumable: Vec<Key>,
-    /// The seed of random numbers, as configured.
-    seed: u64,
-    /// Random numbers drawn so far.
-    random_draws: u64,
+    /// Random numbers, by the seed as configured.
+    random_numbers: RandomNumbers,
     /// The files that the configuration is read from.
     files: Files,
     /// The files in force, where documents of the event stream are laid over them.
@@ -203,8 +202,7 @@
 impl Gateway {
     /// A number that is new with every call, and with every start.
     fn random(&mut self) -> u64 {
-        self.random_draws += 1;
-        larchway::mix(self.seed ^ larchway::mix(self.random_draws ^ clock::now().as_micros() << 20))
+        self.random_numbers.next(clock::now())
     }
 
     /// Whether SIGTERM has come.
--- a/gateway/src/net/startup.rs
+++ b/gateway/src/net/startup.rs
@@ -12,6 +12,7 @@
 use crate::events::Events;
 use crate::polled_signals::{PolledSignals, SignalKeys};
 use crate::pools::Pools;
+use crate::random_numbers::RandomNumbers;
 use crate::shutdown::Shutdown;
 use crate::slots::Slots;
 use crate::sockets::START_TIMEOUT;
@@ -96,8 +97,7 @@
             shutdown: Shutdown::default(),
             first_unserved: None,
             resumable: Vec::new(),
-            seed,
-            random_draws: 0,
+            random_numbers: RandomNumbers::new(seed),
             files,
             files_in_force: None,
             postponed_reload: None,
