Date starts of stores by what others have reported, never by the own clock alone

Cause: a start in the first list, the configuration, a list read at SIGHUP, a first node, the saved roster or a saved mark was dated by the wall clock of a process that had nothing to check it by. With that clock ahead, a store that had just started counted as warm, at all gateways that were started at once.

Change: clock::start_dates stands where the list goes to the decision module and dates every start: no earlier than the latest time that others have reported allows. Later reports (copies, purges, starts) make starts earlier by an event of their own; a process of an upgrade takes over what the other one knows. Marks of returned stores are retained from when they are read. The test that let a fast clock pass now holds for all clocks.

--- a/crates/operations/src/manual_ejection/record.rs
+++ b/crates/operations/src/manual_ejection/record.rs
@@ -8,8 +8,8 @@
 /// Most stores that may be ejected at once, and most records. At the bound a further request is rejected: to accept
 /// and then forget one would be worse.
 pub const MAX_EJECTION_RECORDS: usize = 4096;
-/// How long the record of a restored store is retained, so that both processes of an upgrade warm it up. Slow start
-/// is over long before.
+/// How long the record of a restored store is retained from when this process learned of it, so that both processes
+/// of an upgrade warm it up. Slow start is over long before.
 const RESTORED_RECORD_LIFETIME: Duration = Duration::from_secs(600);
 /// The least difference between two records of one store.
 const CLOCK_RESOLUTION: Duration = Duration::from_micros(1);
@@ -33,10 +33,17 @@
     }
 }
 
+/// A record, and when this process learned of it.
+#[derive(Debug, Clone)]
+struct KnownRecord {
+    record: EjectionRecord,
+    known_at: MonotonicTime,
+}
+
 /// The newest record of each store that is ejected or was restored lately; [`MAX_EJECTION_RECORDS`] at most.
 #[derive(Debug, Clone, Default)]
 pub(super) struct EjectionRecords {
-    by_server: BTreeMap<ServerId, EjectionRecord>,
+    by_server: BTreeMap<ServerId, KnownRecord>,
 }
 
 impl EjectionRecords {
@@ -44,10 +51,10 @@
     pub(super) fn insert_if_newer(&mut self, now: MonotonicTime, record: EjectionRecord) -> Option<ServerId> {
         let id = endpoint_id(&record.store);
         let known = self.by_server.get(&id);
-        if known.is_some_and(|known| !record.replaces(known)) {
+        if known.is_some_and(|known| !record.replaces(&known.record)) {
             return None;
         }
-        self.by_server.insert(id, record);
+        self.by_server.insert(id, KnownRecord { record, known_at: now });
         self.remove_expired(now);
         self.remove_excess();
         Some(id)
@@ -55,34 +62,36 @@
 
     /// The record of a store. Another store with the same number has none.
     pub(super) fn get(&self, id: ServerId, store: &str) -> Option<&EjectionRecord> {
-        self.by_server.get(&id).filter(|record| record.store == store)
+        self.by_server.get(&id).map(|known| &known.record).filter(|record| record.store == store)
     }
 
     /// The time for a new record under this number: later than the one before it, even if the clock stands still.
     pub(super) fn next_record_time(&self, now: MonotonicTime, id: ServerId) -> MonotonicTime {
-        self.by_server.get(&id).map_or(now, |known| now.max(known.recorded_at + CLOCK_RESOLUTION))
+        self.by_server.get(&id).map_or(now, |known| now.max(known.record.recorded_at + CLOCK_RESOLUTION))
     }
 
     /// All records, by server number.
     pub(super) fn iter(&self) -> impl Iterator<Item = &EjectionRecord> {
-        self.by_server.values()
+        self.by_server.values().map(|known| &known.record)
     }
 
     /// The ejected stores, listed or not.
     pub(super) fn ejected(&self) -> impl Iterator<Item = ServerId> + '_ {
-        self.by_server.iter().filter(|(_, record)| record.ejected).map(|(&id, _)| id)
+        self.by_server.iter().filter(|(_, known)| known.record.ejected).map(|(&id, _)| id)
     }
 
+    /// Danger: by the time in a file, which a wall clock that is ahead makes old, the record of a store that was just
+    /// restored would be gone, and the store would count as warm.
     fn remove_expired(&mut self, now: MonotonicTime) {
         self.by_server
-            .retain(|_, record| record.ejected || now < record.recorded_at + RESTORED_RECORD_LIFETIME);
+            .retain(|_, known| known.record.ejected || now < known.known_at + RESTORED_RECORD_LIFETIME);
     }
 
     /// Removes the oldest records of restored stores beyond the bound; those of ejected stores stay.
     fn remove_excess(&mut self) {
         while self.by_server.len() > MAX_EJECTION_RECORDS {
-            let restored = self.by_server.iter().filter(|(_, record)| !record.ejected);
-            let oldest = restored.min_by_key(|(_, record)| record.recorded_at).map(|(&id, _)| id);
+            let restored = self.by_server.iter().filter(|(_, known)| !known.record.ejected);
+            let oldest = restored.min_by_key(|(_, known)| known.record.recorded_at).map(|(&id, _)| id);
             let Some(oldest) = oldest else { break };
             self.by_server.remove(&oldest);
         }
--- a/gateway/src/clock/mod.rs
+++ b/gateway/src/clock/mod.rs
@@ -7,6 +7,7 @@
 //! Monotonic times begin with the Unix time at the start of the process, and advance by the steady clock. Danger: a
 //! time that another process has written, by a Unix clock that has stepped meanwhile, is none of these; it is converted
 //! by an [`Anchor`].
+pub mod start_dates;
 pub mod wire;
 
 use larchway::MonotonicTime;
--- a/gateway/src/clock/wire/clock_error.rs
+++ b/gateway/src/clock/wire/clock_error.rs
@@ -24,6 +24,12 @@
         self.slow_by = self.slow_by.max(reported.saturating_since(now));
     }
 
+    /// How far the own clock may be fast, at most: nothing that others report lies in the future. None before a time
+    /// was reported.
+    pub(super) fn max_fast(&self) -> Option<Duration> {
+        self.behind
+    }
+
     /// The latest time that other machines may report as the present.
     pub(super) fn latest(&self, now: MonotonicTime) -> MonotonicTime {
         now.saturating_add(self.slow_by)
--- a/gateway/src/clock/wire/mod.rs
+++ b/gateway/src/clock/wire/mod.rs
@@ -17,12 +17,9 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 use store_starts::StoreStarts;
-use tracing::info;
 
 /// How far clocks may differ that count as the same: a time reported as that far in the future counts as present.
 const SAME_CLOCK: Duration = Duration::from_secs(1);
-/// Starts of stores are logged that may be so recent.
-const LOGGED_AGE: Duration = Duration::from_secs(60);
 
 /// When the origin issued a copy.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -111,7 +108,6 @@
     pub fn endpoint(&mut self, now: MonotonicTime, listed: ListedEndpoint, arrival: Arrival) -> Endpoint {
         let ListedEndpoint { mut endpoint, started } = listed;
         let server = endpoint.host.server;
-        let is_new = !started.is_unset() && self.starts.known(server, started).is_none();
         endpoint.host.started = if endpoint.host.state == State::Removed {
             self.starts.remove(server);
             self.anchor.to_monotonic(started).min(now)
@@ -120,31 +116,9 @@
         } else {
             self.start(now, server, started, arrival)
         };
-        if is_new && endpoint.host.state != State::Removed {
-            self.log_start(now, &endpoint, started, arrival);
-        }
         endpoint
     }
 
-    /// Logs when a store is taken to have started, and what the own clock and the latest reported time say of it, where
-    /// one of them has it within [`LOGGED_AGE`].
-    fn log_start(&self, now: MonotonicTime, endpoint: &Endpoint, reported: UnixMicros, arrival: Arrival) {
-        let reported_at = self.anchor.to_monotonic(reported);
-        let age = now.saturating_since(endpoint.host.started);
-        let min_age = self.clock_error.min_age(now, reported_at);
-        if age.min(min_age) > LOGGED_AGE {
-            return;
-        }
-        info!(
-            store = endpoint.name,
-            ?arrival,
-            age_ms = age.as_millis(),
-            by_own_clock_ms = now.saturating_since(reported_at).as_millis(),
-            at_least_ms = min_age.as_millis(),
-            "a store has started"
-        );
-    }
-
     /// When a store started. A start that is reported live is taken to be as late as it can be: a store that is taken
     /// for older than it is gets more load than it can serve.
     fn start(
@@ -182,6 +156,11 @@
         Some(CopyTimes { issued, issued_local: now.saturating_sub(latest.saturating_since(issued)) })
     }
 
+    /// How far the own clock may be fast, at most, by what others have reported so far; none before a report.
+    pub fn max_fast(&self) -> Option<Duration> {
+        self.clock_error.max_fast()
+    }
+
     /// The latest time that others may report as the present: by the own clock, and how slow it is known to be.
     pub fn latest(&self, now: MonotonicTime) -> MonotonicTime {
         self.clock_error.latest(now)
--- a/gateway/src/core/endpoints.rs
+++ b/gateway/src/core/endpoints.rs
@@ -6,9 +6,10 @@
 use crate::slots::Key;
 use larchway::purges::PurgeTarget;
 use larchway::{
-    Event, Members, MonotonicTime, ParentWeights, RejectionCounts, Scope, ServerId, State, Status,
+    DatedStart, Event, Members, MonotonicTime, ParentWeights, RejectionCounts, Scope, ServerId, State, Status,
 };
 use larchway_endpoints::{Endpoint, ListScope};
+use tracing::info;
 
 /// A listed store.
 pub(super) struct ListedStore {
@@ -106,6 +107,14 @@
         self.handle_event(now, Event::OffloadShares(shares.into_iter().collect()));
     }
 
+    /// Starts of stores turned out to be earlier than the list said.
+    pub fn date_starts(&mut self, now: MonotonicTime, earlier: Vec<DatedStart>) {
+        if !earlier.is_empty() {
+            info!(stores = earlier.len(), "starts of stores turn out to be earlier");
+            self.handle_event(now, Event::StartsDated(earlier));
+        }
+    }
+
     /// Another gateway found that a store fails.
     pub fn mark_suspected(&mut self, now: MonotonicTime, store: ServerId) {
         self.handle_event(now, Event::Suspected(store));
--- a/gateway/src/membership/mod.rs
+++ b/gateway/src/membership/mod.rs
@@ -93,6 +93,11 @@
         self.settings.stores_path.is_some()
     }
 
+    /// How far the own clock may be fast, at most, by the times that nodes state; none if none has stated one.
+    pub fn max_clock_fast(&self) -> Option<Duration> {
+        self.wire_times.max_fast()
+    }
+
     /// The path of the Unix socket at which operators query this instance.
     pub fn admin_socket(&self) -> Option<&Path> {
         self.settings.admin_socket.as_deref()
--- a/gateway/src/net/endpoint_list.rs
+++ b/gateway/src/net/endpoint_list.rs
@@ -3,9 +3,10 @@
 use crate::bulletin::Change;
 use crate::connection::Role;
 use crate::deadlines::Due;
+use crate::membership::Membership;
 use crate::slots::Key;
 use crate::upgrade::Upgrade;
-use larchway::{MonotonicTime, ServerId, State};
+use larchway::{DatedStart, MonotonicTime, ServerId, State};
 use larchway_endpoints::{Endpoint, ListScope};
 use larchway_operations::handover::Frame;
 use larchway_operations::manual_ejection::{self, EjectionOutcome};
@@ -80,7 +81,7 @@
         for output in outputs {
             match output {
                 manual_ejection::Output::EndpointList { scope, entries } => {
-                    self.apply_list(now, &Change::EndpointList { scope, endpoints: entries });
+                    self.apply_list(now, scope, entries);
                 }
                 manual_ejection::Output::SaveRecords(records) => {
                     if let Some(upgrade) = &self.upgrade {
@@ -99,10 +100,27 @@
         outcome
     }
 
+    /// Others may have reported times: starts of stores that turn out to be earlier are so for the decision module.
+    pub(super) fn bound_clock(&mut self, now: MonotonicTime) {
+        let of_nodes = self.membership.as_ref().and_then(Membership::max_clock_fast);
+        let max_fast = self.wire_times.max_fast().into_iter().chain(of_nodes).min();
+        let earlier = self.start_dates.bound_clock(max_fast);
+        self.core.date_starts(now, earlier);
+    }
+
+    /// Takes over how another process of this gateway dates the starts of stores.
+    pub(super) fn take_over_starts(&mut self, now: MonotonicTime, starts: impl Iterator<Item = DatedStart>) {
+        let earlier = self.start_dates.take_over(starts);
+        self.core.date_starts(now, earlier);
+    }
+
     /// Applies a change of the list as it counts: to the core, the hierarchy and the connections to stores.
-    fn apply_list(&mut self, now: MonotonicTime, change: &Change) {
-        self.core.apply_event(now, change);
-        let Change::EndpointList { scope, endpoints } = change else { return };
+    fn apply_list(&mut self, now: MonotonicTime, scope: ListScope, mut endpoints: Vec<Endpoint>) {
+        self.bound_clock(now);
+        self.start_dates.date(now, scope, &mut endpoints);
+        let change = Change::EndpointList { scope, endpoints };
+        self.core.apply_event(now, &change);
+        let Change::EndpointList { endpoints, .. } = &change else { return };
         if let Some(hierarchy) = &mut self.hierarchy {
             hierarchy.observe_endpoints(now, endpoints);
             self.check_hierarchy(now);
--- a/gateway/src/net/event_source.rs
+++ b/gateway/src/net/event_source.rs
@@ -46,6 +46,7 @@
                     if let Some(change) = self.wire_times.change(now, event, arrival) {
                         self.apply_event(now, change);
                     }
+                    self.bound_clock(now);
                 }
                 Effect::TryDocuments(candidate) => self.apply_documents(now, candidate),
             }
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -24,6 +24,7 @@
 
 use crate::admin::Admin;
 use crate::clock;
+use crate::clock::start_dates::StartDates;
 use crate::clock::wire::WireTimes;
 use crate::config::{FileSet, Files, Shape};
 use crate::connection::Connection;
@@ -177,6 +178,7 @@
     wire_settings: WireSettings,
     /// Times that other machines state, on the clock here.
     wire_times: WireTimes,
+    start_dates: StartDates,
     /// Requests and attempts.
     core: Core,
     /// Bytes that the gateway may take, all of its processes together.
--- a/gateway/src/net/processes.rs
+++ b/gateway/src/net/processes.rs
@@ -60,6 +60,7 @@
                 Frame::State(state) if Some(place) == best => {
                     let (classes, stores) = (state.classes.len(), state.stores.len());
                     info!(classes, stores, "takes over what another process has learned");
+                    self.take_over_starts(now, state.learned.listed_starts());
                     self.core.take_over(&state.classes, state.learned);
                     self.apply_ejection_input(now, manual_ejection::Input::PeerEndpoints(state.stores));
                 }
--- a/gateway/src/net/startup.rs
+++ b/gateway/src/net/startup.rs
@@ -4,6 +4,7 @@
 use super::poll_key::PollKey;
 use super::{saves_roster, Gateway};
 use crate::clock;
+use crate::clock::start_dates::StartDates;
 use crate::clock::wire::WireTimes;
 use crate::config::{Files, Loaded, Overlay, Shape};
 use crate::core::Core;
@@ -110,6 +111,7 @@
             pools: Pools::default(),
             events: Events::new(clock::now(), seed),
             wire_times: WireTimes::new(),
+            start_dates: StartDates::default(),
             events_connection: None,
             postponed_events_call: None,
             events_deadline: None,
--- a/gateway/src/net/store_traffic.rs
+++ b/gateway/src/net/store_traffic.rs
@@ -166,6 +166,7 @@
             if let Some(times) = self.wire_times.copy(now, reply.issued) {
                 self.core.cache_copy(now, attempt, times, reply.entity_tag, reply.body);
             }
+            self.bound_clock(now);
         }
         if status == Status::Ok && !self.can_buffer(reply.body.len()) {
             self.core.give_up_request_of(now, attempt, NO_CAPACITY_RETRY_AFTER);
--- a/gateway/tests/net/clock.rs
+++ b/gateway/tests/net/clock.rs
@@ -6,34 +6,34 @@
 const STEPS: [&str; 2] = ["+3600s", "-3600s"];
 const WRONG: [i64; 2] = [3600, -3600];
 /// Objects that are asked for to see where they go.
-const OBJECTS: u64 = 30;
+pub(crate) const OBJECTS: u64 = 30;
 /// Of these, what a store in slow start gets at most, and what a warm one of two gets at least.
-const COLD_SHARE: usize = 5;
-const WARM_SHARE: usize = 8;
+pub(crate) const COLD_SHARE: usize = 5;
+pub(crate) const WARM_SHARE: usize = 8;
 /// Half of what the wall clock is wrong by, in ms.
-const HALF_AN_HOUR_MS: u64 = 1_800_000;
+pub(crate) const HALF_AN_HOUR_MS: u64 = 1_800_000;
 
 /// An entry of the list for a store that has started, as ms of the Unix clock.
-fn started_at(s: &Scenario, name: &str, millis: u64) -> String {
+pub(crate) fn started_at(s: &Scenario, name: &str, millis: u64) -> String {
     let dial = s.var(name).parse().expect("an address");
     entry(name, dial, "standard", "up").replace("\"born_ms\":0", &format!("\"born_ms\":{millis}"))
 }
 
 /// Publishes changes of the list.
-fn publish(s: &mut Scenario, number: u64, entry: &str) {
+pub(crate) fn publish(s: &mut Scenario, number: u64, entry: &str) {
     s.run(&format!(
         r#"bulletin > {{"no":{number},"roster":{{"seq":{number},"whole":false,"hosts":[{entry}]}}}}"#
     ));
 }
 
 /// Settings under which a store that has started may get next to nothing for an hour.
-fn slow_to_warm() -> &'static str {
+pub(crate) fn slow_to_warm() -> &'static str {
     let rules = "\"balancers\":1,\"rules\":{\"startCapacity\":0.0001,\"warmWithinMs\":3600000}";
     SETTINGS.replace("\"balancers\":1", rules).leak()
 }
 
 /// Asks for objects one after the other; how many of them a store is asked for.
-fn asked_of(s: &mut Scenario, client: &str, from: u64, store: &str) -> usize {
+pub(crate) fn asked_of(s: &mut Scenario, client: &str, from: u64, store: &str) -> usize {
     let mut count = 0;
     for n in from..from + OBJECTS {
         s.run(&format!(
@@ -47,7 +47,7 @@
     count
 }
 
-fn unix_ms() -> u64 {
+pub(crate) fn unix_ms() -> u64 {
     crate::scenario::unix_ms()
 }
 
@@ -281,7 +281,7 @@
 }
 
 /// A gateway that knows no list until it is told one, in which the edge caches a1 and a2 have been up for so long.
-fn first_list(clock_ahead: i64, settings: &'static str, up_for_ms: [u64; 2]) -> Scenario {
+pub(crate) fn first_list(clock_ahead: i64, settings: &'static str, up_for_ms: [u64; 2]) -> Scenario {
     let mut s = Scenario::new(Setup { known: false, settings, clock_ahead, ..Setup::default() });
     let now = unix_ms();
     let mut entries: Vec<String> =
@@ -313,11 +313,11 @@
     }
 }
 
-/// T5: a store of the first list that has just started is cold, also where it seems to start in the future. Under a fast
-/// clock it counts as warm: nothing else is known of the clock then (`docs/design/time.md`).
+/// T3, T5: a store of the first list that has just started is cold whatever the own clock says, also where it seems to
+/// have started long ago, or to start in the future.
 #[test]
-fn a_store_of_the_first_list_that_has_just_started_is_cold_under_a_right_and_a_slow_clock() {
-    for clock_ahead in [0, -3600] {
+fn a_store_of_the_first_list_that_has_just_started_is_cold_whatever_the_clock_says() {
+    for clock_ahead in [0, 20, 3600, -3600] {
         let mut s = first_list(clock_ahead, slow_to_warm(), [0, 10 * HALF_AN_HOUR_MS]);
         s.run("wait 50");
         let cold = asked_of(&mut s, "c1", 100, "a1");
--- a/gateway/tests/net/main.rs
+++ b/gateway/tests/net/main.rs
@@ -18,5 +18,6 @@
 mod shortages;
 mod signed;
 mod spread;
+mod starts;
 mod state_folder;
 mod terms;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -513,6 +513,17 @@
     OffloadShares(BTreeMap<ServerId, f64>),
     /// Another router found that a server fails. The own next attempts decide, but sooner.
     Suspected(ServerId),
+    /// The listed processes of these servers are known to have started earlier than the list said.
+    StartsDated(Vec<DatedStart>),
+}
+
+/// When the listed process of a server started, as it is known by now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DatedStart {
+    /// The server.
+    pub server: ServerId,
+    /// The start.
+    pub started: MonotonicTime,
 }
 
 /// A server and what it weighs among its like.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -130,6 +130,7 @@
             Event::Suspected(id) => {
                 self.servers.get_mut(&id).into_iter().for_each(Server::record_reported_failure);
             }
+            Event::StartsDated(starts) => self.on_starts_dated(&starts),
             Event::PurgesMissed => self.purges.miss(now + self.settings.purge_done),
             Event::Purged { age, group, object } => {
                 self.on_purge(now.saturating_sub(age), PurgeTarget::new(object, group));
--- a/src/logic/learned.rs
+++ b/src/logic/learned.rs
@@ -4,7 +4,7 @@
 use super::server::Pace;
 use super::state::Indicator;
 use super::Router;
-use crate::interface::{ObjectId, ServerId};
+use crate::interface::{DatedStart, ObjectId, ServerId};
 use crate::purges::PurgeTarget;
 use crate::records::Item;
 use crate::roles::PerRole;
@@ -124,6 +124,11 @@
 }
 
 impl Learned {
+    /// The starts of the servers' processes, as they were listed there.
+    pub fn listed_starts(&self) -> impl Iterator<Item = DatedStart> + '_ {
+        self.servers.iter().map(|s| DatedStart { server: s.server, started: s.listed })
+    }
+
     /// When it was written down.
     pub fn taken_at(&self) -> MonotonicTime {
         self.in_flight.at
--- a/src/logic/membership.rs
+++ b/src/logic/membership.rs
@@ -5,7 +5,7 @@
 //! alone leads to the same choices as the full one.
 use super::server::Server;
 use super::Router;
-use crate::interface::{Action, Host, Members, Scope, ServerId, State};
+use crate::interface::{Action, DatedStart, Host, Members, Scope, ServerId, State};
 use std::collections::BTreeSet;
 
 impl Router {
@@ -64,6 +64,21 @@
         self.count_caches();
     }
 
+    /// Starts are known better. A start that own failures have shown since stays as it is.
+    pub(super) fn on_starts_dated(&mut self, starts: &[DatedStart]) {
+        for &DatedStart { server, started } in starts {
+            if let Some(s) = self.servers.get_mut(&server).filter(|s| started < s.host.started) {
+                if s.started == s.host.known_start() {
+                    s.started = Some(started);
+                }
+                s.host.started = started;
+            }
+            if let Some(host) = self.elsewhere.get_mut(&server).filter(|host| started < host.started) {
+                host.started = started;
+            }
+        }
+    }
+
     pub(super) fn count_caches(&mut self) {
         self.caches = self.candidates.caches_up().max(1) as f64;
     }
