--- a/gateway/src/clock/start_dates.rs
+++ b/gateway/src/clock/start_dates.rs
@@ -25,7 +25,7 @@
     dated: MonotonicTime,
 }
 
-/// The starts of the listed stores, at most [`MAX_STARTS`].
+/// The starts of the listed stores, at most 20,000.
 #[derive(Debug, Default)]
 pub struct StartDates {
     by_server: BTreeMap<ServerId, StartDate>,
