Count requests by the assumption until the first sample of their class has ended

Cause: where clients state no sizes, budgets of slow start went by an aged mean that the first answer sets and the shortest answers reach first, divided by a guess of the others' load; before any answer the assumption fell to 100 ms within some spans. A fleet that is restarted as a whole errs in the same direction.

Change: unsized_work: the first twenty attempts of a class are its sample in the order in which they begin; one that has not ended counts as the latency objective, which weighs as two observations besides. Times are not divided; attempts that were withdrawn or timed out count as no less than the objective. The assumption does not fall any more.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,7 +7,7 @@
 //! This file holds the router's state and hands each event to the module of its concern: `admission` takes
 //! requests in and declines them, `choice` picks among the `candidates` (in a large location, among those of
 //! the router's `subset`), `retry` makes the attempts and `learning` draws on their outcomes. `load`,
-//! `slow_start`, `ejection` and `freshness` say what may be asked of a server.
+//! `slow_start`, `unsized_work`, `ejection` and `freshness` say what may be asked of a server.
 use crate::interface::*;
 use crate::items::ItemTable;
 use crate::purges::{PurgeTable, PurgeTarget};
@@ -17,9 +17,9 @@
 use candidates::Candidates;
 use retry::CHECK_INTERVAL;
 use server::Server;
-use slow_start::UnsizedWork;
 use state::{Indicator, OpenRequest};
 use std::collections::BTreeMap;
+use unsized_work::UnsizedWork;
 
 mod admission;
 mod candidates;
@@ -36,6 +36,7 @@
 mod slow_start;
 mod state;
 mod subset;
+mod unsized_work;
 mod view;
 pub use learned::{Learned, SentWork};
 pub use view::{EntriesTouched, RejectionCounts};
@@ -58,7 +59,7 @@
     purges: PurgeTable,
     /// By class, the aged sending time.
     work: Vec<DecayingMean>,
-    /// By class, what slow start budgets go by until `work` is observed.
+    /// By class, what slow start budgets go by where sizes are not stated.
     unsized_work: Vec<UnsizedWork>,
     /// Microseconds: the aged miss penalty.
     penalty: DecayingMean,
--- a/src/logic/admission.rs
+++ b/src/logic/admission.rs
@@ -62,7 +62,6 @@
             work = req.size_kb / self.settings.flow_kb_per_s * 1e6;
             self.work[req.class].add(work, OBSERVATION_WEIGHT);
         }
-        self.unsized_work[req.class].on_request(now);
         let open =
             OpenRequest { req, arrived: now, work, sized, known: known.is_some(), ..OpenRequest::default() };
         self.open.insert(id, open);
--- a/src/logic/learning.rs
+++ b/src/logic/learning.rs
@@ -31,6 +31,8 @@
     sized: bool,
     /// Whether the sending time is of this object, not of its class.
     known: bool,
+    /// Whether it is of the first sample of its class's work.
+    sampled: bool,
     cacheable: bool,
     /// Whether the answer was filled from the source.
     filled: bool,
@@ -97,9 +99,7 @@
         if source_restarted {
             self.items.forget_server(observation.choice.source);
         }
-        if outcome.status == Status::Ok {
-            self.learn_answer_time(&observation);
-        }
+        self.learn_unsized_work(&observation);
         if outcome.status == Status::Ok && observation.cacheable {
             self.learn_object(&observation, &edge_state);
         }
@@ -117,6 +117,7 @@
             work: open.work.max(1.0),
             sized: open.sized,
             known: open.sized || open.known,
+            sampled: attempt.sampled,
             cacheable: !self.settings.classes[open.req.class].uncacheable,
             filled: matches!(outcome.note, Note::Filled | Note::FilledByOrigin),
             hit: matches!(outcome.note, Note::Hit | Note::Stale) && outcome.status == Status::Ok,
@@ -244,13 +245,22 @@
         restarted
     }
 
-    /// How long answers of the class take from their first byte on, where sizes are not stated.
-    fn learn_answer_time(&mut self, observation: &Observation) {
-        if !observation.sized {
-            let since_first_byte = observation.outcome.latency.saturating_sub(observation.outcome.waited);
-            self.unsized_work[observation.class]
-                .answer_time
-                .add(micros_f64(since_first_byte), OBSERVATION_WEIGHT);
+    /// What the attempt shows of its class's work where sizes are not stated: at most the time from the first
+    /// byte of its answer on. One that was withdrawn or ran out of time might have taken longer.
+    fn learn_unsized_work(&mut self, observation: &Observation) {
+        let Observation { outcome, class, .. } = *observation;
+        let assumed = self.assumed_work(class);
+        let since_first_byte = micros_f64(outcome.latency.saturating_sub(outcome.waited));
+        let work = match outcome.status {
+            Status::Ok => Some(since_first_byte),
+            Status::Cancelled | Status::Timeout => Some(since_first_byte.max(assumed)),
+            _ => None,
+        };
+        let known = &mut self.unsized_work[class];
+        match work {
+            work if observation.sampled => known.end_sampled(work, assumed),
+            Some(work) if outcome.status == Status::Ok => known.observe(work),
+            _ => {}
         }
     }
 
--- a/src/logic/retry.rs
+++ b/src/logic/retry.rs
@@ -68,7 +68,10 @@
         let location = self.location(choice.edge);
         if let Some(open) = self.open.get_mut(&id) {
             let (sent, check_at) = (self.now, self.now + patience);
-            open.attempts.push(Attempt { choice, location, sent, check_at, patience, ..Attempt::default() });
+            let sampled = !open.sized && self.unsized_work[class_index].begin();
+            let attempt =
+                Attempt { choice, location, sent, check_at, patience, sampled, ..Attempt::default() };
+            open.attempts.push(attempt);
         }
         actions.push(Action::Get(get));
     }
--- a/src/logic/slow_start.rs
+++ b/src/logic/slow_start.rs
@@ -3,8 +3,7 @@
 use super::state::{OpenRequest, INITIAL_SENDING_TIME};
 use super::Router;
 use crate::hashing::{mix, unit};
-use crate::interface::{Settings, SlowStart, State, Tier};
-use crate::statistics::DecayingMean;
+use crate::interface::{SlowStart, State, Tier};
 use crate::time::{duration_micros, micros_f64, MonotonicTime, MICROSECOND};
 
 /// Share of a slow start budget that is used at the least: one router's own bursts take the rest.
@@ -14,34 +13,6 @@
 /// Share of a fill that a request with a hit record counts for in its source's budget: records can be wrong.
 pub(super) const RECORDED_FILL_SHARE: f64 = 0.3;
 
-/// What is known of the work of a class whose clients state no sizes, until a hit has shown it.
-#[derive(Debug, Clone, Copy, Default)]
-pub(super) struct UnsizedWork {
-    /// When the first request of the class came.
-    first_request: Option<MonotonicTime>,
-    /// Microseconds: the aged time of its answers from their first byte on. It holds waits of fills as well:
-    /// the work is at most this.
-    pub answer_time: DecayingMean,
-}
-
-impl UnsizedWork {
-    pub(super) fn on_request(&mut self, now: MonotonicTime) {
-        self.first_request.get_or_insert(now);
-    }
-
-    /// Danger: all routers take a request for less than it is, and push over a server that has started.
-    /// Before the first answer it counts as what fits the objective at most. Harm: where only a server that
-    /// has started could answer, it idles; so this falls, by the square of the spans without an answer, to
-    /// what is expected at first.
-    fn estimate(&self, now: MonotonicTime, settings: &Settings, class: usize) -> f64 {
-        let objective = micros_f64(settings.classes[class].latency_objective);
-        let waited = now.saturating_since(self.first_request.unwrap_or(now));
-        let spans = micros_f64(waited) / micros_f64(settings.overload_span.max(MICROSECOND));
-        let at_most = (objective / (1.0 + spans * spans)).max(INITIAL_SENDING_TIME);
-        self.answer_time.or(at_most)
-    }
-}
-
 impl Router {
     fn tier(&self, s: &Server) -> Tier {
         if self.is_cache(s) {
@@ -90,11 +61,15 @@
     /// state sizes.
     pub(super) fn mean_work(&self, open: &OpenRequest) -> f64 {
         let class = open.req.class;
-        match self.work[class].0 {
-            mean if open.sized => mean.map_or(open.work, |mean| mean.max(open.work)),
-            Some(mean) => mean,
-            None => self.unsized_work[class].estimate(self.now, &self.settings, class),
+        if open.sized {
+            return self.work[class].0.map_or(open.work, |mean| mean.max(open.work));
         }
+        self.unsized_work[class].estimate(self.assumed_work(class))
+    }
+
+    /// Microseconds that a request of a class is taken for at first: what fits its objective at most.
+    pub(super) fn assumed_work(&self, class: usize) -> f64 {
+        micros_f64(self.settings.classes[class].latency_objective).max(INITIAL_SENDING_TIME)
     }
 
     /// May anything new go to, or be filled from, this server?
--- a/src/logic/state.rs
+++ b/src/logic/state.rs
@@ -101,6 +101,8 @@
     pub source_failed: bool,
     /// Whether it has counted as a fill that comes too late.
     pub late: bool,
+    /// Whether it is of the first sample of its class's work.
+    pub sampled: bool,
 }
 
 impl Attempt {
