Count what was sent to a server that leaves the list and returns

Cause: an entry of the list that goes takes with it what was sent to its server.

Change: the work of the last span is retained for servers that leave the list, and counts when they return; entries whose span is over are dropped at the next departure.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -12,7 +12,7 @@
 use crate::items::ItemTable;
 use crate::purges::{PurgeTable, PurgeTarget};
 use crate::roles::PerRole;
-use crate::statistics::{DecayingLevel, DecayingMean, DecayingReport};
+use crate::statistics::{DecayingLevel, DecayingMean, DecayingReport, SlidingSum};
 use crate::time::MonotonicTime;
 use candidates::Candidates;
 use retry::CHECK_INTERVAL;
@@ -53,6 +53,9 @@
     servers: BTreeMap<ServerId, Server>,
     /// The entries of all other servers listed: nothing is learned of them.
     elsewhere: BTreeMap<ServerId, Host>,
+    /// Work (µs) sent to servers that were retired within the span in which it counts towards a fall: at most
+    /// those that were listed in that time.
+    work_of_retired: BTreeMap<ServerId, SlidingSum>,
     candidates: Candidates,
     open: BTreeMap<RequestId, OpenRequest>,
     items: ItemTable,
--- a/src/logic/membership.rs
+++ b/src/logic/membership.rs
@@ -45,10 +45,10 @@
                 continue;
             }
             self.elsewhere.remove(&id);
-            let server = self
-                .servers
-                .entry(id)
-                .or_insert_with(|| Server { notified_at: self.now, ..Server::new(host.clone()) });
+            if !self.servers.contains_key(&id) {
+                self.add_server(host.clone());
+            }
+            let Some(server) = self.servers.get_mut(&id) else { continue };
             let known_start = server.started.unwrap_or(Host::STARTED_LONG_AGO);
             let restarted = host.started > server.host.started.max(known_start);
             if restarted {
@@ -89,17 +89,34 @@
         let elsewhere = std::mem::take(&mut self.elsewhere);
         for (id, host) in elsewhere {
             if self.is_reachable(&host) {
-                self.servers.insert(id, Server { notified_at: self.now, ..Server::new(host) });
+                self.add_server(host);
             } else {
                 self.elsewhere.insert(id, host);
             }
         }
     }
 
-    /// Danger: over weeks of replaced servers, what is stored of each grows without end.
+    fn add_server(&mut self, host: Host) {
+        let id = host.server;
+        let mut server = Server { notified_at: self.now, ..Server::new(host) };
+        if let Some(work) = self.work_of_retired.remove(&id) {
+            server.sent_by_others = work;
+        }
+        self.servers.insert(id, server);
+    }
+
+    /// Danger: over weeks of replaced servers, what is stored of each grows without end. But a list that drops
+    /// a server and names it again must not grant its budget anew: what was sent counts for its span.
     pub(super) fn retire(&mut self, id: ServerId) {
         self.elsewhere.remove(&id);
-        self.servers.remove(&id);
+        let (now, span) = (self.now, self.settings.overload_span);
+        self.work_of_retired.retain(|_, work| work.sum(now, span) > 0.0);
+        if let Some(Server { sent, sent_by_others: mut work, .. }) = self.servers.remove(&id) {
+            work.join(sent);
+            if work.sum(now, span) > 0.0 {
+                self.work_of_retired.insert(id, work);
+            }
+        }
         self.classify_server(id);
         self.items.forget_server(id);
     }
