Bound the assumption of work by a few requests for each server that starts

Change: nothing that is unknown counts for more than a sixth of what pushes over the smallest server listed that has just started; it is found anew with a complete list, and a change can only lower it. The trial cold has signals in series, pauses, stops with the kill at the earliest, crowds and equal seeds.

--- a/lab/src/trial/cold/mod.rs
+++ b/lab/src/trial/cold/mod.rs
@@ -7,7 +7,7 @@
 
 pub use budget::Window;
 pub use run::{run, Figures};
-pub use scenario::{Kill, Killed, Scenario, StartKnownFrom};
+pub use scenario::{Kill, Killed, Scenario, SignalsBefore, StartKnownFrom};
 
 use super::bounds::Bounds;
 use super::{Outcome, TrialError};
@@ -47,6 +47,7 @@
         Case::new("all restarted, spread sizes", all(0).with_spread_sizes()),
         Case::new("all restarted, clock ahead", all(HOUR)),
         Case::new("all restarted, clock behind", all(-HOUR)),
+        Case::new("60 gateways, equal seeds", Scenario::with_equal_seeds(60, seed)),
     ];
     let drawn = (seed..seed + SOAK_SEEDS).map(|seed| Case::new(SOAK, Scenario::drawn(seed)));
     cases.extend(drawn);
--- a/lab/src/trial/cold/run.rs
+++ b/lab/src/trial/cold/run.rs
@@ -1,6 +1,6 @@
 //! The script of the trial, and what the store that starts got.
 use super::budget::{worst_window, Window};
-use super::scenario::{Kill, Killed, Scenario};
+use super::scenario::{Kill, Killed, Scenario, SignalsBefore};
 use super::world::{Knowledge, World};
 use crate::load::LoadResult;
 use crate::trial::gateway::Gateway;
@@ -8,8 +8,14 @@
 use crate::trial::TrialError;
 use larchway::Micros;
 use serde_json::{json, Value};
+use std::net::TcpStream;
 use std::thread::JoinHandle;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Time between two signals to read the configuration again.
+const RELOAD_INTERVAL: Duration = Duration::from_millis(20);
+/// Time from the signal to end to the kill: the longest deadline that counts, and 0.7 s.
+const STOP_TIME: Duration = Duration::from_millis(3700);
 
 /// ms from the start of all gateways to that of the store.
 const LISTED_MS: u64 = 1000;
@@ -51,12 +57,14 @@
     end_ms: u64,
     running: Vec<Gateway>,
     clients: Vec<JoinHandle<Option<LoadResult>>>,
+    crowd: Vec<TcpStream>,
 }
 
 impl Fleet<'_> {
     fn start_clients(&mut self, gateway: &Gateway) {
         let rest_ms = self.end_ms.saturating_sub(self.start.elapsed().as_millis() as u64);
         self.clients.push(self.world.start_clients(gateway, rest_ms));
+        self.crowd.extend(self.world.crowd(gateway));
     }
 
     /// Kills gateways outright, and starts them again.
@@ -69,6 +77,7 @@
         let (mut killed, stay): (Vec<Gateway>, Vec<Gateway>) =
             std::mem::take(&mut self.running).into_iter().partition(is_killed);
         self.running = stay;
+        signal(&killed, kill.before)?;
         killed.iter_mut().for_each(Gateway::kill);
         sleep_until(self.start, killed_at + kill.down_ms);
         let numbers: Vec<usize> = killed.iter().map(|gateway| gateway.number).collect();
@@ -87,9 +96,10 @@
     let running = play_all(scenario.gateways, |number| world.start_gateway(number, Knowledge::BeforeStart))?;
     let (start, end_ms) = (Instant::now(), LISTED_MS + scenario.end_ms);
     let clients = running.iter().map(|gateway| world.start_clients(gateway, end_ms)).collect();
+    let crowd = running.iter().flat_map(|gateway| world.crowd(gateway)).collect();
     sleep_until(start, LISTED_MS);
     let started_at = world.list_store();
-    let mut fleet = Fleet { world: &world, start, end_ms, running, clients };
+    let mut fleet = Fleet { world: &world, start, end_ms, running, clients, crowd };
     for kill in &scenario.kills {
         sleep_until(start, LISTED_MS + kill.at_ms);
         fleet.restart(kill)?;
@@ -100,6 +110,29 @@
     figures
 }
 
+/// Sends gateways the signals that come before a kill.
+fn signal(gateways: &[Gateway], signals: SignalsBefore) -> Result<(), TrialError> {
+    match signals {
+        SignalsBefore::None => {}
+        SignalsBefore::Reloads(times) => {
+            for _ in 0..times {
+                gateways.iter().try_for_each(Gateway::reload)?;
+                std::thread::sleep(RELOAD_INTERVAL);
+            }
+        }
+        SignalsBefore::PauseMs(ms) => {
+            gateways.iter().try_for_each(|gateway| gateway.signal("STOP"))?;
+            std::thread::sleep(Duration::from_millis(ms));
+            gateways.iter().try_for_each(|gateway| gateway.signal("CONT"))?;
+        }
+        SignalsBefore::Stop => {
+            gateways.iter().try_for_each(|gateway| gateway.signal("TERM"))?;
+            std::thread::sleep(STOP_TIME);
+        }
+    }
+    Ok(())
+}
+
 fn figures(
     world: &World,
     started_at: Micros,
--- a/lab/src/trial/cold/scenario.rs
+++ b/lab/src/trial/cold/scenario.rs
@@ -10,6 +10,8 @@
 const SPREAD: f64 = 1.1;
 /// Seconds by which the wall clock of restarted processes is ahead, in drawn scenarios.
 const CLOCKS_AHEAD: [i64; 6] = [0, 0, 3600, -3600, 20, 86_400];
+/// Idle clients of each gateway that make a crowd: more than the descriptors left for clients.
+const CROWD: usize = 40;
 /// ms from the store's start to the end.
 const LONG_ENOUGH_MS: u64 = 6000;
 /// ms after the store's start in which drawn kills come, and for which a gateway then stays away.
@@ -25,6 +27,19 @@
     EveryOther,
 }
 
+/// Signals that come in a row before a kill.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SignalsBefore {
+    /// None.
+    None,
+    /// The configuration is read again so many times, in a row.
+    Reloads(usize),
+    /// The process stands still for so many ms, and goes on.
+    PauseMs(u64),
+    /// It is told to end, and killed as early as the platform does: after the longest deadline, 3 s at most, and 0.7 s.
+    Stop,
+}
+
 /// A kill of gateways, which are then started again.
 #[derive(Debug, Clone, Copy)]
 pub struct Kill {
@@ -34,6 +49,8 @@
     pub down_ms: u64,
     /// Which.
     pub killed: Killed,
+    /// What they are sent before.
+    pub before: SignalsBefore,
 }
 
 /// How a gateway that is started again learns of the store's start.
@@ -68,6 +85,10 @@
     pub clock_ahead: i64,
     /// How they learn of the start.
     pub start_known_from: StartKnownFrom,
+    /// Idle clients of each gateway.
+    pub crowd: usize,
+    /// Whether all gateways have the same seed.
+    pub equal_seeds: bool,
     /// ms from the store's start to the end.
     pub end_ms: u64,
 }
@@ -81,9 +102,16 @@
             warm_stores: 0,
             service: ServiceTime::Equal(Duration::from_millis(SERVICE_MS)),
             load: 2.0,
-            kills: vec![Kill { at_ms: 2000, down_ms: 0, killed: Killed::EveryOther }],
+            kills: vec![Kill {
+                at_ms: 2000,
+                down_ms: 0,
+                killed: Killed::EveryOther,
+                before: SignalsBefore::None,
+            }],
             clock_ahead: 0,
             start_known_from: StartKnownFrom::Change,
+            crowd: 0,
+            equal_seeds: false,
             end_ms: 8000,
         }
     }
@@ -94,7 +122,7 @@
         Scenario {
             warm_stores: 3,
             load: 0.9,
-            kills: vec![Kill { at_ms: 500, down_ms: 200, killed: Killed::All }],
+            kills: vec![Kill { at_ms: 500, down_ms: 200, killed: Killed::All, before: SignalsBefore::None }],
             clock_ahead,
             start_known_from: StartKnownFrom::KnownList,
             end_ms: LONG_ENOUGH_MS,
@@ -102,6 +130,11 @@
         }
     }
 
+    /// The store is the only one, and all gateways, of which half are restarted, have the same seed.
+    pub fn with_equal_seeds(gateways: usize, seed: u64) -> Self {
+        Scenario { equal_seeds: true, ..Scenario::half_restarted(gateways, seed) }
+    }
+
     /// The same with service times that are spread widely.
     pub fn with_spread_sizes(self) -> Self {
         let mean = Duration::from_millis(SERVICE_MS);
@@ -124,6 +157,12 @@
             at_ms,
             down_ms: random.random_range(DOWN_MS),
             killed: if random.random_bool(0.7) { Killed::All } else { Killed::EveryOther },
+            before: match random.random_range(0..6) {
+                0 => SignalsBefore::Reloads(random.random_range(1..=4)),
+                1 => SignalsBefore::PauseMs(random.random_range(50..400)),
+                2 => SignalsBefore::Stop,
+                _ => SignalsBefore::None,
+            },
         };
         let kills = times.into_iter().map(&mut kill).collect();
         let scenario = Scenario {
@@ -133,6 +172,8 @@
             kills,
             clock_ahead: CLOCKS_AHEAD.choose(&mut random).copied().unwrap_or(0),
             start_known_from: known_from.choose(&mut random).copied().unwrap_or(StartKnownFrom::Change),
+            crowd: if random.random_bool(0.25) { CROWD } else { 0 },
+            equal_seeds: random.random_bool(0.25),
             end_ms: LONG_ENOUGH_MS,
             ..Scenario::half_restarted(0, seed)
         };
--- a/lab/src/trial/cold/world.rs
+++ b/lab/src/trial/cold/world.rs
@@ -12,6 +12,7 @@
 use crate::trial::wall_clock;
 use crate::trial::TrialError;
 use larchway::Micros;
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::thread::JoinHandle;
 
@@ -129,7 +130,7 @@
         let config = format!(
             r#"{{"seed":"{:x}","limits":{{"cores":1.0,"memory_mb":32,"sockets":96}},"bulletin":"{}"{known},
             "settings":{{"balancers":{all},"me":{number},{settings}}}}}"#,
-            larchway::mix(self.scenario.seed ^ number as u64 ^ now() << 16),
+            self.seed_of(number),
             source.address,
         );
         let clock_ahead = match knowledge {
@@ -140,6 +141,19 @@
         Gateway::start_in(&self.dir, number, &config, &[], &environment)
     }
 
+    /// The seed in a gateway's configuration, new with each start.
+    fn seed_of(&self, number: usize) -> u64 {
+        if self.scenario.equal_seeds {
+            return self.scenario.seed;
+        }
+        larchway::mix(self.scenario.seed ^ number as u64 ^ now() << 16)
+    }
+
+    /// Idle clients of a gateway, as many as the scenario has; some may be turned away.
+    pub fn crowd(&self, gateway: &Gateway) -> Vec<TcpStream> {
+        (0..self.scenario.crowd).filter_map(|_| TcpStream::connect(gateway.front).ok()).collect()
+    }
+
     /// Starts clients of a gateway for so long. Those of one that is killed end with nothing.
     pub fn start_clients(&self, gateway: &Gateway, ms: u64) -> JoinHandle<Option<LoadResult>> {
         let stores = 1 + self.scenario.warm_stores;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -64,6 +64,8 @@
     work: Vec<DecayingMean>,
     /// By class, what slow start budgets go by where sizes are not stated.
     unsized_work: Vec<UnsizedWork>,
+    /// Work (µs) that pushes over the smallest server listed that has just started.
+    least_cold_budget: f64,
     /// Microseconds: the aged miss penalty.
     penalty: DecayingMean,
     /// Share of fills that parents and origin failed to bring in time, all taken together.
@@ -96,7 +98,7 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let work = vec![DecayingMean::default(); settings.classes.len()];
         let unsized_work = vec![UnsizedWork::default(); settings.classes.len()];
-        Router { settings, seed, work, unsized_work, ..Router::default() }
+        Router { settings, seed, work, unsized_work, least_cold_budget: f64::MAX, ..Router::default() }
     }
 
     /// Puts settings in the place of those in force. `replaced`: classes that are new or have changed slots.
@@ -110,6 +112,7 @@
             self.find_reachable();
             self.classify_servers();
         }
+        self.least_cold_budget = self.find_least_cold_budget();
         self.count_caches();
     }
 
--- a/src/logic/membership.rs
+++ b/src/logic/membership.rs
@@ -24,7 +24,8 @@
         if members.scope == Scope::Failed {
             return;
         }
-        if members.scope == Scope::Full {
+        let scope = members.scope;
+        if scope == Scope::Full {
             // Danger: a server that a complete list no longer names is gone, and a drain in all but name.
             let reachable = members.hosts.iter().filter(|host| self.is_reachable(host));
             let named: BTreeSet<ServerId> = reachable.map(|host| host.server).collect();
@@ -60,6 +61,11 @@
                 server.host = host;
             }
             self.classify_server(id);
+            let budget = self.servers.get(&id).and_then(|s| self.cold_budget(s));
+            self.least_cold_budget = budget.unwrap_or(f64::MAX).min(self.least_cold_budget);
+        }
+        if scope == Scope::Full {
+            self.least_cold_budget = self.find_least_cold_budget();
         }
         self.count_caches();
     }
@@ -105,8 +111,8 @@
         self.servers.insert(id, server);
     }
 
-    /// Danger: over weeks of replaced servers, what is stored of each grows without end. But a list that drops
-    /// a server and names it again must not grant its budget anew: what was sent counts for its span.
+    /// Danger: over weeks of replaced servers, what is stored of each grows without end. But a list that
+    /// drops a server and names it again must not grant a new budget: what was sent counts for its span.
     pub(super) fn retire(&mut self, id: ServerId) {
         self.elsewhere.remove(&id);
         let (now, span) = (self.now, self.settings.overload_span);
--- a/src/logic/slow_start.rs
+++ b/src/logic/slow_start.rs
@@ -10,6 +10,8 @@
 const BUDGET_SHARE: f64 = 0.35;
 /// How much more of it is used as many routers share the budget: their bursts even out.
 const SHARED_BUDGET_SHARE: f64 = 0.2;
+/// Requests that any server bears which has just started, as long as nothing is known of their work.
+const LEAST_COLD_REQUESTS: f64 = 6.0;
 /// Share of a fill that a request with a hit record counts for in its source's budget: records can be wrong.
 pub(super) const RECORDED_FILL_SHARE: f64 = 0.3;
 
@@ -67,9 +69,24 @@
         self.unsized_work[class].estimate(self.assumed_work(class))
     }
 
-    /// Microseconds that a request of a class is taken for at first: what fits its objective at most.
+    /// Microseconds that a request of a class is taken for at first: what fits its objective at most. Danger:
+    /// by one that is many times the work, servers that have started idle; each bears a few requests.
     pub(super) fn assumed_work(&self, class: usize) -> f64 {
-        micros_f64(self.settings.classes[class].latency_objective).max(INITIAL_SENDING_TIME)
+        let objective = micros_f64(self.settings.classes[class].latency_objective).max(INITIAL_SENDING_TIME);
+        objective.min(self.least_cold_budget / LEAST_COLD_REQUESTS)
+    }
+
+    /// Work (µs) that pushes over a server which has just started; none where its size is not listed.
+    pub(super) fn cold_budget(&self, s: &Server) -> Option<f64> {
+        let is_sized = self.settings.weighted && s.host.weight > 0.0;
+        let SlowStart { from, multiple, .. } = self.settings.slow_start(self.tier(s));
+        let budget = multiple * from * s.host.weight * micros_f64(self.settings.overload_span);
+        (is_sized && Some(s.host.kind) != self.settings.origin_kind).then_some(budget)
+    }
+
+    /// The least of all that are listed; unbounded where no sizes are.
+    pub(super) fn find_least_cold_budget(&self) -> f64 {
+        self.servers.values().filter_map(|s| self.cold_budget(s)).fold(f64::MAX, f64::min)
     }
 
     /// May anything new go to, or be filled from, this server?
