--- a/lab/src/trial/gateway.rs
+++ b/lab/src/trial/gateway.rs
@@ -47,6 +47,8 @@
         let path = |what: &str| dir.join(format!("g{number}.{what}"));
         let (config_path, log) = (path("config.json"), path("log"));
         write(&config_path, config)?;
+        // Before the process is there: one that is not returned would live on.
+        let log_file = std::fs::File::create(&log).map_err(TrialError::io("a log"))?;
         let mut command = Command::new(laboratory()?);
         command.arg("daemon");
         for (flag, text) in files {
@@ -62,7 +64,6 @@
             .spawn()
             .map_err(TrialError::io("a gateway"))?;
         let (listening, address) = channel();
-        let log_file = std::fs::File::create(&log).map_err(TrialError::io("a log"))?;
         if let Some(lines) = child.stderr.take() {
             std::thread::spawn(move || copy_log(lines, log_file, &listening));
         }
