Draw turns at cold stores by the gateway's name as well as by the configured seed

Cause: gateways whose files have one seed, or none, drew the same turns, all at once.

Change: the seed of a process is mixed with the gateway's name, which is the same after a restart and unlike those of the others.

--- a/gateway/src/net/startup.rs
+++ b/gateway/src/net/startup.rs
@@ -21,6 +21,7 @@
 use crate::system_errors::through_shortages;
 use crate::wire_settings::WireSettings;
 use larchway::{MonotonicTime, Settings};
+use larchway_endpoints::endpoint::endpoint_id;
 use larchway_operations::manual_ejection::ManualEjections;
 use larchway_operations::ProcessGroup;
 use std::collections::BTreeMap;
@@ -36,7 +37,9 @@
             file_set.load(&Overlay::default())?;
         let keys = SignalKeys { stop: PollKey::StopSignal.into(), reload: PollKey::ReloadSignal.into() };
         let signals = PolledSignals::open(keys, start_until)?;
-        let mut gateway = Gateway::unconfigured(files, config.listen, config.seed, signals);
+        // Danger: gateways whose files have one seed would all take their turns at cold stores at once.
+        let seed = larchway::mix(config.seed ^ endpoint_id(&config.name));
+        let mut gateway = Gateway::unconfigured(files, config.listen, seed, signals);
         gateway.keep_files(file_set);
         gateway.front = front;
         let shared = config.console.is_some();
@@ -48,7 +51,7 @@
         let frames = scratch.map(|folder| gateway.find_other_processes(&folder, &name)).unwrap_or_default();
         // The clock goes on where that of the other process is.
         let now = clock::now();
-        gateway.events = Events::new(now, config.seed);
+        gateway.events = Events::new(now, seed);
         gateway.configure_object_cache(&config, copies, events.is_some());
         gateway.configure_tier_peers(
             now,
