Let the scenario of the saved roster go by the clock that the run steps

Seen: the checks failed under a stepped clock in this scenario alone: the roster was saved by a clock an hour off the one by which the scenario let it be read, and refused as too old or from the future.

Change: the scenario waits for the step and starts the later processes ahead of the clock as it is then. Its expectations are as they were.

--- a/gateway/tests/net/starts.rs
+++ b/gateway/tests/net/starts.rs
@@ -123,6 +123,8 @@
         Scenario::new(Setup { ensemble, known: false, extra: extra.clone(), clock_ahead, ..Setup::default() })
     };
     let first = gateway(0);
+    // The roster is saved by the clock as it stays then.
+    let saved_ahead = first.settle_clock();
     let data = started_at(&first, "a1", unix_ms());
     keepers.with(|e| e.put(now(), "/stores/a1", data.as_bytes(), 50));
     let roster = folder.join("members-n1.roster");
@@ -134,7 +136,7 @@
     drop(first);
     keepers.with(|e| e.servers.iter_mut().for_each(|server| server.stalled = true));
     for (clock_ahead, by_own_clock) in [(20, "2"), (300, "30")] {
-        let mut next = gateway(clock_ahead);
+        let mut next = gateway(saved_ahead + clock_ahead);
         next.set("age", by_own_clock).run(
             "log < begins from a roster of 1 boxes
              log < a store has started store=\"s-a1\" age_ms=0 by_own_clock_ms=$age",
