--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -324,6 +324,16 @@
         allowed + times * allowed.sqrt() + plus
     }
 
+    /// Plays the day, in which no span of any server may hold more than its budget.
+    fn check_budgets(&self) {
+        for (server, lives) in self.play(self.gateways + self.allowed as u64).iter().enumerate() {
+            for (start, sent) in STARTS.iter().zip(lives) {
+                let used = self.used(*start, sent);
+                assert!(used <= 1.0, "{self:?}: {used} of the budget of {server} from {start:?}");
+            }
+        }
+    }
+
     /// The largest share of the budget that is used in any span, wherever it begins.
     fn used(&self, start: MonotonicTime, sent: &Sent) -> f64 {
         let mut first = 0;
@@ -349,13 +359,7 @@
                 (70, Sizes::Equal, false),
                 (70, Sizes::Equal, true),
             ] {
-                let fleet = Fleet { gateways, allowed, sizes, restarted, alone };
-                for (server, lives) in fleet.play(gateways + allowed as u64).iter().enumerate() {
-                    for (start, sent) in STARTS.iter().zip(lives) {
-                        let used = fleet.used(*start, sent);
-                        assert!(used <= 1.0, "{fleet:?}: {used} of the budget of {server} from {start:?}");
-                    }
-                }
+                Fleet { gateways, allowed, sizes, restarted, alone }.check_budgets();
             }
         }
     }
@@ -384,13 +388,7 @@
         (100, Sizes::Spread, true),
         (100, Sizes::Equal, true),
     ] {
-        let fleet = Fleet { gateways, allowed, sizes, restarted, alone };
-        for (server, lives) in fleet.play(gateways + allowed as u64).iter().enumerate() {
-            for (start, sent) in STARTS.iter().zip(lives) {
-                let used = fleet.used(*start, sent);
-                assert!(used <= 1.0, "{fleet:?}: {used} of the budget of {server} from {start:?}");
-            }
-        }
+        Fleet { gateways, allowed, sizes, restarted, alone }.check_budgets();
     }
 }
 
