--- a/lab/src/stand/bulletin.rs
+++ b/lab/src/stand/bulletin.rs
@@ -1,20 +1,36 @@
 //! A stand-in bulletin: numbered events by server-sent events, a comment every 500 ms. An event is written to its
 //! subscribers as soon as it is published; events published meanwhile go out in one write.
+use super::accepted::Acceptor;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Time between two comments.
 const HEARTBEAT: Duration = Duration::from_millis(500);
 
-/// A bulletin.
+/// A bulletin. It ends with the last of its clones.
 #[derive(Clone)]
 pub struct Bulletin {
     /// Where it listens.
     pub address: SocketAddr,
+    server: Arc<Server>,
+}
+
+/// What all clones of a bulletin have: its connections end with it.
+struct Server {
     shared: Arc<Shared>,
+    _acceptor: Acceptor,
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        // Under the lock: a subscriber that looks for events at this moment would wait on for its heartbeat.
+        let _events = self.shared.lock_events();
+        self.shared.has_ended.store(true, Ordering::Relaxed);
+        self.shared.published.notify_all();
+    }
 }
 
 #[derive(Default)]
@@ -23,22 +39,22 @@
     events: Mutex<Vec<String>>,
     published: Condvar,
     written: AtomicU64,
+    has_ended: AtomicBool,
+}
+
+impl Shared {
+    fn lock_events(&self) -> MutexGuard<'_, Vec<String>> {
+        self.events.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl Bulletin {
     /// Starts one that has published nothing.
     pub fn start() -> std::io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let address = listener.local_addr()?;
         let shared = Arc::new(Shared::default());
         let served = shared.clone();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let served = served.clone();
-                std::thread::spawn(move || serve(stream, &served));
-            }
-        });
-        Ok(Bulletin { address, shared })
+        let (acceptor, address) = Acceptor::start(move |stream| serve(&stream, &served))?;
+        Ok(Bulletin { address, server: Arc::new(Server { shared, _acceptor: acceptor }) })
     }
 
     /// Publishes entries of the list of stores.
@@ -63,19 +79,20 @@
 
     /// Bytes written to all subscribers so far, heads and comments among them.
     pub fn bytes_written(&self) -> u64 {
-        self.shared.written.load(Ordering::Relaxed)
+        self.server.shared.written.load(Ordering::Relaxed)
     }
 
     fn publish(&self, data: impl FnOnce(usize) -> String) {
-        let mut events = self.shared.events.lock().unwrap_or_else(PoisonError::into_inner);
+        let shared = &self.server.shared;
+        let mut events = shared.lock_events();
         let no = events.len() + 1;
         events.push(data(no));
-        self.shared.published.notify_all();
+        shared.published.notify_all();
     }
 }
 
 /// The number after which a subscriber wants the events.
-fn cursor(stream: TcpStream) -> usize {
+fn cursor(stream: &TcpStream) -> usize {
     let mut last = 0;
     for line in BufReader::new(stream).lines().map_while(Result::ok) {
         if line.is_empty() {
@@ -88,13 +105,12 @@
     last
 }
 
-fn serve(mut stream: TcpStream, shared: &Shared) {
-    let Ok(reading) = stream.try_clone() else { return };
+fn serve(mut stream: &TcpStream, shared: &Shared) {
     let _ = stream.set_nodelay(true);
-    let mut last = cursor(reading);
+    let mut last = cursor(stream);
     let mut text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n".to_string();
     let mut heartbeat = Instant::now();
-    loop {
+    while !shared.has_ended.load(Ordering::Relaxed) {
         if !text.is_empty() {
             if stream.write_all(text.as_bytes()).is_err() {
                 return;
@@ -112,8 +128,9 @@
 
 /// Waits for events after a number, for so long at most; writes them and returns the last one's number.
 fn next_events(shared: &Shared, last: usize, wait: Duration, text: &mut String) -> usize {
-    let events = shared.events.lock().unwrap_or_else(PoisonError::into_inner);
-    let nothing_new = |events: &mut Vec<String>| events.len() <= last;
+    let events = shared.lock_events();
+    let nothing_new =
+        |events: &mut Vec<String>| events.len() <= last && !shared.has_ended.load(Ordering::Relaxed);
     let waited = shared.published.wait_timeout_while(events, wait, nothing_new);
     let (events, _) = waited.unwrap_or_else(PoisonError::into_inner);
     for (at, event) in events.iter().enumerate().skip(last) {
--- a/lab/src/stand/mod.rs
+++ b/lab/src/stand/mod.rs
@@ -1,4 +1,5 @@
 //! Stand-ins, written from the public specifications of what they stand for.
+mod accepted;
 pub mod bulletin;
 pub mod ensemble;
 pub mod event_source;
--- a/lab/src/stand/store.rs
+++ b/lab/src/stand/store.rs
@@ -1,14 +1,16 @@
 //! A stand-in store: answers the wire to stores (RESP arrays of bulk strings) at a fixed capacity, and can go silent,
 //! die and come back. It records when which gateway sent it a request.
+use super::accepted::Connections;
 use super::service_time::ServiceTime;
 use crate::clock::now;
 use larchway::Micros;
 use larchway_gateway::resp;
 use std::collections::VecDeque;
 use std::io::{ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, AtomicU8, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 /// Whether a store answers.
@@ -46,6 +48,8 @@
 const ACCEPT_INTERVAL: Duration = Duration::from_millis(2);
 /// How long a read waits before the mode is looked at.
 const READ_TIMEOUT: Duration = Duration::from_millis(50);
+/// Time between two looks whether the client of a request that waits for a worker is still there.
+const CLIENT_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The commands of the wire to stores.
 const GET_COMMAND: &str = "PULL";
@@ -72,6 +76,10 @@
     /// By how many spans the load reports are late.
     report_delay: AtomicU64,
     accepted: AtomicU64,
+    connections: Connections,
+    /// Whether the store has ended, for good.
+    has_ended: Mutex<bool>,
+    ended: Condvar,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -106,22 +114,76 @@
         self.mode.load(Ordering::Relaxed) == mode as u8
     }
 
-    /// Waits for an idle worker, and occupies it for the service time of an object.
-    fn work(&self, object: u64) {
-        let is_full = |busy: &mut usize| *busy >= self.workers;
-        let waited = self.worker_idle.wait_while(lock(&self.busy_workers), is_full);
-        *waited.unwrap_or_else(PoisonError::into_inner) += 1;
-        std::thread::sleep(self.service.of(object));
+    fn has_ended(&self) -> bool {
+        *lock(&self.has_ended)
+    }
+
+    /// Waits for an idle worker, and occupies it for the service time of an object. The request of a client that has
+    /// left is worked on all the same, but its descriptor is closed.
+    fn work(&self, object: u64, client: &mut Client) {
+        let mut busy = lock(&self.busy_workers);
+        while *busy >= self.workers && !self.has_ended() {
+            let waited = self.worker_idle.wait_timeout(busy, CLIENT_CHECK_INTERVAL);
+            let (workers, timeout) = waited.unwrap_or_else(PoisonError::into_inner);
+            busy = workers;
+            if timeout.timed_out() {
+                client.close_if_left();
+            }
+        }
+        *busy += 1;
+        drop(busy);
+        let goes_on = |has_ended: &mut bool| !*has_ended;
+        let time = self.service.of(object);
+        drop(self.ended.wait_timeout_while(lock(&self.has_ended), time, goes_on));
         *lock(&self.busy_workers) -= 1;
         self.worker_idle.notify_one();
     }
+
+    /// Ends what waits for a worker or is worked on.
+    fn end(&self) {
+        *lock(&self.has_ended) = true;
+        self.ended.notify_all();
+        self.worker_idle.notify_all();
+    }
+}
+
+/// The other end of a connection; none once it is known to have left.
+struct Client(Option<Arc<TcpStream>>);
+
+impl Client {
+    /// Closes the connection if the client has closed it.
+    fn close_if_left(&mut self) {
+        if self.0.as_deref().is_some_and(has_left) {
+            self.0 = None;
+        }
+    }
 }
 
-/// A store. Its threads end with the process.
+/// Whether the other side has closed a connection, and nothing that it sent is left to read.
+fn has_left(stream: &TcpStream) -> bool {
+    let _ = stream.set_nonblocking(true);
+    let peeked = stream.peek(&mut [0]);
+    let _ = stream.set_nonblocking(false);
+    !matches!(peeked, Ok(1..)) && !peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+}
+
+/// A store. Its listener, its connections and their threads end with this.
 pub struct Store {
     /// Where it listens.
     pub address: SocketAddr,
     shared: Arc<Shared>,
+    listening: Option<JoinHandle<()>>,
+}
+
+impl Drop for Store {
+    fn drop(&mut self) {
+        self.shared.end();
+        if let Some(thread) = self.listening.take() {
+            // A thread that panicked has ended as well.
+            let _ = thread.join();
+        }
+        self.shared.connections.close();
+    }
 }
 
 impl Store {
@@ -150,10 +212,13 @@
             load_spans: Mutex::default(),
             report_delay: AtomicU64::new(0),
             accepted: AtomicU64::new(0),
+            connections: Connections::default(),
+            has_ended: Mutex::new(false),
+            ended: Condvar::new(),
         });
         let own = shared.clone();
-        std::thread::spawn(move || listen(listener, address, &own));
-        Ok(Store { address, shared })
+        let listening = std::thread::spawn(move || listen(listener, address, &own));
+        Ok(Store { address, shared, listening: Some(listening) })
     }
 
     /// Changes whether it answers.
@@ -177,53 +242,48 @@
     }
 }
 
-/// Accepts connections until the process ends; while the store is dead, it does not listen.
+/// Accepts connections until the store ends; while it is dead, it does not listen.
 fn listen(first: TcpListener, address: SocketAddr, shared: &Arc<Shared>) {
     let mut listener = Some(first);
-    let mut connections: Vec<TcpStream> = Vec::new();
-    loop {
+    while !shared.has_ended() {
         if shared.is_in_mode(Mode::Dead) {
             listener = None;
-            for stream in connections.drain(..) {
-                let _ = stream.shutdown(Shutdown::Both);
-            }
+            shared.connections.shut_down();
         } else if listener.is_none() {
             listener = TcpListener::bind(address).ok();
         }
         if let Some(listener) = &listener {
-            accept(listener, &mut connections, shared);
+            accept(listener, shared);
         }
         std::thread::sleep(ACCEPT_INTERVAL);
     }
 }
 
 /// Accepts the connections that wait; each is served by a thread.
-fn accept(listener: &TcpListener, connections: &mut Vec<TcpStream>, shared: &Arc<Shared>) {
+fn accept(listener: &TcpListener, shared: &Arc<Shared>) {
     let _ = listener.set_nonblocking(true);
     while let Ok((stream, _)) = listener.accept() {
         shared.accepted.fetch_add(1, Ordering::Relaxed);
         let _ = stream.set_nonblocking(false);
         let _ = stream.set_nodelay(true);
-        if let Ok(clone) = stream.try_clone() {
-            connections.push(clone);
-        }
-        let shared = shared.clone();
-        std::thread::spawn(move || serve(stream, &shared));
+        let own = shared.clone();
+        shared.connections.serve(stream, move |stream| serve(stream, &own));
     }
 }
 
 /// Answers the requests of a connection until it ends or the store is dead.
-fn serve(mut stream: TcpStream, shared: &Shared) {
+fn serve(stream: Arc<TcpStream>, shared: &Shared) {
     let _ = stream.set_read_timeout(Some(READ_TIMEOUT));
+    let mut client = Client(Some(stream));
     let (mut input, mut buffer) = (Vec::new(), vec![0; BUFFER_LENGTH]);
-    loop {
+    while let Some(mut stream) = client.0.as_deref() {
         match stream.read(&mut buffer) {
             Ok(0) => return,
             Ok(length) => input.extend_from_slice(&buffer[..length]),
             Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
             Err(_) => return,
         }
-        if shared.is_in_mode(Mode::Dead) {
+        if shared.is_in_mode(Mode::Dead) || shared.has_ended() {
             return;
         }
         while let Ok(Some(resp::Array { strings, length })) = resp::decode_array(&input) {
@@ -235,9 +295,10 @@
             input.drain(..length);
             let answer = match command.as_str() {
                 LOAD_COMMAND => Some(load_report(shared, &id)),
-                GET_COMMAND => get(shared, &id, &fields),
+                GET_COMMAND => get(shared, &id, &fields, &mut client),
                 _ => None,
             };
+            let Some(mut stream) = client.0.as_deref() else { return };
             if answer.is_some_and(|answer| stream.write_all(&answer).is_err()) {
                 return;
             }
@@ -254,7 +315,7 @@
 }
 
 /// The answer to a request for an object, once a worker has served it; none while the store is silent.
-fn get(shared: &Shared, id: &str, fields: &str) -> Option<Vec<u8>> {
+fn get(shared: &Shared, id: &str, fields: &str, client: &mut Client) -> Option<Vec<u8>> {
     let gateway = u8::from_str_radix(id.get(..2).unwrap_or(""), 16).unwrap_or(0);
     let source = resp::field(fields, "miss").map(String::from);
     let replay = resp::field(fields, "replay").map(String::from);
@@ -266,7 +327,7 @@
         return None;
     }
     let object = resp::field(fields, "thing").and_then(|digits| u64::from_str_radix(digits, 16).ok());
-    shared.work(object.unwrap_or(0));
+    shared.work(object.unwrap_or(0), client);
     if shared.is_in_mode(Mode::Silent) {
         return None;
     }
