Reserve descriptors for scenarios of cold stores, and leave nothing of failed ones

Seen: drawn scenarios that play side by side ran into the process's limit of descriptors; one that failed left its folder, and clients that still connected.

Cause: nothing bounded what scenarios have open together; idle clients of killed gateways stayed to the scenario's end; the folder was removed only with a world that had been set up whole, and clients were not waited for where a scenario failed.

Change: a scenario reserves what it needs at the most (the gateways' own limits, logs, clients) and waits for its turn, or is refused where the process may never open as many. Fleet ends its clients with its gateways; ScratchFolder goes with the scenario, however it ends. Idle clients leave with their gateway.

--- a/lab/src/trial/cold/mod.rs
+++ b/lab/src/trial/cold/mod.rs
@@ -23,7 +23,7 @@
 const HOUR: i64 = 3600;
 /// The case in which scenarios are drawn by as many seeds.
 const SOAK: &str = "soak";
-const SOAK_SEEDS: u64 = 20;
+const SOAK_SEEDS: u64 = 50;
 
 /// A scenario with its name.
 struct Case {
--- a/lab/src/trial/cold/run.rs
+++ b/lab/src/trial/cold/run.rs
@@ -50,103 +50,129 @@
     }
 }
 
-/// The gateways that run, and their clients.
+/// A gateway that runs, and its idle clients, which leave with it.
+struct RunningGateway {
+    gateway: Gateway,
+    _crowd: Vec<TcpStream>,
+}
+
+/// The gateways that run, and the clients with requests.
 struct Fleet<'a> {
     world: &'a World,
     start: Instant,
     end_ms: u64,
-    running: Vec<Gateway>,
+    running: Vec<RunningGateway>,
     clients: Vec<JoinHandle<Option<LoadResult>>>,
-    crowd: Vec<TcpStream>,
 }
 
-impl Fleet<'_> {
-    fn start_clients(&mut self, gateway: &Gateway) {
+impl<'a> Fleet<'a> {
+    /// Starts all gateways, and their clients for so many ms.
+    fn start(world: &'a World, gateways: usize, end_ms: u64) -> Result<Self, TrialError> {
+        let running = play_all(gateways, |number| world.start_gateway(number, Knowledge::BeforeStart))?;
+        let mut fleet =
+            Fleet { world, start: Instant::now(), end_ms, running: Vec::new(), clients: Vec::new() };
+        running.into_iter().for_each(|gateway| fleet.add(gateway));
+        Ok(fleet)
+    }
+
+    /// Adds a gateway that has started, and starts its clients.
+    fn add(&mut self, gateway: Gateway) {
         let rest_ms = self.end_ms.saturating_sub(self.start.elapsed().as_millis() as u64);
-        self.clients.push(self.world.start_clients(gateway, rest_ms));
-        self.crowd.extend(self.world.crowd(gateway));
+        self.clients.push(self.world.start_clients(&gateway, rest_ms));
+        let crowd = self.world.crowd(&gateway);
+        self.running.push(RunningGateway { gateway, _crowd: crowd });
     }
 
     /// Kills gateways outright, and starts them again.
     fn restart(&mut self, kill: &Kill) -> Result<(), TrialError> {
-        let is_killed = |gateway: &Gateway| match kill.killed {
+        let is_killed = |running: &RunningGateway| match kill.killed {
             Killed::All => true,
-            Killed::EveryOther => !gateway.number.is_multiple_of(2),
+            Killed::EveryOther => !running.gateway.number.is_multiple_of(2),
         };
         let killed_at = self.start.elapsed().as_millis() as u64;
-        let (mut killed, stay): (Vec<Gateway>, Vec<Gateway>) =
+        let (mut killed, stay): (Vec<RunningGateway>, Vec<RunningGateway>) =
             std::mem::take(&mut self.running).into_iter().partition(is_killed);
         self.running = stay;
-        signal(&killed, kill.before)?;
-        killed.iter_mut().for_each(Gateway::kill);
+        kill.before.iter().try_for_each(|signals| signal(&killed, *signals))?;
+        killed.iter_mut().for_each(|running| running.gateway.kill());
+        let numbers: Vec<usize> = killed.iter().map(|running| running.gateway.number).collect();
+        drop(killed);
         sleep_until(self.start, killed_at + kill.down_ms);
-        let numbers: Vec<usize> = killed.iter().map(|gateway| gateway.number).collect();
         let world = self.world;
         let again =
             play_all(numbers.len(), |index| world.start_gateway(numbers[index], Knowledge::AfterStart))?;
-        again.iter().for_each(|gateway| self.start_clients(gateway));
-        self.running.extend(again);
+        again.into_iter().for_each(|gateway| self.add(gateway));
         Ok(())
     }
+
+    /// Waits until all clients have ended; returns the results of those whose gateway was not killed.
+    fn finish(&mut self) -> Result<Vec<LoadResult>, TrialError> {
+        let mut results = Vec::new();
+        for client in self.clients.drain(..) {
+            let result = client.join().map_err(|_| TrialError::ClientsPanicked("a load ended"))?;
+            results.extend(result);
+        }
+        Ok(results)
+    }
+}
+
+impl Drop for Fleet<'_> {
+    /// Clients of a scenario that has failed end with their gateways.
+    fn drop(&mut self) {
+        self.running.clear();
+        for client in self.clients.drain(..) {
+            let _ = client.join();
+        }
+    }
 }
 
 /// Plays a scenario; `name` distinguishes its files from those of others.
 pub fn run(name: &str, scenario: &Scenario) -> Result<Figures, TrialError> {
-    let mut world = World::start(name, scenario)?;
-    let running = play_all(scenario.gateways, |number| world.start_gateway(number, Knowledge::BeforeStart))?;
-    let (start, end_ms) = (Instant::now(), LISTED_MS + scenario.end_ms);
-    let clients = running.iter().map(|gateway| world.start_clients(gateway, end_ms)).collect();
-    let crowd = running.iter().flat_map(|gateway| world.crowd(gateway)).collect();
+    let world = World::start(name, scenario)?;
+    let mut fleet = Fleet::start(&world, scenario.gateways, LISTED_MS + scenario.end_ms)?;
+    let start = fleet.start;
     sleep_until(start, LISTED_MS);
     let started_at = world.list_store();
-    let mut fleet = Fleet { world: &world, start, end_ms, running, clients, crowd };
     for kill in &scenario.kills {
         sleep_until(start, LISTED_MS + kill.at_ms);
         fleet.restart(kill)?;
     }
-    let Fleet { clients, running, .. } = fleet;
-    let figures = figures(&world, started_at, clients);
-    drop(running);
-    figures
+    let results = fleet.finish()?;
+    Ok(figures(&world, started_at, &results))
 }
 
 /// Sends gateways the signals that come before a kill.
-fn signal(gateways: &[Gateway], signals: SignalsBefore) -> Result<(), TrialError> {
+fn signal(running: &[RunningGateway], signals: SignalsBefore) -> Result<(), TrialError> {
+    let each = |send: &dyn Fn(&Gateway) -> Result<(), TrialError>| {
+        running.iter().try_for_each(|running| send(&running.gateway))
+    };
     match signals {
-        SignalsBefore::None => {}
         SignalsBefore::Reloads(times) => {
             for _ in 0..times {
-                gateways.iter().try_for_each(Gateway::reload)?;
+                each(&Gateway::reload)?;
                 std::thread::sleep(RELOAD_INTERVAL);
             }
         }
         SignalsBefore::PauseMs(ms) => {
-            gateways.iter().try_for_each(|gateway| gateway.signal("STOP"))?;
+            each(&|gateway| gateway.signal("STOP"))?;
             std::thread::sleep(Duration::from_millis(ms));
-            gateways.iter().try_for_each(|gateway| gateway.signal("CONT"))?;
+            each(&|gateway| gateway.signal("CONT"))?;
         }
         SignalsBefore::Stop => {
-            gateways.iter().try_for_each(|gateway| gateway.signal("TERM"))?;
+            each(&|gateway| gateway.signal("TERM"))?;
             std::thread::sleep(STOP_TIME);
         }
     }
     Ok(())
 }
 
-fn figures(
-    world: &World,
-    started_at: Micros,
-    clients: Vec<JoinHandle<Option<LoadResult>>>,
-) -> Result<Figures, TrialError> {
-    let (mut asked, mut in_time) = (0, 0);
-    for client in clients {
-        let result = client.join().map_err(|_| TrialError::ClientsPanicked("a load ended"))?;
-        if let Some(result) = result {
-            asked += result.asked;
-            in_time += result.in_time;
-        }
-    }
+fn figures(world: &World, started_at: Micros, results: &[LoadResult]) -> Figures {
     let mut times: Vec<Micros> = world.store.seen().iter().map(|request| request.at).collect();
     times.sort_unstable();
-    Ok(Figures { requests: times.len(), worst: worst_window(&times, started_at), asked, in_time })
+    Figures {
+        requests: times.len(),
+        worst: worst_window(&times, started_at),
+        asked: results.iter().map(|result| result.asked).sum(),
+        in_time: results.iter().map(|result| result.in_time).sum(),
+    }
 }
--- a/lab/src/trial/cold/scenario.rs
+++ b/lab/src/trial/cold/scenario.rs
@@ -12,6 +12,14 @@
 const CLOCKS_AHEAD: [i64; 6] = [0, 0, 3600, -3600, 20, 86_400];
 /// Idle clients of each gateway that make a crowd: more than the descriptors left for clients.
 const CROWD: usize = 40;
+/// Connections of the load on a gateway.
+pub(super) const CLIENT_CONNECTIONS: usize = 2;
+/// Descriptors that a gateway may have open, as its configuration says: the other ends are in this process.
+pub(super) const GATEWAY_DESCRIPTORS: usize = 96;
+/// Descriptors of this process for a gateway's log and the pipe that it comes by.
+const LOG_DESCRIPTORS: usize = 2;
+/// Listeners of stores and sources, and files that are written.
+const OTHER_DESCRIPTORS: usize = 32;
 /// ms from the store's start to the end.
 const LONG_ENOUGH_MS: u64 = 6000;
 /// ms after the store's start in which drawn kills come, and for which a gateway then stays away.
@@ -27,11 +35,9 @@
     EveryOther,
 }
 
-/// Signals that come in a row before a kill.
+/// Signals that come before a kill.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SignalsBefore {
-    /// None.
-    None,
     /// The configuration is read again so many times, in a row.
     Reloads(usize),
     /// The process stands still for so many ms, and goes on.
@@ -41,7 +47,7 @@
 }
 
 /// A kill of gateways, which are then started again.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Kill {
     /// ms after the store's start.
     pub at_ms: u64,
@@ -49,8 +55,8 @@
     pub down_ms: u64,
     /// Which.
     pub killed: Killed,
-    /// What they are sent before.
-    pub before: SignalsBefore,
+    /// What they are sent before, in this order.
+    pub before: Vec<SignalsBefore>,
 }
 
 /// How a gateway that is started again learns of the store's start.
@@ -102,12 +108,7 @@
             warm_stores: 0,
             service: ServiceTime::Equal(Duration::from_millis(SERVICE_MS)),
             load: 2.0,
-            kills: vec![Kill {
-                at_ms: 2000,
-                down_ms: 0,
-                killed: Killed::EveryOther,
-                before: SignalsBefore::None,
-            }],
+            kills: vec![Kill { at_ms: 2000, down_ms: 0, killed: Killed::EveryOther, before: Vec::new() }],
             clock_ahead: 0,
             start_known_from: StartKnownFrom::Change,
             crowd: 0,
@@ -122,7 +123,7 @@
         Scenario {
             warm_stores: 3,
             load: 0.9,
-            kills: vec![Kill { at_ms: 500, down_ms: 200, killed: Killed::All, before: SignalsBefore::None }],
+            kills: vec![Kill { at_ms: 500, down_ms: 200, killed: Killed::All, before: Vec::new() }],
             clock_ahead,
             start_known_from: StartKnownFrom::KnownList,
             end_ms: LONG_ENOUGH_MS,
@@ -141,6 +142,12 @@
         Scenario { service: ServiceTime::Spread { mean, sigma: SPREAD }, ..self }
     }
 
+    /// Descriptors of this process that it needs at the most. Clients of gateways that were killed may still be there.
+    pub fn descriptors(&self) -> usize {
+        let clients = CLIENT_CONNECTIONS * (1 + self.kills.len()) + self.crowd;
+        self.gateways * (GATEWAY_DESCRIPTORS + LOG_DESCRIPTORS + clients) + OTHER_DESCRIPTORS
+    }
+
     /// A scenario drawn by its seed: numbers, kills, clocks and lists.
     pub fn drawn(seed: u64) -> Self {
         let mut random = Pcg64Mcg::seed_from_u64(seed);
@@ -158,10 +165,10 @@
             down_ms: random.random_range(DOWN_MS),
             killed: if random.random_bool(0.7) { Killed::All } else { Killed::EveryOther },
             before: match random.random_range(0..6) {
-                0 => SignalsBefore::Reloads(random.random_range(1..=4)),
-                1 => SignalsBefore::PauseMs(random.random_range(50..400)),
-                2 => SignalsBefore::Stop,
-                _ => SignalsBefore::None,
+                0 => vec![SignalsBefore::Reloads(random.random_range(1..=4))],
+                1 => vec![SignalsBefore::PauseMs(random.random_range(50..400))],
+                2 => vec![SignalsBefore::Stop],
+                _ => Vec::new(),
             },
         };
         let kills = times.into_iter().map(&mut kill).collect();
@@ -177,10 +184,21 @@
             end_ms: LONG_ENOUGH_MS,
             ..Scenario::half_restarted(0, seed)
         };
-        if random.random_bool(0.5) {
-            scenario.with_spread_sizes()
-        } else {
-            scenario
+        let mut scenario = if random.random_bool(0.5) { scenario.with_spread_sizes() } else { scenario };
+        for kill in &mut scenario.kills {
+            let earlier = draw_signals(&mut random);
+            kill.before.splice(0..0, earlier);
         }
+        scenario
     }
 }
+
+/// A series of signals that a gateway outlives.
+fn draw_signals(random: &mut Pcg64Mcg) -> Vec<SignalsBefore> {
+    let count = random.random_range(0..=2);
+    let draw = |_| match random.random_bool(0.5) {
+        true => SignalsBefore::Reloads(random.random_range(1..=4)),
+        false => SignalsBefore::PauseMs(random.random_range(50..400)),
+    };
+    (0..count).map(draw).collect()
+}
--- a/lab/src/trial/cold/world.rs
+++ b/lab/src/trial/cold/world.rs
@@ -1,19 +1,21 @@
 //! The processes of the trial: gateways that know nothing of each other, the store that starts and the warm ones.
 use super::budget::{COLD_START_SHARE, WARM_UP_MS};
-use super::scenario::{Scenario, StartKnownFrom};
+use super::scenario::{Scenario, StartKnownFrom, CLIENT_CONNECTIONS, GATEWAY_DESCRIPTORS};
 use super::{capacity, OBJECTIVE_MS, WORKERS};
 use crate::clock::now;
 use crate::load::{self, Load, LoadResult};
 use crate::stand::bulletin::Bulletin;
 use crate::stand::store::Store;
+use crate::trial::descriptors::{DescriptorBudget, Reservation};
 use crate::trial::edge_stores::settings;
 use crate::trial::gateway::Gateway;
 use crate::trial::list_entry::ListEntry;
+use crate::trial::scratch_folder::ScratchFolder;
 use crate::trial::wall_clock;
 use crate::trial::TrialError;
 use larchway::Micros;
 use std::net::TcpStream;
-use std::path::PathBuf;
+use std::sync::OnceLock;
 use std::thread::JoinHandle;
 
 /// Bytes of an object.
@@ -39,7 +41,6 @@
 
 /// A store before many gateways.
 pub(super) struct World {
-    dir: PathBuf,
     bulletin: Bulletin,
     /// Sends the complete list, once the store has started, as its first event.
     late_bulletin: Bulletin,
@@ -47,14 +48,19 @@
     pub store: Store,
     warm: Vec<Store>,
     scenario: Scenario,
-    started_at: Micros,
+    /// When the store was listed, µs of the Unix clock.
+    started_at: OnceLock<Micros>,
+    folder: ScratchFolder,
+    /// Released last, once all that was opened is closed.
+    _descriptors: Reservation<'static>,
 }
 
 impl World {
-    /// Starts the stores, the one that is to start not listed yet; `name` distinguishes the files from those of others.
+    /// Starts the stores, the one that is to start not listed yet, as soon as there are descriptors for the scenario;
+    /// `name` distinguishes the files from those of others.
     pub fn start(name: &str, scenario: &Scenario) -> Result<Self, TrialError> {
-        let dir = std::env::temp_dir().join(format!("larchway-lab-{}-cold-{name}", std::process::id()));
-        std::fs::create_dir_all(&dir).map_err(TrialError::io(dir.display().to_string()))?;
+        let descriptors = DescriptorBudget::of_process()?.reserve(scenario.descriptors())?;
+        let folder = ScratchFolder::new(&format!("cold-{name}"))?;
         let bulletin = || Bulletin::start().map_err(TrialError::io("the bulletin"));
         let store = || {
             let store = Store::with_service_time(scenario.service, BODY_BYTES, WORKERS);
@@ -62,24 +68,25 @@
         };
         let warm = (0..scenario.warm_stores).map(|_| store()).collect::<Result<_, _>>()?;
         let world = World {
-            dir,
             bulletin: bulletin()?,
             late_bulletin: bulletin()?,
             store: store()?,
             warm,
             scenario: scenario.clone(),
-            started_at: 0,
+            started_at: OnceLock::new(),
+            folder,
+            _descriptors: descriptors,
         };
         world.bulletin.roster(true, &world.warm_entries());
         Ok(world)
     }
 
     /// Lists the store as one that starts now, and returns the time.
-    pub fn list_store(&mut self) -> Micros {
-        self.started_at = now();
+    pub fn list_store(&self) -> Micros {
+        let started_at = *self.started_at.get_or_init(now);
         self.bulletin.roster(false, &[self.started_entry()]);
         self.late_bulletin.roster(true, &self.all_entries());
-        self.started_at
+        started_at
     }
 
     fn warm_entries(&self) -> Vec<String> {
@@ -88,7 +95,7 @@
     }
 
     fn started_entry(&self) -> String {
-        entry(STARTED_NAME, &self.store, self.started_at)
+        entry(STARTED_NAME, &self.store, self.started_at.get().copied().unwrap_or(0))
     }
 
     fn all_entries(&self) -> Vec<String> {
@@ -128,7 +135,7 @@
             .replace("\"deadlineMs\":2000", &format!("\"deadlineMs\":{}", 2 * OBJECTIVE_MS));
         let KnownList { known, source } = self.known_list(knowledge);
         let config = format!(
-            r#"{{"seed":"{:x}","limits":{{"cores":1.0,"memory_mb":32,"sockets":96}},"bulletin":"{}"{known},
+            r#"{{"seed":"{:x}","limits":{{"cores":1.0,"memory_mb":32,"sockets":{GATEWAY_DESCRIPTORS}}},"bulletin":"{}"{known},
             "settings":{{"balancers":{all},"me":{number},{settings}}}}}"#,
             self.seed_of(number),
             source.address,
@@ -137,8 +144,9 @@
             Knowledge::BeforeStart => 0,
             Knowledge::AfterStart => self.scenario.clock_ahead,
         };
-        let environment = wall_clock::ahead_by(clock_ahead, &self.dir.join(format!("g{number}.faults")))?;
-        Gateway::start_in(&self.dir, number, &config, &[], &environment)
+        let environment =
+            wall_clock::ahead_by(clock_ahead, &self.folder.path().join(format!("g{number}.faults")))?;
+        Gateway::start_in(self.folder.path(), number, &config, &[], &environment)
     }
 
     /// The seed in a gateway's configuration, new with each start.
@@ -168,7 +176,7 @@
             writes: 0.0,
             span: ms * 1000,
             seed: larchway::mix(self.scenario.seed ^ (gateway.number as u64) << 20 ^ ms),
-            connections: load::Connections { count: 2, poll_interval: 2000 },
+            connections: load::Connections { count: CLIENT_CONNECTIONS, poll_interval: 2000 },
         };
         let front = gateway.front;
         std::thread::spawn(move || load::play(front, &load).ok())
@@ -187,11 +195,3 @@
     };
     entry.to_string()
 }
-
-impl Drop for World {
-    fn drop(&mut self) {
-        if std::env::var_os("LARCHWAY_LAB_KEEP").is_none() {
-            let _ = std::fs::remove_dir_all(&self.dir);
-        }
-    }
-}
--- a/lab/src/trial/error.rs
+++ b/lab/src/trial/error.rs
@@ -43,6 +43,16 @@
     /// A system call failed, where no more is known.
     #[error(transparent)]
     System(#[from] std::io::Error),
+    /// A scenario needs more descriptors than the process may open.
+    #[error(
+        "{needed} descriptors are needed, and the process may open {total}: raise its limit (ulimit -n)"
+    )]
+    TooManyDescriptors {
+        /// How many it needs.
+        needed: usize,
+        /// How many the process may open for scenarios.
+        total: usize,
+    },
     /// A gateway did not listen in time.
     #[error("gateway {number} does not listen: see {}", log.display())]
     NotListening {
