Count gateways of a relay that returns until they have reported again

Seen: the root answers done for a change that a gateway has not got.

Cause: a relay that was killed and is back took the place of its lost report by name, before its gateways had reported anywhere. One that had turned elsewhere and was cut off before its first report there was counted nowhere.

Change: a gateway's own lost report still ends with its return. A relay's stays until as many gateways are connected as before it was lost, or until the retention is over; a second loss does not drop the first. O(log n) a report as before. The tree of lab/tests/distribution.rs keeps its slow links, which end with their owner now.

--- a/crates/distribution/src/positions.rs
+++ b/crates/distribution/src/positions.rs
@@ -35,6 +35,22 @@
     report: PositionReport,
 }
 
+impl Entry {
+    /// Whether it is a gateway's own report, not that of a relay.
+    fn is_gateway(&self) -> bool {
+        let itself = self.report.furthest.first().map(|straggler| straggler.name.as_str());
+        self.report.gateways == 1 && itself == self.name.as_deref()
+    }
+}
+
+/// A subscriber that is gone.
+#[derive(Debug, Clone, Copy)]
+struct LostSubscriber {
+    lost_at: MonotonicTime,
+    /// Gateways that were connected before it was lost.
+    gateways_before: u64,
+}
+
 /// An advance of the minimum over all gateways.
 #[derive(Debug, Clone, Copy)]
 struct Advance {
@@ -50,9 +66,13 @@
     entries: BTreeMap<ReporterKey, Entry>,
     /// All entries that count gateways, by their minimum.
     by_applied: BTreeSet<(EventNumber, ReporterKey)>,
-    /// When each one was lost, in order of loss; at most `PositionLimits::max_lost`.
-    lost: BTreeMap<u64, MonotonicTime>,
+    /// Those that are gone, in order of loss; at most `PositionLimits::max_lost`.
+    lost: BTreeMap<u64, LostSubscriber>,
+    /// Of those that have not returned, the one lost last under each name.
     lost_by_name: BTreeMap<String, u64>,
+    /// Relays in `lost` that have returned while some of their gateways had not reported again, by the gateways that were
+    /// connected before the relay was lost.
+    returned: BTreeSet<(u64, u64)>,
     next_lost: u64,
     gateways: u64,
     gateways_lost: u64,
@@ -73,6 +93,7 @@
             by_applied: BTreeSet::new(),
             lost: BTreeMap::new(),
             lost_by_name: BTreeMap::new(),
+            returned: BTreeSet::new(),
             next_lost: 0,
             gateways: 0,
             gateways_lost: 0,
@@ -82,7 +103,8 @@
         }
     }
 
-    /// Takes in a subscriber's report. One of the same name that is lost counts as this one from now on.
+    /// Takes in a subscriber's report. A gateway of the same name that is lost counts as this one from now on; of a relay
+    /// those of its gateways that have not reported again stay counted as lost.
     pub fn report(
         &mut self,
         now: MonotonicTime,
@@ -92,18 +114,21 @@
     ) {
         let name = name.map(bounded_name);
         let report = report.bounded();
-        if let Some(order) = name.and_then(|name| self.lost_by_name.remove(name)) {
-            self.remove_lost(order);
-        }
+        let returned = name.and_then(|name| self.lost_by_name.remove(name));
         let key = ReporterKey::Connected(subscriber);
         self.remove(key);
         self.insert(key, Entry { name: name.map(str::to_string), report });
+        if let Some(order) = returned {
+            self.on_return(order);
+        }
+        self.drop_returned();
         self.expire(now);
         self.record_advance(now);
     }
 
     /// A subscriber has disconnected: its gateways count as lost, with their last position, for a bounded time.
     pub fn disconnected(&mut self, now: MonotonicTime, subscriber: u64) {
+        let gateways_before = self.connected_gateways();
         let Some(mut entry) = self.remove(ReporterKey::Connected(subscriber)) else { return };
         if entry.report.gateways == 0 {
             return;
@@ -113,17 +138,17 @@
         self.next_lost += 1;
         if let Some(name) = &entry.name {
             if let Some(earlier) = self.lost_by_name.insert(name.clone(), order) {
-                self.remove_lost(earlier);
+                self.on_return(earlier);
             }
         }
-        self.lost.insert(order, now);
+        self.lost.insert(order, LostSubscriber { lost_at: now, gateways_before });
         self.insert(ReporterKey::Lost(order), entry);
         self.expire(now);
     }
 
     /// Drops those that have been lost for long enough, or are too many.
     pub fn expire(&mut self, now: MonotonicTime) {
-        while let Some((&order, &lost_at)) = self.lost.first_key_value() {
+        while let Some((&order, &LostSubscriber { lost_at, .. })) = self.lost.first_key_value() {
             let expired = lost_at + self.limits.lost_retention <= now;
             if !expired && self.lost.len() <= self.limits.max_lost {
                 break;
@@ -135,7 +160,7 @@
 
     /// When the next lost subscriber is dropped.
     pub fn next_due(&self) -> Option<MonotonicTime> {
-        self.lost.first_key_value().map(|(_, lost_at)| *lost_at + self.limits.lost_retention)
+        self.lost.first_key_value().map(|(_, lost)| lost.lost_at + self.limits.lost_retention)
     }
 
     /// What all reports say together.
@@ -210,6 +235,29 @@
         }
     }
 
+    /// Gateways counted that are not lost.
+    fn connected_gateways(&self) -> u64 {
+        self.gateways - self.gateways_lost
+    }
+
+    /// A lost subscriber has returned. Danger: the gateways of a relay may have turned elsewhere, and one that has not
+    /// reported there yet would be counted nowhere; events would be done without it.
+    fn on_return(&mut self, order: u64) {
+        if self.entries.get(&ReporterKey::Lost(order)).is_none_or(Entry::is_gateway) {
+            self.remove_lost(order);
+        } else if let Some(lost) = self.lost.get(&order) {
+            self.returned.insert((lost.gateways_before, order));
+        }
+    }
+
+    /// Drops relays that have returned, once as many gateways are connected as before they were lost.
+    fn drop_returned(&mut self) {
+        let connected = self.connected_gateways();
+        while let Some(&(_, order)) = self.returned.first().filter(|(before, _)| *before <= connected) {
+            self.remove_lost(order);
+        }
+    }
+
     fn expire_lost(&mut self, order: u64) {
         let Some(entry) = self.remove_lost(order) else { return };
         if let Some(name) = entry.name {
@@ -220,7 +268,9 @@
     }
 
     fn remove_lost(&mut self, order: u64) -> Option<Entry> {
-        self.lost.remove(&order);
+        if let Some(lost) = self.lost.remove(&order) {
+            self.returned.remove(&(lost.gateways_before, order));
+        }
         self.remove(ReporterKey::Lost(order))
     }
 
--- a/lab/tests/distribution.rs
+++ b/lab/tests/distribution.rs
@@ -32,6 +32,8 @@
     leaves: Vec<RelayProcess>,
     root: RelayProcess,
     cut_links: Vec<Link>,
+    /// They end with this.
+    _slow_links: Vec<Link>,
     dir: PathBuf,
 }
 
@@ -70,7 +72,7 @@
         };
         let gateways: Vec<RealGateway> = (0..GATEWAYS).map(gateway).collect();
         let seen = gateways.iter().map(|gateway| gateway.events().expect("a status")).collect();
-        Tree { source, gateways, seen, leaves, root, cut_links, dir }
+        Tree { source, gateways, seen, leaves, root, cut_links, _slow_links: slow_links, dir }
     }
 
     /// Publishes purges, and a change of the list.
