Take a store that has just started for one that bears eight requests, not six

Cause: the price of counting unknown requests by the assumption: until a gateway has seen answers of its own, the fleet sends what a store bears that takes six requests.

Change: eight.

--- a/src/logic/slow_start.rs
+++ b/src/logic/slow_start.rs
@@ -11,7 +11,7 @@
 /// How much more of it is used as many routers share the budget: their bursts even out.
 const SHARED_BUDGET_SHARE: f64 = 0.2;
 /// Requests that any server bears which has just started, as long as nothing is known of their work.
-const LEAST_COLD_REQUESTS: f64 = 6.0;
+const LEAST_COLD_REQUESTS: f64 = 8.0;
 /// Share of a fill that a request with a hit record counts for in its source's budget: records can be wrong.
 pub(super) const RECORDED_FILL_SHARE: f64 = 0.3;
 
