Show that a gateway that starts has the file's value where others have a version before

Seen: a gateway that starts anew and cannot apply a document's last version goes by the file's value, while those that run stay on the version before.

--- a/lab/tests/configuration.rs
+++ b/lab/tests/configuration.rs
@@ -18,6 +18,8 @@
 const CUT: usize = 0;
 /// The file of this one has no key for the limit that is published last.
 const WITHOUT_KEY: usize = 5;
+/// More than a relay sends as pages to one that has nothing.
+const PURGES: usize = 1200;
 const SEED: u64 = 1;
 const RELAY_KEYS: &str = r#","restart_history":true,"lost_ms":60000"#;
 const ROOT_KEYS: &str = r#","root":true,"restart_history":true,"lost_ms":60000"#;
@@ -43,9 +45,10 @@
 }
 
 impl Tree {
-    fn start() -> Tree {
+    /// Starts all processes; `name` distinguishes its files from those of others.
+    fn start(name: &str) -> Tree {
         std::env::set_var("LARCHWAY_LAB", env!("CARGO_BIN_EXE_larchway-lab"));
-        let dir = std::env::temp_dir().join(format!("larchway-lab-{}-configuration", std::process::id()));
+        let dir = std::env::temp_dir().join(format!("larchway-lab-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a folder");
         let mut source = EventSource::start().expect("the source");
         source.publish(list);
@@ -200,7 +203,7 @@
 
 #[test]
 fn documents_are_in_force_everywhere_through_kills_and_cuts_and_one_that_rejects_shows_by_name_and_key() {
-    let mut tree = Tree::start();
+    let mut tree = Tree::start("configuration");
     tree.publish(ATTEMPTS, 1, &json!(4));
     tree.wait_in_force(&all(), ATTEMPTS, Some(1), "documents flow");
     tree.wait_applied(ATTEMPTS, 1, "documents flow");
@@ -213,3 +216,30 @@
     tree.wait_in_force(&all(), ATTEMPTS, None, "it is withdrawn");
     tree.wait_applied(ATTEMPTS, 5, "it is withdrawn");
 }
+
+/// A gateway that cannot apply the last version of a document goes on by the version before it, until it starts anew: a
+/// relay's snapshot has the last version alone, so that the file's value is in force then. Two gateways of one fleet go by
+/// different values, and only the rejection shows.
+#[test]
+fn a_gateway_that_starts_anew_and_cannot_apply_the_last_version_has_the_one_before_in_force() {
+    let mut tree = Tree::start("version-before");
+    tree.publish(ATTEMPTS, 1, &json!(4));
+    tree.wait_in_force(&all(), ATTEMPTS, Some(1), "documents flow");
+    tree.publish(ATTEMPTS, 2, &json!(0));
+    let rejected = || !tree.held(ATTEMPTS)["rejections"][0].is_null();
+    wait(rejected, || format!("no rejection: {}", tree.held(ATTEMPTS)));
+    tree.wait_in_force(&all(), ATTEMPTS, Some(1), "nobody can apply the second version");
+    // More than a page of events, so that one that starts is sent a snapshot.
+    for _ in 0..PURGES {
+        tree.source.publish(|number| {
+            format!(r#"{{"no":{number},"recall":{{"item":"{number:016x}","issued":{number}}}}}"#)
+        });
+    }
+    let last = tree.source.last();
+    let done = || tree.root.done(last).expect("an answer");
+    wait(|| done()["done"] == true, || format!("purges are not done: {}", done()));
+    let at = GATEWAYS - 1;
+    tree.gateways[at].kill();
+    tree.gateways[at] = tree.start_gateway(at);
+    tree.wait_in_force(&[at], ATTEMPTS, Some(1), "a gateway starts anew");
+}
