Have four trials share the folder that goes with its owner

Need: spread, fleet, membership and hierarchy each made and removed a folder of their own in the same lines, before their processes had ended, and left it where a start failed.

Change: ScratchFolder, as in the trial of cold stores.

--- a/lab/src/trial/cluster/world.rs
+++ b/lab/src/trial/cluster/world.rs
@@ -12,9 +12,9 @@
 use crate::trial::edge_stores::{capacity, settings, EdgeStore, STORES};
 use crate::trial::gateway::Gateway;
 use crate::trial::parallel::sleep_until;
+use crate::trial::scratch_folder::ScratchFolder;
 use crate::trial::TrialError;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::time::Instant;
 
 /// Servers of the ensemble.
@@ -22,7 +22,6 @@
 
 /// A tier on loopback.
 pub struct World {
-    dir: PathBuf,
     bulletin: Bulletin,
     /// The ensemble.
     pub ensemble: EnsembleServers,
@@ -38,6 +37,8 @@
     seed: u64,
     start: Instant,
     pub(super) clients: Clients,
+    /// Removed once all processes have ended.
+    folder: ScratchFolder,
 }
 
 impl World {
@@ -49,11 +50,10 @@
         file: Option<&'static str>,
         seed: u64,
     ) -> Result<Self, TrialError> {
-        let dir = std::env::temp_dir().join(format!("larchway-lab-{}-fleet-{name}", std::process::id()));
-        std::fs::create_dir_all(&dir).map_err(TrialError::io(dir.display().to_string()))?;
+        let folder = ScratchFolder::new(&format!("fleet-{name}"))?;
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let mut world = World {
-            dir,
+            folder,
             bulletin: Bulletin::start().map_err(TrialError::io("the bulletin"))?,
             ensemble: EnsembleServers::start(any, ENSEMBLE_SERVERS)
                 .map_err(TrialError::io("the ensemble"))?,
@@ -86,7 +86,7 @@
     fn start_gateway(&self, number: usize) -> Result<Gateway, TrialError> {
         let mut files = vec![("ensemble", self.ensemble_file())];
         files.extend(self.file.map(|text| ("fleet", text.to_string())));
-        Gateway::start(&self.dir, number, &self.configuration(number), &files)
+        Gateway::start(self.folder.path(), number, &self.configuration(number), &files)
     }
 
     fn configuration(&self, number: usize) -> String {
@@ -214,8 +214,5 @@
     fn drop(&mut self) {
         self.gateways.clear();
         self.clients.join();
-        if std::env::var_os("LARCHWAY_LAB_KEEP").is_none() {
-            let _ = std::fs::remove_dir_all(&self.dir);
-        }
     }
 }
--- a/lab/src/trial/hierarchy/world.rs
+++ b/lab/src/trial/hierarchy/world.rs
@@ -7,11 +7,11 @@
 use crate::stand::tier::{Kind, Net, SeenRequest, Tier};
 use crate::trial::gateway::Gateway;
 use crate::trial::list_entry::{site_of_class, ListEntry};
+use crate::trial::scratch_folder::ScratchFolder;
 use crate::trial::settings::settings;
 use crate::trial::TrialError;
 use larchway::Micros;
 use std::collections::BTreeMap;
-use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -60,27 +60,24 @@
     pub gateways: Vec<Gateway>,
     stores: BTreeMap<&'static str, Tier>,
     bulletin: Bulletin,
-    dir: PathBuf,
     variant: Variant,
+    /// Removed once all processes have ended.
+    folder: ScratchFolder,
 }
 
 impl Drop for World {
     fn drop(&mut self) {
         self.gateways.clear();
-        if std::env::var_os("LARCHWAY_LAB_KEEP").is_none() {
-            let _ = std::fs::remove_dir_all(&self.dir);
-        }
     }
 }
 
 impl World {
     /// Starts it; `label` distinguishes its files from those of others.
     pub fn start(case: &Case, variant: Variant, label: &str, seed: u64) -> Result<Self, TrialError> {
-        let dir = std::env::temp_dir().join(format!("larchway-lab-{}-{label}", std::process::id()));
-        std::fs::create_dir_all(&dir)?;
+        let folder = ScratchFolder::new(label)?;
         let stores = start_stores(case)?;
         let bulletin = Bulletin::start()?;
-        let mut world = World { gateways: Vec::new(), stores, bulletin, dir, variant };
+        let mut world = World { gateways: Vec::new(), stores, bulletin, variant, folder };
         let listed = STORES.iter().filter(|store| store.name != NEW_PARENT);
         let entries: Vec<String> = listed.map(|store| world.entry(store.name, "up", 0)).collect();
         world.bulletin.roster(true, &entries);
@@ -102,7 +99,7 @@
             settings()
         );
         let file = self.variant.file_before().map(|text| ("hierarchy", text));
-        Gateway::start(&self.dir, number, &config, file.as_slice())
+        Gateway::start(self.folder.path(), number, &config, file.as_slice())
     }
 
     /// A store's entry in the list.
@@ -158,7 +155,7 @@
             return Ok(());
         };
         for gateway in &self.gateways {
-            let path = self.dir.join(format!("g{}.hierarchy", gateway.number));
+            let path = self.folder.path().join(format!("g{}.hierarchy", gateway.number));
             std::fs::write(path, &text)?;
             gateway.reload()?;
         }
--- a/lab/src/trial/membership/fleet.rs
+++ b/lab/src/trial/membership/fleet.rs
@@ -6,10 +6,10 @@
 use crate::stand::store::Store;
 use crate::trial::gateway::Gateway;
 use crate::trial::list_entry::{site_of_class, ListEntry};
+use crate::trial::scratch_folder::ScratchFolder;
 use crate::trial::settings::settings;
 use crate::trial::TrialError;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 /// Servers of the ensemble.
@@ -59,7 +59,8 @@
     pub members: Vec<Member>,
     /// The gateways.
     pub gateways: Vec<Gateway>,
-    dir: PathBuf,
+    /// Removed once all processes have ended.
+    folder: ScratchFolder,
 }
 
 /// How long a store's session lives without it, ms.
@@ -75,13 +76,12 @@
         file: &str,
         seed: u64,
     ) -> Result<Self, TrialError> {
-        let dir = std::env::temp_dir().join(format!("larchway-lab-{}-{name}", std::process::id()));
-        std::fs::create_dir_all(&dir).map_err(TrialError::io("cannot make a folder"))?;
+        let folder = ScratchFolder::new(name)?;
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let ensemble =
             EnsembleServers::start(any, ENSEMBLE_SERVERS).map_err(TrialError::io("the ensemble"))?;
         let bulletin = Bulletin::start().map_err(TrialError::io("the bulletin"))?;
-        let mut fleet = Fleet { ensemble, bulletin, members: Vec::new(), gateways: Vec::new(), dir };
+        let mut fleet = Fleet { ensemble, bulletin, members: Vec::new(), gateways: Vec::new(), folder };
         fleet.start_stores(caches, seed)?;
         fleet.wait_until_registered()?;
         let entries: Vec<String> = fleet.members.iter().map(|member| member.entry("up")).collect();
@@ -147,21 +147,18 @@
         );
         let servers: Vec<String> =
             self.ensemble.servers.iter().map(|server| format!("\"{server}\"")).collect();
-        let admin = self.dir.join(format!("g{number}.admin"));
+        let admin = self.folder.path().join(format!("g{number}.admin"));
         let ensemble = format!(
             r#"{{"servers":[{}],"path":"/larchway","session_ms":{SESSION_MS},"admin":"{}"{file}}}"#,
             servers.join(","),
             admin.display()
         );
-        Gateway::start(&self.dir, number, &config, &[("ensemble", ensemble)])
+        Gateway::start(self.folder.path(), number, &config, &[("ensemble", ensemble)])
     }
 }
 
 impl Drop for Fleet {
     fn drop(&mut self) {
         self.gateways.clear();
-        if std::env::var_os("LARCHWAY_LAB_KEEP").is_none() {
-            let _ = std::fs::remove_dir_all(&self.dir);
-        }
     }
 }
--- a/lab/src/trial/spread/world.rs
+++ b/lab/src/trial/spread/world.rs
@@ -8,9 +8,9 @@
 use crate::stand::store::{Mode, Store};
 use crate::trial::edge_stores::{capacity, settings, EdgeStore, STORES};
 use crate::trial::gateway::Gateway;
+use crate::trial::scratch_folder::ScratchFolder;
 use crate::trial::TrialError;
 use larchway::Micros;
-use std::path::PathBuf;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -21,7 +21,6 @@
 
 /// A tier on loopback.
 pub struct World {
-    dir: PathBuf,
     bulletin: Bulletin,
     stores: Vec<EdgeStore>,
     relay: Relay,
@@ -35,6 +34,8 @@
     rate: f64,
     load_result: Arc<Mutex<LoadResult>>,
     clients: Vec<JoinHandle<()>>,
+    /// Removed once all processes have ended.
+    folder: ScratchFolder,
 }
 
 impl World {
@@ -46,10 +47,9 @@
         file: Option<&'static str>,
         seed: u64,
     ) -> Result<Self, TrialError> {
-        let dir = std::env::temp_dir().join(format!("larchway-lab-{}-spread-{name}", std::process::id()));
-        std::fs::create_dir_all(&dir).map_err(TrialError::io(dir.display().to_string()))?;
+        let folder = ScratchFolder::new(&format!("spread-{name}"))?;
         let mut world = World {
-            dir,
+            folder,
             bulletin: Bulletin::start().map_err(TrialError::io("the bulletin"))?,
             stores: Vec::new(),
             relay: Relay::start(gateways, seed).map_err(TrialError::io("the relay"))?,
@@ -78,7 +78,7 @@
         for number in from..self.gateway_count {
             let files: Vec<(&str, String)> =
                 self.file.iter().map(|text| ("spread", text.to_string())).collect();
-            let gateway = Gateway::start(&self.dir, number, &self.configuration(number), &files)?;
+            let gateway = Gateway::start(self.folder.path(), number, &self.configuration(number), &files)?;
             self.gateways.push(gateway);
         }
         Ok(())
@@ -210,8 +210,5 @@
         for client in self.clients.drain(..) {
             let _ = client.join();
         }
-        if std::env::var_os("LARCHWAY_LAB_KEEP").is_none() {
-            let _ = std::fs::remove_dir_all(&self.dir);
-        }
     }
 }
