--- a/crates/distribution/src/positions.rs
+++ b/crates/distribution/src/positions.rs
@@ -70,8 +70,8 @@
     lost: BTreeMap<u64, LostSubscriber>,
     /// Of those that have not returned, the one lost last under each name.
     lost_by_name: BTreeMap<String, u64>,
-    /// Relays in `lost` that have returned while some of their gateways had not reported again, by the gateways that were
-    /// connected before the relay was lost.
+    /// Relays in `lost` that have returned while some of their gateways had not reported again, by the gateways
+    /// that were connected before the relay was lost.
     returned: BTreeSet<(u64, u64)>,
     next_lost: u64,
     gateways: u64,
@@ -103,8 +103,8 @@
         }
     }
 
-    /// Takes in a subscriber's report. A gateway of the same name that is lost counts as this one from now on; of a relay
-    /// those of its gateways that have not reported again stay counted as lost.
+    /// Takes in a subscriber's report. A gateway of the same name that is lost counts as this one from now on; of a
+    /// relay, those of its gateways that have not reported again stay counted as lost.
     pub fn report(
         &mut self,
         now: MonotonicTime,
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -103,9 +103,9 @@
         }
     }
 
-    /// Makes room for an answer of so many bytes, and returns whether there is any. Danger: an answer that is owed would be
-    /// refused for messages of which half has come, and that nobody owes anything. The largest of these give way, if
-    /// together they are enough; small ones stay.
+    /// Makes room for an answer of so many bytes, and returns whether there is any. Danger: an answer that is owed
+    /// would be refused for messages of which half has come, and that nobody owes anything. The largest of these
+    /// give way, if together they are enough; small ones stay.
     pub(super) fn make_room(&mut self, now: MonotonicTime, answer_bytes: usize) -> bool {
         if self.can_buffer(answer_bytes) {
             return true;
--- a/lab/src/stand/accepted.rs
+++ b/lab/src/stand/accepted.rs
@@ -1,6 +1,7 @@
 //! The accepted connections of a stand-in, each served by a thread of its own, and the listener that accepts them. Both
 //! end with their owner: a process that plays many scenarios must not hold descriptors of those that are over.
 use socket2::SockRef;
+use std::io::ErrorKind;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
@@ -55,6 +56,35 @@
     }
 }
 
+/// The other end of a connection; none once it is known to have left.
+pub(super) struct Client(Option<Arc<TcpStream>>);
+
+impl Client {
+    pub(super) fn new(stream: Arc<TcpStream>) -> Self {
+        Client(Some(stream))
+    }
+
+    /// Its connection, unless it is known to have left.
+    pub(super) fn stream(&self) -> Option<&TcpStream> {
+        self.0.as_deref()
+    }
+
+    /// Closes the connection if the client has closed it.
+    pub(super) fn close_if_left(&mut self) {
+        if self.0.as_deref().is_some_and(has_left) {
+            self.0 = None;
+        }
+    }
+}
+
+/// Whether the other side has closed a connection, and nothing that it sent is left to read.
+fn has_left(stream: &TcpStream) -> bool {
+    let _ = stream.set_nonblocking(true);
+    let peeked = stream.peek(&mut [0]);
+    let _ = stream.set_nonblocking(false);
+    !matches!(peeked, Ok(1..)) && !peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+}
+
 /// A listener and its connections, which end with this.
 pub(super) struct Acceptor {
     listener: Arc<TcpListener>,
--- a/lab/src/stand/mod.rs
+++ b/lab/src/stand/mod.rs
@@ -10,4 +10,5 @@
 pub mod service_time;
 pub mod source;
 pub mod store;
+mod store_load;
 pub mod tier;
--- a/lab/src/stand/store.rs
+++ b/lab/src/stand/store.rs
@@ -1,11 +1,11 @@
 //! A stand-in store: answers the wire to stores (RESP arrays of bulk strings) at a fixed capacity, and can go silent,
 //! die and come back. It records when which gateway sent it a request.
-use super::accepted::Connections;
+use super::accepted::{Client, Connections};
 use super::service_time::ServiceTime;
+use super::store_load::{StoreLoad, LOAD_SPAN};
 use crate::clock::now;
 use larchway::Micros;
 use larchway_gateway::resp;
-use std::collections::VecDeque;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, AtomicU8, Ordering};
@@ -38,10 +38,6 @@
     pub replay: Option<String>,
 }
 
-/// µs of the spans over which a store's load is measured.
-const LOAD_SPAN: Micros = 500_000;
-/// How many spans are retained.
-const MAX_LOAD_SPANS: usize = 16;
 /// Bytes read at once.
 const BUFFER_LENGTH: usize = 16 * 1024;
 /// Time between two looks for new connections.
@@ -55,13 +51,6 @@
 const GET_COMMAND: &str = "PULL";
 const LOAD_COMMAND: &str = "METER";
 
-/// The requests that came in during a span.
-struct LoadSpan {
-    /// The number of the span since the epoch.
-    number: Micros,
-    requests: u64,
-}
-
 struct Shared {
     mode: AtomicU8,
     seen: Mutex<Vec<Seen>>,
@@ -71,10 +60,7 @@
     workers: usize,
     service: ServiceTime,
     body: Vec<u8>,
-    /// The last spans, the newest last.
-    load_spans: Mutex<VecDeque<LoadSpan>>,
-    /// By how many spans the load reports are late.
-    report_delay: AtomicU64,
+    load: StoreLoad,
     accepted: AtomicU64,
     connections: Connections,
     /// Whether the store has ended, for good.
@@ -87,27 +73,10 @@
 }
 
 impl Shared {
-    /// Counts a request for the load reports.
-    fn count_request(&self, time: Micros) {
-        let mut spans = lock(&self.load_spans);
-        let number = time / LOAD_SPAN;
-        if spans.back().is_none_or(|last| last.number < number) {
-            spans.push_back(LoadSpan { number, requests: 0 });
-        }
-        if let Some(last) = spans.back_mut() {
-            last.requests += 1;
-        }
-        while spans.len() > MAX_LOAD_SPANS {
-            spans.pop_front();
-        }
-    }
-
     /// The share of the workers that were busy in the last complete span, as it is reported now.
     fn reported_utilization(&self, time: Micros) -> f64 {
-        let (spans, current) = (lock(&self.load_spans), time / LOAD_SPAN);
-        let reported = current.saturating_sub(1 + self.report_delay.load(Ordering::Relaxed));
-        let requests = spans.iter().find(|span| span.number == reported).map_or(0, |span| span.requests);
-        requests as f64 * self.service.mean().as_micros() as f64 / (LOAD_SPAN as f64 * self.workers as f64)
+        let work = self.load.reported_requests(time) as f64 * self.service.mean().as_micros() as f64;
+        work / (LOAD_SPAN as f64 * self.workers as f64)
     }
 
     fn is_in_mode(&self, mode: Mode) -> bool {
@@ -147,26 +116,6 @@
     }
 }
 
-/// The other end of a connection; none once it is known to have left.
-struct Client(Option<Arc<TcpStream>>);
-
-impl Client {
-    /// Closes the connection if the client has closed it.
-    fn close_if_left(&mut self) {
-        if self.0.as_deref().is_some_and(has_left) {
-            self.0 = None;
-        }
-    }
-}
-
-/// Whether the other side has closed a connection, and nothing that it sent is left to read.
-fn has_left(stream: &TcpStream) -> bool {
-    let _ = stream.set_nonblocking(true);
-    let peeked = stream.peek(&mut [0]);
-    let _ = stream.set_nonblocking(false);
-    !matches!(peeked, Ok(1..)) && !peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
-}
-
 /// A store. Its listener, its connections and their threads end with this.
 pub struct Store {
     /// Where it listens.
@@ -209,8 +158,7 @@
             workers,
             service,
             body: vec![b'x'; body],
-            load_spans: Mutex::default(),
-            report_delay: AtomicU64::new(0),
+            load: StoreLoad::default(),
             accepted: AtomicU64::new(0),
             connections: Connections::default(),
             has_ended: Mutex::new(false),
@@ -228,7 +176,7 @@
 
     /// Makes its reports of its load late by so many half seconds.
     pub fn report_late(&self, spans: u64) {
-        self.shared.report_delay.store(spans, Ordering::Relaxed);
+        self.shared.load.report_late(spans);
     }
 
     /// Connections taken so far.
@@ -274,9 +222,9 @@
 /// Answers the requests of a connection until it ends or the store is dead.
 fn serve(stream: Arc<TcpStream>, shared: &Shared) {
     let _ = stream.set_read_timeout(Some(READ_TIMEOUT));
-    let mut client = Client(Some(stream));
+    let mut client = Client::new(stream);
     let (mut input, mut buffer) = (Vec::new(), vec![0; BUFFER_LENGTH]);
-    while let Some(mut stream) = client.0.as_deref() {
+    while let Some(mut stream) = client.stream() {
         match stream.read(&mut buffer) {
             Ok(0) => return,
             Ok(length) => input.extend_from_slice(&buffer[..length]),
@@ -298,7 +246,7 @@
                 GET_COMMAND => get(shared, &id, &fields, &mut client),
                 _ => None,
             };
-            let Some(mut stream) = client.0.as_deref() else { return };
+            let Some(mut stream) = client.stream() else { return };
             if answer.is_some_and(|answer| stream.write_all(&answer).is_err()) {
                 return;
             }
@@ -320,7 +268,7 @@
     let source = resp::field(fields, "miss").map(String::from);
     let replay = resp::field(fields, "replay").map(String::from);
     let seen = Seen { at: now(), gateway, source, replay };
-    shared.count_request(seen.at);
+    shared.load.count_request(seen.at);
     let utilization = shared.reported_utilization(seen.at);
     lock(&shared.seen).push(seen);
     if shared.is_in_mode(Mode::Silent) {
--- a/lab/src/trial/cold/world.rs
+++ b/lab/src/trial/cold/world.rs
@@ -135,8 +135,8 @@
             .replace("\"deadlineMs\":2000", &format!("\"deadlineMs\":{}", 2 * OBJECTIVE_MS));
         let KnownList { known, source } = self.known_list(knowledge);
         let config = format!(
-            r#"{{"seed":"{:x}","limits":{{"cores":1.0,"memory_mb":32,"sockets":{GATEWAY_DESCRIPTORS}}},"bulletin":"{}"{known},
-            "settings":{{"balancers":{all},"me":{number},{settings}}}}}"#,
+            r#"{{"seed":"{:x}","limits":{{"cores":1.0,"memory_mb":32,"sockets":{GATEWAY_DESCRIPTORS}}},
+            "bulletin":"{}"{known},"settings":{{"balancers":{all},"me":{number},{settings}}}}}"#,
             self.seed_of(number),
             source.address,
         );
--- a/src/logic/recent_work.rs
+++ b/src/logic/recent_work.rs
@@ -38,9 +38,9 @@
     }
 }
 
-/// What was sent to one server, in the order of time. Harm: by what they counted for when they were sent, the
-/// first requests of a class fill a budget for its whole span after their answers have shown them to be small.
-/// So an answered request counts for what its class is known to take when the budget is read.
+/// What was sent to one server, in the order of time. Harm: by what they counted for when they were sent,
+/// the first requests of a class fill a budget for its whole span after their answers have shown them to be
+/// small. So an answered request counts for what its class is known to take when the budget is read.
 #[derive(Debug, Clone, Default)]
 pub(super) struct RecentWork(VecDeque<SentRequest>);
 
