Review: the stand-ins end all that they started also when told to stop

Cause: a script that is told to stop left its gateway behind, and a long path of the temporary folder would have kept the gateway's processes from finding each other.

--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -20,6 +20,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 
@@ -735,7 +736,9 @@
 
 class Rig:
     def __init__(self, record_path=None):
-        self.folder = tempfile.mkdtemp(prefix="larchway-review-")
+        # Short, since the gateway's processes find each other by Unix sockets below it.
+        short = None if len(tempfile.gettempdir()) <= 40 else "/tmp"
+        self.folder = tempfile.mkdtemp(prefix="larchway-review-", dir=short)
         self.record = Record(record_path)
         self.processes = []
         self.unexpected = []
@@ -807,6 +810,8 @@
 def main(case, record_path=None, limit=110.0):
     """Runs a case: a coroutine of a rig that returns what broke the rule, or an empty list."""
     async def play():
+        # Told to stop, it still ends all that it has started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         rig = Rig(record_path)
         try:
             broken = await asyncio.wait_for(case(rig), limit)
@@ -821,10 +826,9 @@
 
     try:
         code = asyncio.run(play())
-    except Exception as error:  # noqa: BLE001 - whatever it is, the case could not run
-        import traceback
+    except BaseException as error:  # noqa: BLE001 - whatever it is, the case could not run
         traceback.print_exc()
-        print("could not run:", error)
+        print("could not run:", repr(error))
         code = 2
     print({0: "held", 1: "broken", 2: "could not run"}[code])
     sys.exit(code)
