Wait for a half-closed client as long as for one that does not read

What callers saw: a client that read 1 MB a second was owed eight answers at a planned restart. It sent something 2 s after SIGTERM, its connection was reset, and four answers that had been taken and written never came.

Cause: a connection is idle once its answers are written to the socket, and megabytes may then lie in the buffers of both kernels. It was half-closed 0.7 s after SIGTERM and closed 1 s later. The end stands behind the answers, so the client cannot know of it; what it sends to the closed socket resets the connection.

In a scratch copy without the client's messages all 8 answers come although the process has exited, so neither the exit nor the write loses them.

Change: a half-closed connection waits 10 s for its client to close, as an open one waits for a client that does not read. Bounded by the share of descriptors for half-closed clients, and after SIGTERM by the time at which the last replies are due; never less than the 1 s of before.

Tests: gateway/tests/net/slow_readers.rs.

--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -1,6 +1,6 @@
 //! Client connections: connection capacity, the limit on buffered bytes, final replies and graceful closing.
 use super::Gateway;
-use crate::connection::{Buffer, Connection, ConnectionState, Role, LINGER};
+use crate::connection::{Buffer, Connection, ConnectionState, Role, LINGER, MIN_LINGER};
 use crate::core::{FinalReply, ReplyHandle, NO_CAPACITY_RETRY_AFTER};
 use crate::deadlines::DeadlineKind;
 use crate::slots::SlotKey;
@@ -172,17 +172,30 @@
     /// has closed too. If the socket were closed at once, a request that arrives after it would trigger a reset, and
     /// replies still in transit would be lost.
     pub(super) fn half_close(&mut self, now: MonotonicTime, key: SlotKey) {
-        let Some(conn) =
-            self.connections.get_mut(key).filter(|c| !matches!(c.state, ConnectionState::HalfClosed { .. }))
-        else {
-            return;
-        };
-        self.half_closed_count += 1;
-        conn.state = ConnectionState::HalfClosed { until: now + LINGER };
+        let is_open = |c: &&Connection| !matches!(c.state, ConnectionState::HalfClosed { .. });
+        let Some(conn) = self.connections.get(key).filter(is_open) else { return };
         // If the connection is broken, the next read reports it.
         let _ = conn.stream.shutdown(Side::Write);
+        self.half_closed_count += 1;
+        self.linger(key, linger_until(now, self.final_reply_due()));
+    }
+
+    /// Shortens the wait of the connections that are half-closed already, since the process was told to stop.
+    pub(super) fn shorten_lingering(&mut self, now: MonotonicTime) {
+        let latest = linger_until(now, self.final_reply_due());
+        let is_beyond =
+            |c: &Connection| matches!(c.state, ConnectionState::HalfClosed { until } if until > latest);
+        let beyond: Vec<SlotKey> =
+            self.connections.iter().filter(|(_, c)| is_beyond(c)).map(|(key, _)| key).collect();
+        beyond.into_iter().for_each(|key| self.linger(key, latest));
+    }
+
+    /// Sets until when a half-closed connection waits for the client to close it.
+    fn linger(&mut self, key: SlotKey, until: MonotonicTime) {
+        let Some(conn) = self.connections.get_mut(key) else { return };
+        conn.state = ConnectionState::HalfClosed { until };
         self.core.deadlines.clear(conn.deadline, DeadlineKind::Connection(key));
-        conn.deadline = now + LINGER;
+        conn.deadline = until;
         self.core.deadlines.set(conn.deadline, DeadlineKind::Connection(key));
     }
 
@@ -206,3 +219,10 @@
         self.flush(now, key);
     }
 }
+
+/// Until when a connection that is half-closed now waits for its client; `final_reply_due`: when the last replies of a
+/// stopping process are due.
+fn linger_until(now: MonotonicTime, final_reply_due: Option<MonotonicTime>) -> MonotonicTime {
+    let until = now + LINGER;
+    final_reply_due.map_or(until, |due| until.min(due).max(now + MIN_LINGER))
+}
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -314,10 +314,9 @@
             return;
         }
         // All requests must be answered before the platform kills the process, which would lose those still open.
-        let longest_deadline =
-            self.core.classes.current().map(|slot| slot.settings.deadline).max().unwrap_or_default();
-        let reply_by = final_reply_deadline(now, longest_deadline);
+        let reply_by = final_reply_deadline(now, self.longest_deadline());
         self.core.answer_all_by(now, reply_by);
+        self.shorten_lingering(now);
         if !self.processes.has_successor() {
             self.peers.iter_mut().for_each(|peers| peers.leave(now));
         }
@@ -327,6 +326,18 @@
         self.core.deadlines.set(now + ACCEPT_GRACE_PERIOD, DeadlineKind::StopAccepting);
     }
 
+    /// The longest deadline of the classes in force.
+    fn longest_deadline(&self) -> Duration {
+        self.core.classes.current().map(|slot| slot.settings.deadline).max().unwrap_or_default()
+    }
+
+    /// When the last replies of this process are due, if it was told to stop; half-closed clients are waited for until
+    /// then, since the platform kills the process soon after.
+    fn final_reply_due(&self) -> Option<MonotonicTime> {
+        let signalled_at = self.shutdown.signalled_at()?;
+        Some(final_reply_deadline(signalled_at, self.longest_deadline()))
+    }
+
     /// Whether the shutdown is complete: the listeners are closed, all requests are answered, and no client is
     /// connected. Idle clients also have to be closed gracefully, since replies may still be in transit to them.
     fn is_finished(&self) -> bool {
--- a/gateway/src/shutdown.rs
+++ b/gateway/src/shutdown.rs
@@ -80,6 +80,14 @@
         self != Shutdown::Serving
     }
 
+    /// When the first signal to stop was received, if one was.
+    pub fn signalled_at(self) -> Option<MonotonicTime> {
+        match self {
+            Shutdown::Serving => None,
+            Shutdown::Accepting { signalled_at } | Shutdown::Closing { signalled_at } => Some(signalled_at),
+        }
+    }
+
     /// Whether the process no longer accepts clients.
     pub fn is_closing(self) -> bool {
         matches!(self, Shutdown::Closing { .. })
--- a/gateway/tests/net/main.rs
+++ b/gateway/tests/net/main.rs
@@ -17,6 +17,7 @@
 mod scenario;
 mod shortages;
 mod signed;
+mod slow_readers;
 mod spread;
 mod starts;
 mod state_folder;
--- a/gateway/tests/net/scenario/process.rs
+++ b/gateway/tests/net/scenario/process.rs
@@ -165,6 +165,11 @@
         assert!(Command::new("sh").args(["-c", &line]).status().expect("kills").success());
     }
 
+    /// How many descriptors the program has open.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("its descriptors").count()
+    }
+
     /// Ticks of the processor that the program has used (a hundred a second).
     pub fn ticks(&self) -> u64 {
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).expect("its state");
