Apply events that come in one piece with the end of their response or an error

What callers saw: a bulletin that went down in order told a purge as its last word, and for the 5 s after it 247 answers came from copies older than the purge. A bulletin that ends each response behind its news was never heard.

Cause: the decoder of chunks returned the last chunk as an error, and what was complete before it in the same piece of input was dropped with it; the reader of the stream and its users had the same form, items or an error.

Change: StreamReader::read returns the items and, beside them, why nothing can be read behind them; the gateway, the relay and the laboratory's followers handle the items first. The decoders of chunks and gzip hand on what stands before an error. The end of a response is a reason of its own, no longer invalid data.

--- a/crates/distribution/src/subscriber.rs
+++ b/crates/distribution/src/subscriber.rs
@@ -175,6 +175,7 @@
             Input::Comment(text) => self.handle_comment(now, text, out),
             Input::Event(event) => self.handle_event(now, event, out),
             Input::Malformed => self.fail_over(now, LeaveReason::Malformed, out),
+            Input::Ended => self.fail_over(now, LeaveReason::Ended, out),
             Input::Refused { status, retry_after } => self.handle_refusal(now, status, retry_after, out),
         }
     }
--- a/crates/distribution/src/subscriber/messages.rs
+++ b/crates/distribution/src/subscriber/messages.rs
@@ -55,6 +55,8 @@
     },
     /// The received bytes are not a valid event stream.
     Malformed,
+    /// The source has ended its response in order; the connection may still be open.
+    Ended,
     /// The connection was closed by the source, or connecting failed.
     Disconnected,
     /// The connection attempt failed immediately.
@@ -104,6 +106,8 @@
     Refused(u16),
     /// The source sent invalid data.
     Malformed,
+    /// The source has ended its response.
+    Ended,
     /// The settings have changed.
     Reconfigured,
 }
@@ -118,6 +122,7 @@
             LeaveReason::Behind => write!(f, "it does not have the last applied event"),
             LeaveReason::Refused(status) => write!(f, "it answered {status}"),
             LeaveReason::Malformed => write!(f, "it sent invalid data"),
+            LeaveReason::Ended => write!(f, "it ended its response"),
             LeaveReason::Reconfigured => write!(f, "the settings have changed"),
         }
     }
--- a/crates/distribution/tests/subscriber.rs
+++ b/crates/distribution/tests/subscriber.rs
@@ -155,6 +155,7 @@
     for (input, reason) in [
         (Input::Refused { status: 503, retry_after: Some(9 * SECOND) }, LeaveReason::Refused(503)),
         (Input::Malformed, LeaveReason::Malformed),
+        (Input::Ended, LeaveReason::Ended),
     ] {
         assert_eq!(rig.input(input), [Output::Close(reason), Output::Disconnected]);
         let (pause, request) = rig.expect_dial();
--- a/gateway/src/event_stream.rs
+++ b/gateway/src/event_stream.rs
@@ -25,6 +25,16 @@
     Comment(String),
 }
 
+/// What was read of a stream.
+#[derive(Debug, Default, PartialEq, Eq)]
+#[must_use = "events that are complete are to be handled, also before an error"]
+pub struct StreamRead {
+    /// The events and comments that are complete now, in their order.
+    pub items: Vec<StreamItem>,
+    /// Why nothing can be read behind them, such as the end of the stream.
+    pub error: Option<StreamError>,
+}
+
 /// Reads the response to a subscription.
 #[derive(Debug, Default)]
 pub struct StreamReader {
@@ -51,39 +61,40 @@
 }
 
 impl StreamReader {
-    /// Takes in what was read and returns the events and comments that are complete now, in their order.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the stream cannot be read on, and at its end.
-    pub fn read(&mut self, bytes: &[u8]) -> Result<Vec<StreamItem>, StreamError> {
+    /// Takes in what was received. Events that are complete before an error, or before the end of the stream, are
+    /// returned beside it: they may come in the same piece.
+    pub fn read(&mut self, bytes: &[u8]) -> StreamRead {
         let mut items = Vec::new();
+        let error = self.read_items(bytes, &mut items).err();
+        StreamRead { items, error }
+    }
+
+    fn read_items(&mut self, bytes: &[u8], items: &mut Vec<StreamItem>) -> Result<(), StreamError> {
         if self.body.is_some() {
-            self.read_body(bytes, &mut items)?;
-            return Ok(items);
+            return self.read_body(bytes, items);
         }
         self.head.extend_from_slice(bytes);
-        let Some(head) = read_head(&self.head)? else { return Ok(items) };
+        let Some(head) = read_head(&self.head)? else { return Ok(()) };
         self.body = Some(BodyDecoder::new(&head));
         let bytes = std::mem::take(&mut self.head);
-        self.read_body(&bytes[head.length..], &mut items)?;
-        Ok(items)
+        self.read_body(&bytes[head.length..], items)
     }
 
     fn read_body(&mut self, bytes: &[u8], items: &mut Vec<StreamItem>) -> Result<(), StreamError> {
         let Some(BodyDecoder { chunks, gzip }) = &mut self.body else { return Ok(()) };
-        let content;
-        let coded = match chunks {
-            None => bytes,
+        let mut content = Vec::new();
+        let (coded, chunk_error) = match chunks {
+            None => (bytes, None),
             Some(chunks) => {
-                content = chunks.decode(bytes)?;
-                &content[..]
+                let error = chunks.decode(bytes, &mut content).err();
+                (&content[..], error)
             }
         };
         match gzip {
-            None => self.events.parse(coded, items),
-            Some(gzip) => gzip.decode(coded, &mut |text| self.events.parse(text, items)),
+            None => self.events.parse(coded, items)?,
+            Some(gzip) => gzip.decode(coded, &mut |text| self.events.parse(text, items))?,
         }
+        chunk_error.map_or(Ok(()), Err)
     }
 }
 
--- a/gateway/src/event_stream/chunked.rs
+++ b/gateway/src/event_stream/chunked.rs
@@ -15,13 +15,13 @@
 }
 
 impl ChunkDecoder {
-    /// Returns the content of the chunks in these bytes.
+    /// Appends the content of the chunks in these bytes, also of those before an error.
     ///
     /// # Errors
     ///
     /// Fails if a chunk's size is malformed or too large, and at the last chunk.
-    pub(super) fn decode(&mut self, mut bytes: &[u8]) -> Result<Vec<u8>, StreamError> {
-        let mut content = Vec::with_capacity(bytes.len());
+    pub(super) fn decode(&mut self, mut bytes: &[u8], content: &mut Vec<u8>) -> Result<(), StreamError> {
+        content.reserve(bytes.len());
         while !bytes.is_empty() {
             if self.remaining > 0 {
                 let (chunk, rest) = bytes.split_at(self.remaining.min(bytes.len()));
@@ -41,7 +41,7 @@
                 self.begin_chunk()?;
             }
         }
-        Ok(content)
+        Ok(())
     }
 
     /// The line is complete; one that is blank ends the chunk before.
--- a/gateway/src/event_stream/gzip.rs
+++ b/gateway/src/event_stream/gzip.rs
@@ -12,7 +12,8 @@
 
 /// What one step of decoding did.
 struct Step {
-    status: Status,
+    /// How it ended; an error lies behind the text that was written.
+    status: Result<Status, DecodeError>,
     /// Bytes of the input that were read.
     consumed: usize,
     /// Bytes of text that were written.
@@ -52,7 +53,7 @@
         let mut text = vec![0; STEP_BYTES];
         let mut decoded = 0;
         loop {
-            let Step { status, consumed, produced } = self.inflate(bytes, &mut text)?;
+            let Step { status, consumed, produced } = self.inflate(bytes, &mut text);
             bytes = &bytes[consumed..];
             decoded += produced;
             if decoded > MAX_DECODED_BYTES {
@@ -60,7 +61,7 @@
             }
             consume(&text[..produced])?;
             let is_stuck = consumed == 0 && produced == 0;
-            match status {
+            match status? {
                 Status::StreamEnd => return Err(StreamError::Ended),
                 _ if is_stuck || (bytes.is_empty() && produced < text.len()) => return Ok(()),
                 _ => {}
@@ -80,12 +81,12 @@
         }
     }
 
-    fn inflate(&mut self, bytes: &[u8], text: &mut [u8]) -> Result<Step, DecodeError> {
+    fn inflate(&mut self, bytes: &[u8], text: &mut [u8]) -> Step {
         let (total_in, total_out) = (self.inflate.total_in(), self.inflate.total_out());
         let status = self.inflate.decompress(bytes, text, FlushDecompress::Sync);
-        let status = status.map_err(|_| DecodeError::Deflate)?;
+        let status = status.map_err(|_| DecodeError::Deflate);
         let consumed = (self.inflate.total_in() - total_in) as usize;
         let produced = (self.inflate.total_out() - total_out) as usize;
-        Ok(Step { status, consumed, produced })
+        Step { status, consumed, produced }
     }
 }
--- a/gateway/src/event_stream/tests.rs
+++ b/gateway/src/event_stream/tests.rs
@@ -9,14 +9,25 @@
     StreamItem::Event(data.to_string())
 }
 
-/// What is read of a stream that comes in pieces of this size.
-fn read(stream: &[u8], size: usize) -> Result<Vec<StreamItem>, StreamError> {
+/// What is read of a stream that comes in pieces of this size, up to an error.
+fn read_all(stream: &[u8], size: usize) -> StreamRead {
     let mut reader = StreamReader::default();
-    let mut parts = Vec::new();
+    let mut all = StreamRead::default();
     for piece in stream.chunks(size) {
-        parts.extend(reader.read(piece)?);
+        let StreamRead { items, error } = reader.read(piece);
+        all.items.extend(items);
+        all.error = error;
+        if all.error.is_some() {
+            break;
+        }
     }
-    Ok(parts)
+    all
+}
+
+/// What is read of a stream that comes in pieces of this size, or its error.
+fn read(stream: &[u8], size: usize) -> Result<Vec<StreamItem>, StreamError> {
+    let StreamRead { items, error } = read_all(stream, size);
+    error.map_or(Ok(items), Err)
 }
 
 /// A piece of a gzip body as a relay makes it: by a compressor of its own, ended by a full flush.
@@ -119,3 +130,40 @@
     let coded = gzipped(&[&list[HEAD.len()..]]);
     assert_eq!(read(&coded, 8_192), read(list.as_bytes(), 8_192));
 }
+
+/// This body in one chunk, with what stands behind it.
+fn chunk(body: &[u8], rest: &str) -> Vec<u8> {
+    [format!("{:x}\r\n", body.len()).as_bytes(), body, b"\r\n", rest.as_bytes()].concat()
+}
+
+/// Guards against events that are dropped because an error, or the end of the stream, comes in the same piece of input.
+#[test]
+fn events_that_are_complete_are_returned_beside_an_error_or_the_end_behind_them() {
+    const CHUNKED_HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let events = "data: one\n\ndata: two\n\n";
+    let chunked = |rest: &str| [CHUNKED_HEAD.as_bytes(), &chunk(events.as_bytes(), rest)].concat();
+    let too_long = format!("{HEAD}{events}data: {}", "0".repeat(MAX_EVENT_BYTES));
+    // A deflate block of the type that there is none of.
+    let spoilt_gzip = [gzipped(&[events]), vec![0xff; 4]].concat();
+    // A last block of no bytes (RFC 1951, section 3.2.4).
+    let ended_gzip = [gzipped(&[events]), vec![1, 0, 0, 0xff, 0xff]].concat();
+    let gzip_body = &ended_gzip[GZIP_HEAD.len()..];
+    let both_head = CHUNKED_HEAD.replace("\r\n\r\n", "\r\nContent-Encoding: gzip\r\n\r\n");
+    let ended_both = [both_head.as_bytes(), &chunk(gzip_body, "0\r\n\r\n")].concat();
+    let cases = [
+        (chunked("0\r\n\r\n"), StreamError::Ended),
+        (chunked("zz\r\n"), StreamError::ChunkSize("zz".into())),
+        (chunked("ffffffff\r\n"), StreamError::ChunkTooLong),
+        (too_long.into_bytes(), StreamError::EventTooLong),
+        (spoilt_gzip, StreamError::Decode(DecodeError::Deflate)),
+        (ended_gzip.clone(), StreamError::Ended),
+        (ended_both, StreamError::Ended),
+    ];
+    for (stream, error) in cases {
+        for size in [1, 7, stream.len()] {
+            let StreamRead { items, error: got } = read_all(&stream, size);
+            assert_eq!(items, [event("one"), event("two")], "{error:?} in pieces of {size}");
+            assert_eq!(got.as_ref(), Some(&error), "in pieces of {size}");
+        }
+    }
+}
--- a/gateway/src/events.rs
+++ b/gateway/src/events.rs
@@ -15,7 +15,7 @@
 use crate::bulletin::{self, BulletinEvent, EventBody};
 use crate::clock::{self, wire::Arrival};
 use crate::config::Overlay;
-use crate::event_stream::{StreamError, StreamItem, StreamReader};
+use crate::event_stream::{StreamError, StreamItem, StreamRead, StreamReader};
 use crate::spans::floor_millis;
 use crate::wire_settings::WireSettings;
 use lag::{LagChange, LagWatch};
@@ -206,18 +206,22 @@
 
     /// Bytes have come in on the connection.
     pub fn take_bytes(&mut self, now: MonotonicTime, bytes: &[u8], settings: &WireSettings) -> Vec<Effect> {
-        let items = match self.reader.read(bytes) {
-            Ok(items) => items,
-            Err(error) => return self.unreadable_stream(now, &error),
-        };
-        let mut effects = self.feed(now, Input::BytesReceived);
+        let StreamRead { items, error } = self.reader.read(bytes);
+        let mut effects = Vec::new();
+        // An error alone, such as a refusal, does not show that events can be received.
+        if error.is_none() || !items.is_empty() {
+            effects = self.feed(now, Input::BytesReceived);
+        }
         for item in items {
             if self.take_item(now, item, settings, &mut effects) == ConnectionState::Closed {
                 return effects;
             }
         }
         self.check_lag(now, &mut effects);
-        self.report_position(now, &mut effects);
+        match error {
+            Some(error) => effects.extend(self.unreadable_stream(now, &error)),
+            None => self.report_position(now, &mut effects),
+        }
         effects
     }
 
@@ -261,6 +265,9 @@
         if let StreamError::Refused { status, retry_after } = *error {
             return self.feed(now, Input::Refused { status, retry_after });
         }
+        if *error == StreamError::Ended {
+            return self.feed(now, Input::Ended);
+        }
         warn!(%error, "the event stream cannot be read");
         self.feed(now, Input::Malformed)
     }
--- a/gateway/src/relay/upstream/connection.rs
+++ b/gateway/src/relay/upstream/connection.rs
@@ -1,5 +1,5 @@
 //! One connection to a source: its socket, its output and the reader of its stream.
-use crate::event_stream::{StreamError, StreamItem, StreamReader};
+use crate::event_stream::{StreamError, StreamItem, StreamRead, StreamReader};
 use crate::nonblocking::{read_once, write_available, ReadOutcome};
 use crate::sockets::begin_connect;
 use larchway_distribution::positions::PositionReport;
@@ -26,6 +26,8 @@
     pub items: Vec<StreamItem>,
     /// How far the response has come.
     pub progress: StreamProgress,
+    /// Why nothing can be read behind the items.
+    pub error: Option<StreamError>,
 }
 
 /// A connection to a source, from its dial on.
@@ -75,18 +77,16 @@
         read_once(&self.stream, bytes)
     }
 
-    /// Decodes bytes that were read.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the stream cannot be read on.
-    pub(super) fn decode(&mut self, bytes: &[u8]) -> Result<Decoded, StreamError> {
-        let items = self.reader.read(bytes)?;
-        let progress = match std::mem::replace(&mut self.is_streaming, true) {
-            true => StreamProgress::Continued,
-            false => StreamProgress::Begun,
+    /// Decodes bytes that were read. A response that is an error from its first byte on has not begun.
+    pub(super) fn decode(&mut self, bytes: &[u8]) -> Decoded {
+        let StreamRead { items, error } = self.reader.read(bytes);
+        let was_streaming = self.is_streaming;
+        self.is_streaming |= error.is_none() || !items.is_empty();
+        let progress = match !was_streaming && self.is_streaming {
+            true => StreamProgress::Begun,
+            false => StreamProgress::Continued,
         };
-        Ok(Decoded { items, progress })
+        Decoded { items, progress, error }
     }
 
     /// Writes what there is, and polls for writability only while there is more. Takes the report once all before it is
--- a/gateway/src/relay/upstream/stream.rs
+++ b/gateway/src/relay/upstream/stream.rs
@@ -13,20 +13,22 @@
     /// Bytes came from the source: hands their events and comments to the subscriber.
     pub(super) fn decode(&mut self, now: MonotonicTime, bytes: &[u8], inputs: &mut Vec<RelayInput>) {
         let Some(connection) = &mut self.connection else { return };
-        let Decoded { items, progress } = match connection.decode(bytes) {
-            Ok(decoded) => decoded,
-            Err(error) => return self.fail(now, &error, inputs),
-        };
+        let Decoded { items, progress, error } = connection.decode(bytes);
         if progress == StreamProgress::Begun {
             inputs.push(RelayInput::UpstreamConnected);
         }
-        self.handle(now, Input::BytesReceived, None, inputs);
+        if error.is_none() || !items.is_empty() {
+            self.handle(now, Input::BytesReceived, None, inputs);
+        }
         for item in items {
             match item {
                 StreamItem::Event(data) => self.take_event(now, &data, inputs),
                 StreamItem::Comment(text) => self.take_comment(now, &text, inputs),
             }
         }
+        if let Some(error) = error {
+            self.fail(now, &error, inputs);
+        }
     }
 
     fn fail(&mut self, now: MonotonicTime, error: &StreamError, inputs: &mut Vec<RelayInput>) {
--- a/gateway/tests/net/main.rs
+++ b/gateway/tests/net/main.rs
@@ -4,6 +4,7 @@
 mod copies;
 mod documents;
 mod ensemble;
+mod event_ends;
 mod events;
 mod faults;
 mod fleet;
--- a/lab/src/followers/run.rs
+++ b/lab/src/followers/run.rs
@@ -7,7 +7,7 @@
     shuffled, EventMetadata, Input, Output, SourceKind, Subscriber, SubscriberSettings, Subscription,
 };
 use larchway_distribution::{Event, EventNumber, Subject};
-use larchway_gateway::event_stream::{StreamError, StreamItem, StreamReader};
+use larchway_gateway::event_stream::{StreamError, StreamItem, StreamRead, StreamReader};
 use larchway_gateway::sockets::begin_connect;
 use polling::{Event as Readiness, PollMode, Poller};
 use std::collections::BTreeSet;
@@ -170,16 +170,11 @@
 
     fn decode(&mut self, now: Micros, index: usize, bytes: &[u8]) {
         self.seen.bytes += bytes.len() as u64;
-        let parts = match self.all[index].reader.read(bytes) {
-            Ok(parts) => parts,
-            Err(StreamError::Refused { status, retry_after }) => {
-                return self.handle(now, index, Input::Refused { status, retry_after });
-            }
-            Err(StreamError::Ended) => return self.lose(now, index),
-            Err(_) => return self.handle(now, index, Input::Malformed),
-        };
-        self.handle(now, index, Input::BytesReceived);
-        for part in parts {
+        let StreamRead { items, error } = self.all[index].reader.read(bytes);
+        if error.is_none() || !items.is_empty() {
+            self.handle(now, index, Input::BytesReceived);
+        }
+        for part in items {
             if self.all[index].stream.is_none() {
                 return;
             }
@@ -188,6 +183,14 @@
                 StreamItem::Comment(text) => self.handle(now, index, Input::Comment(&text)),
             }
         }
+        match error {
+            None => {}
+            Some(StreamError::Refused { status, retry_after }) => {
+                self.handle(now, index, Input::Refused { status, retry_after });
+            }
+            Some(StreamError::Ended) => self.lose(now, index),
+            Some(_) => self.handle(now, index, Input::Malformed),
+        }
     }
 
     fn handle(&mut self, now: Micros, index: usize, input: Input<'_>) {
--- a/lab/src/hollow/follower.rs
+++ b/lab/src/hollow/follower.rs
@@ -2,7 +2,7 @@
 use super::error::HollowError;
 use larchway_distribution::subscriber::Subscription;
 use larchway_distribution::EventNumber;
-use larchway_gateway::event_stream::{StreamItem, StreamReader};
+use larchway_gateway::event_stream::{StreamError, StreamItem, StreamRead, StreamReader};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
@@ -53,8 +53,16 @@
                 }
                 Ok(read) => {
                     taken.bytes += read;
-                    let parts = self.reader.read(&buffer[..read])?;
-                    taken.events.extend(parts.into_iter().filter_map(event_data));
+                    let StreamRead { items, error } = self.reader.read(&buffer[..read]);
+                    taken.events.extend(items.into_iter().filter_map(event_data));
+                    match error {
+                        None => {}
+                        Some(StreamError::Ended) => {
+                            taken.ended = true;
+                            break;
+                        }
+                        Some(error) => return Err(error.into()),
+                    }
                     if read < buffer.len() {
                         break;
                     }
