Tell what to poll another process for after its frames are handled, not before

What callers saw: an operator took a store out during an upgrade and got a yes; the new process went on using it as a target and as a source of fills, 238 requests in 7 s. What the old process had learned was lost, and limits were not shared.

Cause: the state of the connection (nothing is left to write) was read before the frames were handled and applied after. The greeting of the new process is answered with the state of the old one; beyond some 200 KB the rest waited for the socket, and the older state took away the interest in that. The new process gave up after 1.5 s.

The test below fails without any load with the two log lines of the case, and passes with the order of the two steps changed and nothing else.

Change: Upgrade::read_frames returns frames and whether more can be read; Upgrade::finish_read is called once they are handled and tells what to poll for.

--- a/gateway/src/net/processes.rs
+++ b/gateway/src/net/processes.rs
@@ -94,10 +94,12 @@
     /// Reads and handles the frames of another process of the gateway.
     pub(super) fn read_process(&mut self, now: MonotonicTime, place: usize) {
         let Some(upgrade) = &mut self.upgrade else { return };
-        let ReadFrames { frames, state } = upgrade.read_frames(place);
+        let Some(ReadFrames { frames, liveness }) = upgrade.read_frames(place) else { return };
         for frame in frames {
             self.handle_frame(now, place, frame);
         }
+        // Determined only now: a frame may have been answered with more than the socket accepts at once.
+        let state = self.upgrade.as_mut().and_then(|upgrade| upgrade.finish_read(place, liveness));
         self.apply_process_change(place, state);
     }
 
--- a/gateway/src/upgrade/mod.rs
+++ b/gateway/src/upgrade/mod.rs
@@ -41,19 +41,21 @@
     Ended(UnixStream),
 }
 
-/// The frames read from another process.
-#[derive(Default)]
+/// The frames read from another process. They are to be handled before [`Upgrade::finish_read`] tells what to poll for,
+/// since handling them may add output.
 pub struct ReadFrames {
     /// The complete frames, in order.
     pub frames: Vec<Frame>,
-    /// The state of the connection afterwards; none if there is no such process.
-    pub state: Option<ProcessState>,
+    /// Whether more can be read.
+    pub liveness: Liveness,
 }
 
 /// Whether the connection to a process is still usable.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Liveness {
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Liveness {
+    /// It is.
     Alive,
+    /// The process has ended, or sent an invalid frame.
     Ended,
 }
 
@@ -118,16 +120,22 @@
         self.peers.get(place)?.as_ref().map(|peer| &peer.stream)
     }
 
-    /// Reads what another process has sent.
-    pub fn read_frames(&mut self, place: usize) -> ReadFrames {
-        let Some(peer) = self.peers.get_mut(place).and_then(Option::as_mut) else {
-            return ReadFrames::default();
-        };
+    /// Reads what another process has sent; none if there is no such process.
+    pub fn read_frames(&mut self, place: usize) -> Option<ReadFrames> {
+        let peer = self.peers.get_mut(place)?.as_mut()?;
         let mut frames = Vec::new();
-        let liveness = [peer.read(), peer.take_frames(&mut frames)];
-        let has_ended = liveness.contains(&Liveness::Ended);
-        let state = if has_ended { self.remove(place) } else { self.flush(place) };
-        ReadFrames { frames, state }
+        let is_ended = [peer.read(), peer.take_frames(&mut frames)].contains(&Liveness::Ended);
+        let liveness = if is_ended { Liveness::Ended } else { Liveness::Alive };
+        Some(ReadFrames { frames, liveness })
+    }
+
+    /// Returns the state of the connection once the frames that were read are handled, and writes pending output; none
+    /// if it was closed meanwhile.
+    pub fn finish_read(&mut self, place: usize, liveness: Liveness) -> Option<ProcessState> {
+        match liveness {
+            Liveness::Alive => self.flush(place),
+            Liveness::Ended => self.remove(place),
+        }
     }
 
     /// Sends a frame to another process.
@@ -148,7 +156,7 @@
     }
 
     fn remove(&mut self, place: usize) -> Option<ProcessState> {
-        self.peers[place].take().map(|peer| ProcessState::Ended(peer.stream))
+        self.peers.get_mut(place)?.take().map(|peer| ProcessState::Ended(peer.stream))
     }
 
     /// The file in which the manual ejections are saved for later processes.
--- a/gateway/tests/net/operations.rs
+++ b/gateway/tests/net/operations.rs
@@ -292,6 +292,44 @@
     assert!(places(&mut s, 400).iter().any(|at| at == "a1"));
 }
 
+/// Guards against a state that is never sent to its end because it is longer than what a socket holds at once.
+///
+/// An operator took a store out while the program was replaced, and the new process went on using it. The old one had read the
+/// greeting of the new one, noted that all it had to send was sent, and then answered with its state: some 200 KB went into the
+/// socket, and the rest waited to be polled for. The earlier note was applied last and took that interest away. The new process
+/// gave up after 1.5 s ("cannot get the state of another process"), and both acted as the only one.
+#[test]
+fn a_state_longer_than_a_socket_holds_is_handed_over_in_an_upgrade() {
+    // With names like these their list takes some 600 KB of the state.
+    const STORES: usize = 4000;
+    let mut s = served();
+    let entries: Vec<String> = (0..STORES)
+        .map(|n| {
+            let name = format!("{n:0100}");
+            let address = format!("10.0.{}.{}:4100", n / 250, n % 250).parse().expect("an address");
+            entry(&name, address, "standard", "draining")
+        })
+        .collect();
+    let list = entries.join(",");
+    s.run(&format!(
+        "bulletin < call last=1
+         bulletin > {{\"no\":2,\"roster\":{{\"seq\":2,\"whole\":false,\"hosts\":[{list}]}}}}
+         figure known_stores {}
+         o1 connect
+         start
+         log < takes over
+         o1 > PUT /ops/stores/down | {{\"who\":\"s-a1\"}}
+         o1 < 200",
+        STORES + 4
+    ));
+    assert!(
+        places(&mut s, 800).iter().all(|at| at == "a2"),
+        "a call to the old process holds in the new one"
+    );
+    s.run("old term\nold exit 0");
+    assert!(places(&mut s, 900).iter().all(|at| at == "a2"), "also once the old one has ended");
+}
+
 #[test]
 fn a_call_to_either_process_holds_in_both_and_a_killed_process_takes_none_along() {
     let mut s = served();
