--- a/gateway/tests/net/operations.rs
+++ b/gateway/tests/net/operations.rs
@@ -330,6 +330,23 @@
     assert!(places(&mut s, 900).iter().all(|at| at == "a2"), "also once the old one has ended");
 }
 
+/// Guards against processes of one gateway that do not know of each other, since the old one stood still for as long as the new
+/// one waited for its state: a time-out drops the connection and the frames that have come on it.
+#[test]
+fn a_process_that_stands_still_while_the_next_one_starts_shares_calls_with_it_afterwards() {
+    let mut s = served();
+    s.run(
+        "o1 connect
+         pause
+         start
+         old cont
+         o1 > PUT /ops/stores/down | {\"who\":\"s-a1\"}
+         o1 < 200
+         figure skipped_stores 1",
+    );
+    assert!(places(&mut s, 1000).iter().all(|at| at == "a2"));
+}
+
 #[test]
 fn a_call_to_either_process_holds_in_both_and_a_killed_process_takes_none_along() {
     let mut s = served();
