Show that a process which never reads a handed-over state keeps nobody waiting

Need: the mended hand-over keeps output for another process until it reads; a peer that never does must not hold up calls, clients or the exit.

Change: a scenario with a silent process of the same gateway: an operator's call holds, clients are served, and SIGTERM ends the process before the platform's kill. The long state of both scenarios is made in one place.

--- a/gateway/tests/net/operations.rs
+++ b/gateway/tests/net/operations.rs
@@ -4,6 +4,9 @@
 use crate::scenario::{
     entry, leave_answers_unread, read_unread_answers, unix_ms, usual_with, Scenario, Setup, ROW,
 };
+use larchway_operations::handover::Frame;
+use std::io::Write;
+use std::os::unix::net::UnixStream;
 
 fn served() -> Scenario {
     usual_with(Setup { console: true, ..Setup::default() })
@@ -292,17 +295,9 @@
     assert!(places(&mut s, 400).iter().any(|at| at == "a1"));
 }
 
-/// Guards against a state that is never sent to its end because it is longer than what a socket holds at once.
-///
-/// An operator took a store out while the program was replaced, and the new process went on using it. The old one had read the
-/// greeting of the new one, noted that all it had to send was sent, and then answered with its state: some 200 KB went into the
-/// socket, and the rest waited to be polled for. The earlier note was applied last and took that interest away. The new process
-/// gave up after 1.5 s ("cannot get the state of another process"), and both acted as the only one.
-#[test]
-fn a_state_longer_than_a_socket_holds_is_handed_over_in_an_upgrade() {
-    // With names like these their list takes some 600 KB of the state.
+/// Makes the state that a process hands over longer than a socket holds: by some 600 KB of names of stores.
+fn lengthen_state(s: &mut Scenario) {
     const STORES: usize = 4000;
-    let mut s = served();
     let entries: Vec<String> = (0..STORES)
         .map(|n| {
             let name = format!("{n:0100}");
@@ -314,14 +309,28 @@
     s.run(&format!(
         "bulletin < call last=1
          bulletin > {{\"no\":2,\"roster\":{{\"seq\":2,\"whole\":false,\"hosts\":[{list}]}}}}
-         figure known_stores {}
-         o1 connect
+         figure known_stores {}",
+        STORES + 4
+    ));
+}
+
+/// Guards against a state that is never sent to its end because it is longer than what a socket holds at once.
+///
+/// During an upgrade an operator ejected a store, and the new process kept using it. The old process had read the Hello frame of
+/// the new one, determined that it had no output, and then replied with its state: some 200 KB went into the socket, and the
+/// rest had to wait until the socket was writable. The outdated interest was applied last, so the socket was not polled for
+/// that. The new process timed out after 1.5 s ("cannot get the state of another process"), and each acted as the only one.
+#[test]
+fn a_state_longer_than_a_socket_holds_is_handed_over_in_an_upgrade() {
+    let mut s = served();
+    lengthen_state(&mut s);
+    s.run(
+        "o1 connect
          start
          log < takes over
-         o1 > PUT /ops/stores/down | {{\"who\":\"s-a1\"}}
+         o1 > PUT /ops/stores/down | {\"who\":\"s-a1\"}
          o1 < 200",
-        STORES + 4
-    ));
+    );
     assert!(
         places(&mut s, 800).iter().all(|at| at == "a2"),
         "a call to the old process holds in the new one"
@@ -330,8 +339,32 @@
     assert!(places(&mut s, 900).iter().all(|at| at == "a2"), "also once the old one has ended");
 }
 
-/// Guards against processes of one gateway that do not know of each other, since the old one stood still for as long as the new
-/// one waited for its state: a time-out drops the connection and the frames that have come on it.
+/// Guards against a process that waits for another one to read its state.
+#[test]
+fn a_process_that_never_reads_the_state_keeps_the_other_from_nothing() {
+    // The platform sends SIGKILL 3.7 s after SIGTERM.
+    const KILL_MS: u64 = 3700;
+    let mut s = served();
+    lengthen_state(&mut s);
+    let files = std::fs::read_dir(s.var("folder")).expect("the folder").flatten().map(|file| file.path());
+    let socket = files.into_iter().find(|path| path.extension().is_some_and(|name| name == "sock"));
+    let mut silent = UnixStream::connect(socket.expect("the socket of the process")).expect("connects");
+    let hello = Frame::Hello { name: "n1".into() }.encode();
+    silent.write_all(&hello).expect("writes");
+    s.run(
+        "log < another process of this gateway has started
+         o1 > PUT /ops/stores/down | {\"who\":\"s-a1\"}
+         o1 < 200",
+    );
+    assert!(places(&mut s, 1100).iter().all(|at| at == "a2"));
+    let told = unix_ms();
+    s.run("term\nexit 0");
+    let took = unix_ms() - told;
+    assert!(took < KILL_MS, "exited after {took} ms");
+}
+
+/// Guards against processes of one gateway that do not know of each other, because the old one was paused for as long as the new
+/// one waits for its state: the time-out drops the connection and the frames received on it.
 #[test]
 fn a_process_that_stands_still_while_the_next_one_starts_shares_calls_with_it_afterwards() {
     let mut s = served();
