--- a/gateway/src/connection.rs
+++ b/gateway/src/connection.rs
@@ -13,10 +13,10 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time within which a client's message must be complete; for the first one it starts at the connect.
 pub(crate) const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
-/// How long a half-closed connection waits for the client to close it: as long as a client may leave replies unread,
-/// since those that the kernel has accepted may still be on their way.
+/// Maximum time that a half-closed connection waits for the client to close it. It equals the time that a client may leave
+/// replies unread, since replies that the kernel has accepted may still be in transit.
 pub(crate) const LINGER: Duration = UNREAD_ANSWERS_TIMEOUT;
-/// How long it waits at least, even if the process was told to stop.
+/// Minimum of that time, which applies even while the process is stopping.
 pub(crate) const MIN_LINGER: Duration = Duration::from_secs(1);
 /// Unsent output or unprocessed input, in bytes, above which a client of the front for signed links is not read from.
 pub(crate) const MAX_BACKLOG_BYTES: usize = 1 << 20;
--- a/gateway/src/event_stream.rs
+++ b/gateway/src/event_stream.rs
@@ -25,7 +25,7 @@
     Comment(String),
 }
 
-/// What was read of a stream.
+/// The result of reading a piece of a stream.
 #[derive(Debug, Default, PartialEq, Eq)]
 #[must_use = "events that are complete are to be handled, also before an error"]
 pub struct StreamRead {
@@ -61,8 +61,8 @@
 }
 
 impl StreamReader {
-    /// Takes in what was received. Events that are complete before an error, or before the end of the stream, are
-    /// returned beside it: they may come in the same piece.
+    /// Takes in received bytes. Events that are complete before an error, or before the end of the stream, are returned
+    /// with it, since both may be in the same piece.
     pub fn read(&mut self, bytes: &[u8]) -> StreamRead {
         let mut items = Vec::new();
         let error = self.read_items(bytes, &mut items).err();
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -180,7 +180,8 @@
         self.linger(key, linger_until(now, self.final_reply_due()));
     }
 
-    /// Shortens the wait of the connections that are half-closed already, since the process was told to stop.
+    /// Shortens the wait of the connections that are half-closed already, since the process received the
+    /// signal to stop.
     pub(super) fn shorten_lingering(&mut self, now: MonotonicTime) {
         let latest = linger_until(now, self.final_reply_due());
         let is_beyond =
@@ -220,8 +221,8 @@
     }
 }
 
-/// Until when a connection that is half-closed now waits for its client; `final_reply_due`: when the last replies of a
-/// stopping process are due.
+/// Returns until when a connection that is half-closed now waits for its client. `final_reply_due`: when the last
+/// replies of a stopping process are due.
 fn linger_until(now: MonotonicTime, final_reply_due: Option<MonotonicTime>) -> MonotonicTime {
     let until = now + LINGER;
     final_reply_due.map_or(until, |due| until.min(due).max(now + MIN_LINGER))
--- a/gateway/src/upgrade/mod.rs
+++ b/gateway/src/upgrade/mod.rs
@@ -41,8 +41,8 @@
     Ended(UnixStream),
 }
 
-/// The frames read from another process. They are to be handled before [`Upgrade::finish_read`] tells what to poll for,
-/// since handling them may add output.
+/// The frames read from another process. They have to be handled before [`Upgrade::finish_read`] is called, since
+/// handling them may add output.
 pub struct ReadFrames {
     /// The complete frames, in order.
     pub frames: Vec<Frame>,
--- a/gateway/tests/net/event_ends.rs
+++ b/gateway/tests/net/event_ends.rs
@@ -44,9 +44,9 @@
 
 /// Guards against a purge that is dropped because the end of the response comes in the same piece of input.
 ///
-/// A bulletin that went down in order told a purge as its last word and then ended its response. The gateway received it whole
-/// and did not apply it: the decoder reported the end as an error, and what was complete before it went with it. For 5 s stores
-/// were asked for copies of any age, and the next call had the number before the purge.
+/// A bulletin that shut down gracefully sent a purge as its last event and then ended its response. The gateway received the
+/// complete purge and did not apply it: the decoder reported the end as an error and discarded the events before it. For 5 s
+/// stores were asked for copies of any age, and the next subscription asked for the events after the one before the purge.
 #[test]
 fn a_purge_that_comes_with_the_end_of_the_response_is_applied_while_the_source_is_down() {
     let mut s = usual();
@@ -67,7 +67,8 @@
     s.run("edit config $chunked => $feed\nhup\nbulletin < call last=2");
 }
 
-/// Guards against a source that is never heard because it ends each response behind its news: each call asked for the same.
+/// Guards against a source whose events are never applied because it ends each response after an event: each subscription asked
+/// for the same event again.
 #[test]
 fn a_source_that_ends_each_response_behind_an_event_is_heard() {
     const EVENTS: u64 = 6;
--- a/gateway/tests/net/slow_readers.rs
+++ b/gateway/tests/net/slow_readers.rs
@@ -1,5 +1,5 @@
-//! The ends of connections whose clients read slowly, or not at all: what the gateway has written is in the buffers of both
-//! kernels, and not yet read.
+//! Closing of connections whose clients read slowly, or not at all: the replies that the gateway has written are still in the
+//! buffers of both kernels.
 use crate::scenario::{
     leave_answers_unread, read_unread_answers, unix_ms, usual_with, Scenario, Setup, FILES,
 };
@@ -11,12 +11,12 @@
     usual_with(Setup { console: true, ..Setup::default() })
 }
 
-/// Guards against answers that are lost when a slow client sends something after the end of its connection.
+/// Guards against replies that are lost when a slow client sends something after its connection was half-closed.
 ///
-/// A client was owed eight answers at a planned restart and read 1 MB a second. All were written to the socket, so that the
-/// connection counted as idle: it was half-closed, and closed a second later. The end stood behind megabytes of answers, so the
-/// client could not know of it. What it sent met a closed socket, the system reset the connection, and four answers were gone;
-/// without that message all eight came, though the process had exited meanwhile.
+/// At a planned restart a client that read 1 MB a second had eight replies in transit. All were written to the socket, so the
+/// connection counted as idle: it was half-closed, and closed a second later. The end of the stream comes after megabytes of
+/// replies, so the client did not see it. Its next message reached a closed socket, the kernel reset the connection, and four
+/// replies were lost; without that message all eight arrived, although the process had exited.
 #[test]
 fn answers_on_their_way_survive_what_a_slow_client_sends_long_after_the_end_of_its_connection() {
     let ends = [
@@ -38,7 +38,7 @@
     }
 }
 
-/// As above, where the connection is ended to make room for another client.
+/// Guards against the same loss when the connection is half-closed to make room for another client.
 #[test]
 fn answers_on_their_way_survive_what_a_slow_client_sends_long_after_it_made_room_for_another() {
     let mut s = usual_with(Setup { sockets: 64, console: true, ..Setup::default() });
@@ -52,7 +52,7 @@
     s.run("c1 < closed");
 }
 
-/// As above, on the front for signed links, whose client asked for the end itself.
+/// Guards against the same loss on the front for signed links, after `Connection: close`.
 #[test]
 fn an_answer_on_its_way_survives_what_a_slow_client_of_the_second_front_sends_long_after_the_end() {
     let mut s = served();
@@ -72,7 +72,7 @@
 /// Guards against a process that waits for clients until the platform kills it.
 #[test]
 fn a_client_that_never_reads_keeps_no_process_from_its_exit_before_the_kill() {
-    // The platform kills a process 3.7 s after it told it to stop.
+    // The platform sends SIGKILL 3.7 s after SIGTERM.
     const KILL_MS: u64 = 3700;
     for (stop, exit) in [("term", "exit 0"), ("start\nold term", "old exit 0")] {
         let mut s = served();
