Ignore the status of a process whose connection has failed before it is handled

Cause: since the state of a connection is applied after its frames, a process that has ended is removed when the reply to its greeting fails; a status that stood behind the greeting in the same piece of input then made it count as a process again, for good. At SIGTERM all clients would have been left to a process that is not there.

Change: ProcessGroup::update_status ignores a process that has left.

Test: operations::a_process_that_ended_before_its_frames_were_handled_is_no_successor forces the order by a pause.

--- a/crates/operations/src/process_group.rs
+++ b/crates/operations/src/process_group.rs
@@ -16,9 +16,12 @@
         self.others.entry(index).or_default();
     }
 
-    /// Stores the status that a process has sent.
+    /// Stores the status that a process has sent. It is ignored if the process has left: its last frames may be handled
+    /// after its connection has failed.
     pub fn update_status(&mut self, index: usize, status: ProcessStatus) {
-        self.others.insert(index, status);
+        if let Some(current) = self.others.get_mut(&index) {
+            *current = status;
+        }
     }
 
     /// Removes a process whose connection has ended, for whatever reason.
--- a/gateway/tests/net/operations.rs
+++ b/gateway/tests/net/operations.rs
@@ -4,7 +4,7 @@
 use crate::scenario::{
     entry, leave_answers_unread, read_unread_answers, unix_ms, usual_with, Scenario, Setup, ROW,
 };
-use larchway_operations::handover::Frame;
+use larchway_operations::handover::{Frame, ProcessStatus};
 use std::io::Write;
 use std::os::unix::net::UnixStream;
 
@@ -339,6 +339,33 @@
     assert!(places(&mut s, 900).iter().all(|at| at == "a2"), "also once the old one has ended");
 }
 
+/// Connects to the gateway's process as another one does.
+fn connect_as_process(s: &Scenario) -> UnixStream {
+    let files = std::fs::read_dir(s.var("folder")).expect("the folder").flatten().map(|file| file.path());
+    let socket = files.into_iter().find(|path| path.extension().is_some_and(|name| name == "sock"));
+    UnixStream::connect(socket.expect("the socket of the process")).expect("connects")
+}
+
+/// Guards against a process that counts as the next one although it has ended: its status was handled after its connection had
+/// failed under the reply to its greeting, and at SIGTERM all clients would be left to it.
+#[test]
+fn a_process_that_ended_before_its_frames_were_handled_is_no_successor() {
+    let mut s = served();
+    s.run("pause");
+    let mut ended = connect_as_process(&s);
+    let hello = Frame::Hello { name: "n1".into() }.encode();
+    let status = Frame::Status(ProcessStatus { serving: true, stopping: false }).encode();
+    ended.write_all(&[hello, status].concat()).expect("writes");
+    drop(ended);
+    s.run(
+        "resume
+         log < another process of this gateway has ended
+         term
+         log < told to stop: taking requests
+         exit 0",
+    );
+}
+
 /// Guards against a process that waits for another one to read its state.
 #[test]
 fn a_process_that_never_reads_the_state_keeps_the_other_from_nothing() {
@@ -346,9 +373,7 @@
     const KILL_MS: u64 = 3700;
     let mut s = served();
     lengthen_state(&mut s);
-    let files = std::fs::read_dir(s.var("folder")).expect("the folder").flatten().map(|file| file.path());
-    let socket = files.into_iter().find(|path| path.extension().is_some_and(|name| name == "sock"));
-    let mut silent = UnixStream::connect(socket.expect("the socket of the process")).expect("connects");
+    let mut silent = connect_as_process(&s);
     let hello = Frame::Hello { name: "n1".into() }.encode();
     silent.write_all(&hello).expect("writes");
     s.run(
