Let a follower of the laboratory that has left its source not lose it once more

Cause: an error behind events is handled after them since the reader returns both; where the last event made the follower leave its source, the end of that connection was counted again.

Change: nothing more is done for a connection that was left, as in the gateway and the relay.

Not shown by a test of its own: the laboratory's followers are stand-ins.

--- a/lab/src/followers/run.rs
+++ b/lab/src/followers/run.rs
@@ -183,6 +183,9 @@
                 StreamItem::Comment(text) => self.handle(now, index, Input::Comment(&text)),
             }
         }
+        if self.all[index].stream.is_none() {
+            return;
+        }
         match error {
             None => {}
             Some(StreamError::Refused { status, retry_after }) => {
