Test the end of a response in a case of its own, not as a third failure in a row

Change: the test is as it was before; the end of a response has a test of its own, with one source: the connection is closed, the pause is at most the initial backoff, and events after the cursor are requested.

--- a/crates/distribution/tests/subscriber.rs
+++ b/crates/distribution/tests/subscriber.rs
@@ -155,7 +155,6 @@
     for (input, reason) in [
         (Input::Refused { status: 503, retry_after: Some(9 * SECOND) }, LeaveReason::Refused(503)),
         (Input::Malformed, LeaveReason::Malformed),
-        (Input::Ended, LeaveReason::Ended),
     ] {
         assert_eq!(rig.input(input), [Output::Close(reason), Output::Disconnected]);
         let (pause, request) = rig.expect_dial();
@@ -165,6 +164,19 @@
     }
 }
 
+#[test]
+fn a_response_that_has_ended_is_left_and_events_after_the_cursor_are_requested_anew() {
+    let mut rig = Rig::new(settings(SourceKind::Plain, 1), 0);
+    rig.expect_dial();
+    rig.input(Input::BytesReceived);
+    rig.event(1);
+    rig.event(2);
+    assert_eq!(rig.input(Input::Ended), [Output::Close(LeaveReason::Ended), Output::Disconnected]);
+    let (pause, request) = rig.expect_dial();
+    assert!(pause <= INITIAL_BACKOFF, "{pause:?}");
+    assert_eq!(request.after, 2);
+}
+
 #[test]
 fn retry_after_is_limited_to_the_maximum() {
     let pauses =
