Review: case 7, slow readers take a gateway of 32 MB over its limit of memory

Change: case 7: 40 of 52 clients read 1 MB a second and have up to 32 requests for objects of 240,000 bytes open, after 30 s of ordinary requests, with 32 MB and 256 descriptors. At fault is that the parts of the limit add up to more than it, and that buffers are counted by content.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -8,4 +8,4 @@
     echo "the software or the stand-ins are not built" >&2
     exit 2
 fi
-exec "$program" slow-discovery-purge "$root" "$here"
+exec "$program" slow-discovery-drain "$root" "$here"
--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -240,3 +240,76 @@
     }
     sent
 }
+
+/// The most requests that may be open on a connection, and the time of a request of [`read_slowly`].
+const MOST_OPEN: usize = 32;
+const READER_TTL: Duration = Duration::from_millis(6000);
+
+/// A client that sends requests at a steady pace and reads at most so many bytes a second. Returns the numbers of requests
+/// sent and of bytes read.
+pub fn read_slowly(
+    address: SocketAddr,
+    stop: &AtomicBool,
+    fields: impl Fn(u64) -> Vec<(&'static str, String)>,
+    pause: Duration,
+    bytes_per_s: usize,
+) -> (u64, usize) {
+    const TURN: Duration = Duration::from_millis(20);
+    let Ok(mut stream) = TcpStream::connect(address) else { return (0, 0) };
+    let _ = stream.set_nodelay(true);
+    let _ = stream.set_read_timeout(Some(Duration::from_millis(1)));
+    let (started, mut sequence, mut sent, mut read) = (Instant::now(), 0, 0, 0);
+    let mut open: Vec<(i32, Instant)> = Vec::new();
+    let (mut input, mut buffer) = (Vec::new(), vec![0; 65536]);
+    let mut next_request = Instant::now();
+    while !stop.load(Ordering::SeqCst) {
+        while Instant::now() >= next_request {
+            next_request += pause;
+            if open.len() < MOST_OPEN {
+                (sequence, sent) = (sequence + 1, sent + 1);
+                if stream.write_all(&request(sequence, &fields(sent), b"")).is_err() {
+                    return (sent, read);
+                }
+                open.push((sequence, Instant::now()));
+            }
+        }
+        let (late, in_time): (Vec<_>, Vec<_>) =
+            open.into_iter().partition(|(_, at)| at.elapsed() > READER_TTL);
+        open = in_time;
+        for (taken_back, _) in late {
+            sequence += 1;
+            let mut content = message(4, "forget", sequence);
+            content.extend_from_slice(&[8, 0, 1]);
+            content.extend_from_slice(&taken_back.to_be_bytes());
+            content.push(0);
+            if stream.write_all(&frame(content)).is_err() {
+                return (sent, read);
+            }
+        }
+        let allowed = (started.elapsed().as_secs_f64() * bytes_per_s as f64) as usize;
+        while read < allowed {
+            let wanted = (allowed - read).min(buffer.len());
+            match stream.read(&mut buffer[..wanted]) {
+                Ok(0) => return (sent, read),
+                Ok(count) => {
+                    read += count;
+                    input.extend_from_slice(&buffer[..count]);
+                }
+                Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => break,
+                Err(_) => return (sent, read),
+            }
+        }
+        while let Some(length) = input.first_chunk::<4>().map(|head| 4 + u32::from_be_bytes(*head) as usize) {
+            if input.len() < length {
+                break;
+            }
+            // The number of a request stands behind the kind, the length of the name and the name, `serve`.
+            let number =
+                input.get(17..21).map(|bytes| i32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]));
+            open.retain(|(sequence, _)| Some(*sequence) != number);
+            input.drain(..length);
+        }
+        std::thread::sleep(TURN);
+    }
+    (sent, read)
+}
--- a/review/standins-2/src/gateway.rs
+++ b/review/standins-2/src/gateway.rs
@@ -95,6 +95,13 @@
         unsafe { kill(self.child.id() as i32, signal) };
     }
 
+    /// The private memory of the process, in kB.
+    pub fn private_kb(&self) -> u64 {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = text.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        line.and_then(|text| text.trim().trim_end_matches("kB").trim().parse().ok()).unwrap_or(0)
+    }
+
     /// Whether the process has ended; says how.
     pub fn has_ended(&mut self) -> bool {
         let status = self.child.try_wait().ok().flatten();
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -158,10 +158,15 @@
     output
 }
 
+/// The ids of large objects begin with this.
+const LARGE_OBJECTS: &str = "7f3a9c22";
+const LARGE_BYTES: usize = 240_000;
+const SMALL_BYTES: usize = 2000;
+
 /// The bytes of a copy; they name the object, the part and when the copy was issued.
 pub fn body_of(thing: &str, nth: &str, issued: u64) -> Vec<u8> {
     let mut body = format!("{thing} {nth} {issued} ").into_bytes();
-    body.resize(2000, b'.');
+    body.resize(if thing.starts_with(LARGE_OBJECTS) { LARGE_BYTES } else { SMALL_BYTES }, b'.');
     body
 }
 
