--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -253,6 +253,7 @@
     fields: impl Fn(u64) -> Vec<(&'static str, String)>,
     pause: Duration,
     bytes_per_s: usize,
+    note: impl Fn(String),
 ) -> (u64, usize) {
     const TURN: Duration = Duration::from_millis(20);
     let Ok(mut stream) = TcpStream::connect(address) else { return (0, 0) };
@@ -267,7 +268,9 @@
             next_request += pause;
             if open.len() < MOST_OPEN {
                 (sequence, sent) = (sequence + 1, sent + 1);
-                if stream.write_all(&request(sequence, &fields(sent), b"")).is_err() {
+                let fields = fields(sent);
+                note(format!("request {sequence} is sent: {fields:?}"));
+                if stream.write_all(&request(sequence, &fields, b"")).is_err() {
                     return (sent, read);
                 }
                 open.push((sequence, Instant::now()));
@@ -278,6 +281,7 @@
         open = in_time;
         for (taken_back, _) in late {
             sequence += 1;
+            note(format!("request {taken_back} is taken back"));
             let mut content = message(4, "forget", sequence);
             content.extend_from_slice(&[8, 0, 1]);
             content.extend_from_slice(&taken_back.to_be_bytes());
@@ -306,6 +310,7 @@
             // The number of a request stands behind the kind, the length of the name and the name, `serve`.
             let number =
                 input.get(17..21).map(|bytes| i32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]));
+            note(format!("an answer of {length} bytes to request {} is read", number.unwrap_or(0)));
             open.retain(|(sequence, _)| Some(*sequence) != number);
             input.drain(..length);
         }
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -196,7 +196,8 @@
                     ("family", "18".to_string()),
                 ]
             };
-            let (sent, read) = read_slowly(listen, &stop, request, pause, bytes_per_s);
+            let note = |text: String| record.line(format!("reader {number}: {text}"));
+            let (sent, read) = read_slowly(listen, &stop, request, pause, bytes_per_s, note);
             record.line(format!("reader {number}: {sent} requests sent, {read} bytes read"));
         }));
     }
