Count a plain source as alive behind a comment, not behind any byte

Callers saw: while discovery was slow, answers from copies of the gateway's own that had been purged long before.

Cause: Subscriber::handle_bytes reported a plain source as alive with any byte, so the head of a response, which says nothing of the events that were missed, let copies answer for 1.5 s after each call.

Change: a plain source is alive behind a comment, and behind an event that follows a comment on the same connection.

--- a/crates/distribution/src/subscriber.rs
+++ b/crates/distribution/src/subscriber.rs
@@ -171,7 +171,7 @@
                 out.push(Output::Disconnected);
                 self.schedule_next(now);
             }
-            Input::BytesReceived => self.handle_bytes(now, out),
+            Input::BytesReceived => self.handle_bytes(now),
             Input::Comment(text) => self.handle_comment(now, text, out),
             Input::Event(event) => self.handle_event(now, event, out),
             Input::Malformed => self.fail_over(now, LeaveReason::Malformed, out),
--- a/crates/distribution/src/subscriber/messages.rs
+++ b/crates/distribution/src/subscriber/messages.rs
@@ -9,7 +9,8 @@
 /// The kind of source that a subscriber connects to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SourceKind {
-    /// The source of events itself. It ignores `If-Match`, and any byte from it proves that it is alive.
+    /// The source of events itself. It ignores `If-Match`, and its comments prove that it is alive and that all earlier
+    /// events were sent.
     Plain,
     /// Relays, which compare histories and send heartbeats only while the source is alive.
     Relay,
@@ -159,7 +160,7 @@
     Dial(Subscription),
     /// Close the connection and drop its remaining events and comments.
     Close(LeaveReason),
-    /// The source was alive at this time.
+    /// The source was alive at this time, and all of its earlier events have been received.
     SourceAlive(MonotonicTime),
     /// There is no connection, so it is unknown whether the source is alive.
     Disconnected,
--- a/crates/distribution/src/subscriber/stream.rs
+++ b/crates/distribution/src/subscriber/stream.rs
@@ -8,17 +8,14 @@
 
 impl Subscriber {
     /// Handles received bytes.
-    pub(super) fn handle_bytes(&mut self, now: MonotonicTime, out: &mut Vec<Output>) {
+    pub(super) fn handle_bytes(&mut self, now: MonotonicTime) {
         let Some(connection) = self.link.connection_mut() else { return };
         connection.silent_at = now + SILENCE_TIMEOUT;
         self.sources.record_success();
-        // Until the histories have been compared, this may be a different source than before.
-        if self.settings.kind == SourceKind::Plain && connection.overlap.is_none() {
-            out.push(Output::SourceAlive(now));
-        }
     }
 
-    /// Handles a comment. A relay's comment is a heartbeat, sent after all earlier events.
+    /// Handles a comment. It comes after all earlier events, so those that were missed while there was no connection
+    /// have been received. A relay's comment is a heartbeat, which also states when the source was alive.
     pub(super) fn handle_comment(&mut self, now: MonotonicTime, text: &str, out: &mut Vec<Output>) {
         let Some(connection) = self.link.connection_mut() else { return };
         if connection.overlap.is_some() {
@@ -27,6 +24,7 @@
         if self.settings.kind == SourceKind::Plain {
             connection.caught_up = true;
             self.source_alive_at = Some(now);
+            out.push(Output::SourceAlive(now));
             return;
         }
         let Some(source_alive_unix) = parse_heartbeat(text) else { return };
@@ -71,6 +69,10 @@
             self.report_gap(GapReason::EventsMissing { next: number }, out);
         }
         self.apply(number, digest, out);
+        // An event from before the first comment may be followed by others that were missed as well.
+        if self.settings.kind == SourceKind::Plain && before.caught_up {
+            out.push(Output::SourceAlive(now));
+        }
     }
 
     /// Whether an event may be a relay's snapshot that replaces events it no longer has.
--- a/gateway/tests/net/copies.rs
+++ b/gateway/tests/net/copies.rs
@@ -107,6 +107,28 @@
     s.until_held("c1", &ask, answer);
 }
 
+/// Guards against copies that answer after a purge which the source has but has not sent yet: it answered each call at once
+/// with the head of its response, and sent the events later.
+#[test]
+fn copies_answer_nothing_between_the_head_of_a_response_and_the_events_that_were_missed() {
+    let mut s = keeping();
+    let ask = s.var("ask").to_string();
+    s.until_held("c1", &ask, "ok entity=t1,remark=MISS,issued=$now | old");
+    s.run("bulletin mute\nbulletin close\nbulletin < call last=1\nwait 100");
+    s.run(
+        "c2 > serve 1 $ask call=aa
+         store < PULL aa
+         store > aa ok entity=t2,remark=MISS,issued=$now | new
+         c2 < served 1 | new
+         bulletin > {\"no\":2,\"recall\":{\"lot\":17,\"issued\":$now}}",
+    );
+    s.report("/ops/copies", "\"purged\":1");
+    s.report("/ops/copies", "\"trusted\":false");
+    s.run("bulletin speak");
+    s.report("/ops/copies", "\"trusted\":true");
+    s.until_held("c1", &ask, "ok entity=t2,remark=MISS,issued=$now | new");
+}
+
 /// Invariant 2: what cannot be read may have been a purge.
 #[test]
 fn an_event_that_is_spoilt_or_missing_for_good_takes_all_copies_with_it() {
