--- a/crates/distribution/src/subscriber.rs
+++ b/crates/distribution/src/subscriber.rs
@@ -28,7 +28,7 @@
 /// Time without data after which a source is left. Sources send at least a heartbeat every second.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time that a relay may take to answer a request. Relays queue requests beyond their limit of concurrent catch-ups.
-pub const ADMISSION_TIMEOUT: Duration = Duration::from_secs(6);
+pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(6);
 /// Time within which a plain source must resend the event that is used to compare histories.
 const OVERLAP_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum number of events that are requested again from a plain source to compare histories. More than one is needed
--- a/crates/distribution/src/subscriber/dialing.rs
+++ b/crates/distribution/src/subscriber/dialing.rs
@@ -3,7 +3,7 @@
 use super::messages::{GapReason, LeaveReason, Output, SourceKind};
 use super::request::Subscription;
 use super::sources::Disagreement;
-use super::{Subscriber, ADMISSION_TIMEOUT, MAX_OVERLAP_EVENTS, OVERLAP_TIMEOUT, SILENCE_TIMEOUT};
+use super::{Subscriber, ANSWER_TIMEOUT, MAX_OVERLAP_EVENTS, OVERLAP_TIMEOUT, SILENCE_TIMEOUT};
 use crate::event::EventNumber;
 use larchway::MonotonicTime;
 use std::time::Duration;
@@ -32,7 +32,7 @@
         let Verification { after, if_match, overlap } = self.verification(now, reference);
         let timeout = match self.settings.kind {
             SourceKind::Plain => SILENCE_TIMEOUT,
-            SourceKind::Relay => ADMISSION_TIMEOUT,
+            SourceKind::Relay => ANSWER_TIMEOUT,
         };
         self.link = Link::Connected(Connection {
             after,
