Give a source of events time to answer, and more after calls it did not answer

Callers saw: requests went to a draining store for as long as discovery was slow; the drain was never heard of.

Cause: Subscriber::dial gave a plain source 2.5 s to answer, the time for an open stream with a comment each second, and each call that was given up was followed by one that waited no longer. After a head the same 2.5 s counted to the first event.

Change: 6 s from the call to the first event or comment, for sources of any kind; doubled up to 24 s for each round of calls that no source has answered. A source that has to prove its history is not judged before it answers.

--- a/crates/distribution/src/subscriber.rs
+++ b/crates/distribution/src/subscriber.rs
@@ -20,15 +20,20 @@
 use crate::event::{EventNumber, MAX_EVENT_NUMBER};
 use larchway::MonotonicTime;
 use larchway_unix_time::{Anchor, UnixMicros};
-use link::{Connection, Link, ReferenceEvent};
+use link::{Connection, Link, ReferenceEvent, Response};
 use sources::Sources;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Time without data after which a source is left. Sources send at least a heartbeat every second.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Time that a relay may take to answer a request. Relays queue requests beyond their limit of concurrent catch-ups.
+/// Time from a request to the first event or comment of the response after which a source is left. Relays queue requests
+/// beyond their limit of concurrent catch-ups, and a crowded source serves requests in turn. Doubled, up to
+/// [`MAX_ANSWER_TIMEOUT`], for each round of requests to all sources that none has answered: one that takes longer than
+/// the time-out would never be heard.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(6);
+/// The longest time that a source may take to answer.
+pub const MAX_ANSWER_TIMEOUT: Duration = Duration::from_secs(24);
 /// Time within which a plain source must resend the event that is used to compare histories.
 const OVERLAP_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum number of events that are requested again from a plain source to compare histories. More than one is needed
@@ -184,9 +189,12 @@
         match self.link {
             Link::Waiting { until } if now >= until => self.dial(now, out),
             Link::Connected(connection) if now >= connection.silent_at => {
+                if connection.response != Response::Streaming {
+                    self.sources.record_unanswered();
+                }
                 self.fail_over(now, LeaveReason::Silent, out);
             }
-            Link::Connected(Connection { overlap: Some(overlap), .. }) if now >= overlap.until => {
+            Link::Connected(connection) if connection.overlap_due().is_some_and(|due| now >= due) => {
                 self.reject_history(now, LeaveReason::Behind, out);
             }
             _ => {}
--- a/crates/distribution/src/subscriber/dialing.rs
+++ b/crates/distribution/src/subscriber/dialing.rs
@@ -1,9 +1,9 @@
 //! Requests to the current source, and failover to the next.
-use super::link::{Connection, Link, Overlap, ReferenceEvent};
+use super::link::{Connection, Link, Overlap, ReferenceEvent, Response};
 use super::messages::{GapReason, LeaveReason, Output, SourceKind};
 use super::request::Subscription;
 use super::sources::Disagreement;
-use super::{Subscriber, ANSWER_TIMEOUT, MAX_OVERLAP_EVENTS, OVERLAP_TIMEOUT, SILENCE_TIMEOUT};
+use super::{Subscriber, MAX_OVERLAP_EVENTS, OVERLAP_TIMEOUT};
 use crate::event::EventNumber;
 use larchway::MonotonicTime;
 use std::time::Duration;
@@ -30,13 +30,10 @@
             self.reset_cursor(GapReason::HistoryUnknown, out);
         }
         let Verification { after, if_match, overlap } = self.verification(now, reference);
-        let timeout = match self.settings.kind {
-            SourceKind::Plain => SILENCE_TIMEOUT,
-            SourceKind::Relay => ANSWER_TIMEOUT,
-        };
         self.link = Link::Connected(Connection {
             after,
-            silent_at: now + timeout,
+            silent_at: now + self.sources.answer_timeout(),
+            response: Response::Awaited,
             has_events: false,
             caught_up: false,
             clock_lead: Duration::ZERO,
--- a/crates/distribution/src/subscriber/link.rs
+++ b/crates/distribution/src/subscriber/link.rs
@@ -17,6 +17,17 @@
     pub until: MonotonicTime,
 }
 
+/// How far the response of a source has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Response {
+    /// Nothing was received.
+    Awaited,
+    /// Bytes were received, but no complete event or comment.
+    Begun,
+    /// An event or a comment was received.
+    Streaming,
+}
+
 /// A connection to the current source, from the dial on.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Connection {
@@ -24,6 +35,8 @@
     pub after: EventNumber,
     /// Time at which the connection is closed unless data arrives before.
     pub silent_at: MonotonicTime,
+    /// How far the response has come.
+    pub response: Response,
     /// Whether an event was received on this connection.
     pub has_events: bool,
     /// Whether a comment was received, which means that all events of the source have been sent.
@@ -34,6 +47,14 @@
     pub overlap: Option<Overlap>,
 }
 
+impl Connection {
+    /// When the source is rejected unless it has resent the expected event; `None` if none is expected, or the source
+    /// has not begun to answer.
+    pub(super) fn overlap_due(&self) -> Option<MonotonicTime> {
+        self.overlap.filter(|_| self.response != Response::Awaited).map(|overlap| overlap.until)
+    }
+}
+
 /// The state of a subscriber's connection.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum Link {
@@ -70,7 +91,7 @@
             Link::Waiting { until } => Some(*until),
             Link::Connected(connection) => {
                 let silent_at = connection.silent_at;
-                Some(connection.overlap.map_or(silent_at, |overlap| overlap.until.min(silent_at)))
+                Some(connection.overlap_due().map_or(silent_at, |due| due.min(silent_at)))
             }
         }
     }
--- a/crates/distribution/src/subscriber/sources.rs
+++ b/crates/distribution/src/subscriber/sources.rs
@@ -1,4 +1,5 @@
 //! Choice of the source to dial next and when: failover to the other sources, then backoff.
+use super::{ANSWER_TIMEOUT, MAX_ANSWER_TIMEOUT};
 use larchway::{duration_micros, mix, MonotonicTime};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -38,6 +39,8 @@
     current: usize,
     /// Consecutive attempts without received data.
     failures: usize,
+    /// Consecutive requests that were accepted and not answered in time.
+    unanswered: usize,
     backoff: Duration,
     max_backoff: Duration,
     seed: u64,
@@ -54,6 +57,7 @@
             disagreements: 0,
             current: 0,
             failures: 0,
+            unanswered: 0,
             backoff: INITIAL_BACKOFF,
             max_backoff,
             seed,
@@ -77,6 +81,23 @@
         self.backoff = INITIAL_BACKOFF;
     }
 
+    /// Records that the current source has sent an event or a comment.
+    pub fn record_answer(&mut self) {
+        self.unanswered = 0;
+    }
+
+    /// Records that the current source has not answered a request in time.
+    pub fn record_unanswered(&mut self) {
+        self.unanswered += 1;
+    }
+
+    /// How long the current source may take to answer a request.
+    pub fn answer_timeout(&self) -> Duration {
+        let unanswered_rounds = self.unanswered / self.addresses.len().max(1);
+        let doublings = u32::try_from(unanswered_rounds).unwrap_or(u32::MAX);
+        ANSWER_TIMEOUT.saturating_mul(2_u32.saturating_pow(doublings)).min(MAX_ANSWER_TIMEOUT)
+    }
+
     /// Records that an event of the current source was applied, so its history matches.
     pub fn record_agreement(&mut self) {
         self.disagreeing.clear();
--- a/crates/distribution/src/subscriber/stream.rs
+++ b/crates/distribution/src/subscriber/stream.rs
@@ -1,5 +1,5 @@
 //! Handling of data from the source: applying events, detecting gaps, and tracking the age of the state.
-use super::link::{Connection, ReferenceEvent};
+use super::link::{Connection, ReferenceEvent, Response};
 use super::messages::{EventMetadata, GapReason, LeaveReason, Output, SourceKind};
 use super::{Subscriber, SILENCE_TIMEOUT};
 use crate::batch::parse_heartbeat;
@@ -10,13 +10,32 @@
     /// Handles received bytes.
     pub(super) fn handle_bytes(&mut self, now: MonotonicTime) {
         let Some(connection) = self.link.connection_mut() else { return };
-        connection.silent_at = now + SILENCE_TIMEOUT;
         self.sources.record_success();
+        let silent_at = now + SILENCE_TIMEOUT;
+        match connection.response {
+            Response::Streaming => connection.silent_at = silent_at,
+            Response::Begun => connection.silent_at = connection.silent_at.max(silent_at),
+            Response::Awaited => {
+                connection.response = Response::Begun;
+                connection.silent_at = connection.silent_at.max(silent_at);
+                if let Some(overlap) = &mut connection.overlap {
+                    overlap.until = overlap.until.max(silent_at);
+                }
+            }
+        }
+    }
+
+    /// Records that an event or a comment was received. From then on the source sends one every second.
+    fn record_item(&mut self, now: MonotonicTime) {
+        let Some(connection) = self.link.connection_mut() else { return };
+        (connection.response, connection.silent_at) = (Response::Streaming, now + SILENCE_TIMEOUT);
+        self.sources.record_answer();
     }
 
     /// Handles a comment. It comes after all earlier events, so those that were missed while there was no connection
     /// have been received. A relay's comment is a heartbeat, which also states when the source was alive.
     pub(super) fn handle_comment(&mut self, now: MonotonicTime, text: &str, out: &mut Vec<Output>) {
+        self.record_item(now);
         let Some(connection) = self.link.connection_mut() else { return };
         if connection.overlap.is_some() {
             return;
@@ -41,6 +60,7 @@
 
     /// Handles the next event of the stream.
     pub(super) fn handle_event(&mut self, now: MonotonicTime, event: EventMetadata, out: &mut Vec<Output>) {
+        self.record_item(now);
         let Some(connection) = self.link.connection_mut() else { return };
         let before = *connection;
         connection.has_events = true;
--- a/gateway/tests/net/event_ends.rs
+++ b/gateway/tests/net/event_ends.rs
@@ -1,7 +1,9 @@
-//! Responses of the source of events that end in order (RFC 9112, section 7.1: the last chunk), with events just before the end.
+//! Responses of the source of events that begin late, or that end in order (RFC 9112, section 7.1: the last chunk) with
+//! events just before the end.
 use crate::scenario::{usual, Scenario};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
 
 /// A source of events that answers by `Transfer-Encoding: chunked`, in the place of the usual one.
 struct ChunkedSource {
@@ -18,8 +20,15 @@
         ChunkedSource { listener }
     }
 
-    /// Takes the next call, which must ask for what comes after this event.
+    /// Takes the next call, which must ask for what comes after this event, and begins to answer it.
     fn expect_call(&self, last: u64) -> TcpStream {
+        let mut stream = self.expect_unanswered_call(last);
+        begin_response(&mut stream);
+        stream
+    }
+
+    /// Takes the next call, which must ask for what comes after this event.
+    fn expect_unanswered_call(&self, last: u64) -> TcpStream {
         let (mut stream, _) = self.listener.accept().expect("it is called");
         let mut head = String::new();
         let mut byte = [0];
@@ -29,12 +38,16 @@
         }
         let wanted = format!("Last-Event-ID: {last}\r\n");
         assert!(head.contains(&wanted), "no {wanted:?} in {head:?}");
-        let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-        stream.write_all(head.as_bytes()).expect("writes");
         stream
     }
 }
 
+/// Writes the head of a response.
+fn begin_response(stream: &mut TcpStream) {
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    stream.write_all(head.as_bytes()).expect("writes");
+}
+
 /// Writes an event and the end of the response in one piece.
 fn write_last_event(stream: &mut TcpStream, data: &str) {
     let event = format!("id: 0\ndata: {data}\n\n");
@@ -83,3 +96,24 @@
     }
     source.expect_call(EVENTS);
 }
+
+/// Guards against a drain that is never heard of while the source is slow: each call was given up 2.5 s after it, also one whose
+/// head had come, and the next one waited no longer.
+#[test]
+fn a_source_that_answers_each_call_three_seconds_late_is_heard() {
+    const LATENESS: Duration = Duration::from_secs(3);
+    for head_is_late in [true, false] {
+        let mut s = usual();
+        let source = ChunkedSource::replace(&mut s);
+        let mut stream = source.expect_unanswered_call(1);
+        if !head_is_late {
+            begin_response(&mut stream);
+        }
+        std::thread::sleep(LATENESS);
+        if head_is_late {
+            begin_response(&mut stream);
+        }
+        write_last_event(&mut stream, "{\"no\":2,\"recall\":{\"lot\":17,\"issued\":1}}");
+        source.expect_unanswered_call(2);
+    }
+}
