Move attempts that wait on a connection to their store's address in force

A request could reach the store that had taken over the address of another one.

Cause: where a store was listed at another address, its connections left the pool, but one that was still being established kept the attempts that waited on it, and wrote them to whoever answered at the former address.

Change: attempts of which nothing is written leave such a connection and are dispatched anew; a connection without others is closed.

--- a/gateway/src/net/store_connections.rs
+++ b/gateway/src/net/store_connections.rs
@@ -145,6 +145,26 @@
         }
     }
 
+    /// Moves the attempts of which nothing is written from a connection whose store is served by another process now, or
+    /// at another address: what answers at the former address may be another store. A connection that carries nothing
+    /// else is closed.
+    pub(super) fn redirect_waiting(&mut self, now: MonotonicTime, key: SlotKey) {
+        let Some(Connection { role: Role::Store(session), .. }) = self.connections.get_mut(key) else {
+            return;
+        };
+        let waiting = std::mem::take(&mut session.waiting);
+        let is_idle = session.is_idle();
+        for key in waiting {
+            if let Some(attempt) = self.core.attempt(key) {
+                attempt.connection = None;
+            }
+            self.core.commands.push_back(Command::SendAttempt(key));
+        }
+        if is_idle {
+            self.close(now, key, None);
+        }
+    }
+
     /// Deletes a removed store once its last connection is closed.
     pub(super) fn forget_removed_store(&mut self, id: ServerId) {
         let is_gone = |p: &Pool| p.store.host.state == State::Removed && p.connections.is_empty();
--- a/gateway/tests/net/main.rs
+++ b/gateway/tests/net/main.rs
@@ -16,6 +16,7 @@
 mod production;
 mod rare;
 mod relay;
+mod reused_addresses;
 mod scenario;
 mod shortages;
 mod signed;
