Let the test of the head of a response wait for the second call

Cause: seen to fail once beside other tests: the line for the second call of the bulletin took the first one, which no line had taken before, so the purge was sent while no call was open.

Change: the first call is taken before the connection is closed. The test asks for more than before, nothing less.

Result: with the report of a live source put back behind any bytes it fails (the store is never asked), without it passes.

--- a/gateway/tests/net/copies.rs
+++ b/gateway/tests/net/copies.rs
@@ -114,7 +114,7 @@
     let mut s = keeping();
     let ask = s.var("ask").to_string();
     s.until_held("c1", &ask, "ok entity=t1,remark=MISS,issued=$now | old");
-    s.run("bulletin mute\nbulletin close\nbulletin < call last=1\nwait 100");
+    s.run("bulletin < call last=1\nbulletin mute\nbulletin close\nbulletin < call last=1\nwait 100");
     s.run(
         "c2 > serve 1 $ask call=aa
          store < PULL aa
