Bound the unsent replies of a client that does not read

While one client sent small messages at full speed and read nothing, no request of anybody else was admitted.

Cause: a reply was buffered for each message, until the clients' buffers held seven eighths of their limit; requests of others are admitted up to a quarter of the memory, which is less. Unknown names of up to 128 KB were repeated in replies.

Change: with 64 open requests and unsent replies of a client, none of its messages is handled and nothing is read of it until some are written. Replies and log lines repeat 64 characters of what they reject.

Result: the new test failed before, with the bound of messages in an iteration in place (no request reached the store), and passes.

--- a/gateway/src/connection.rs
+++ b/gateway/src/connection.rs
@@ -5,6 +5,7 @@
 use crate::signed;
 use crate::sockets;
 use crate::thrift;
+use crate::unsent_replies::UnsentReplies;
 use larchway::MonotonicTime;
 use std::net::TcpStream;
 use std::time::Duration;
@@ -25,6 +26,10 @@
 /// Maximum number of bytes read from one connection per event, so that other connections are not delayed.
 pub(crate) const MAX_BYTES_PER_ITERATION: usize = 512 * 1024;
 
+/// Requests that are open and replies that are unsent at which no further message of a client is handled: twice as many
+/// as a client may have open.
+const MAX_UNANSWERED_MESSAGES: usize = 64;
+
 /// Number of consumed bytes above which a buffer is compacted.
 const COMPACTION_THRESHOLD_BYTES: usize = 64 * 1024;
 
@@ -82,10 +87,15 @@
 
     /// Whether the peer is a client that waits for no reply.
     pub(crate) fn is_client_without_requests(&self) -> bool {
+        self.is_client() && self.open_requests() == 0
+    }
+
+    /// Number of requests of a client that wait for their final reply.
+    fn open_requests(&self) -> usize {
         match self {
-            Role::PlatformClient(session) => !session.has_open_requests(),
-            Role::SignedClient(session) => !session.has_open_request(),
-            _ => false,
+            Role::PlatformClient(session) => session.open_requests().count(),
+            Role::SignedClient(session) => usize::from(session.has_open_request()),
+            Role::Store(_) | Role::Events | Role::Ensemble => 0,
         }
     }
 }
@@ -169,6 +179,8 @@
     pub(crate) incomplete_since: Option<MonotonicTime>,
     /// The messages handled in the current iteration of the loop.
     pub(crate) budget: InputBudget,
+    /// The replies in the output.
+    pub(crate) unsent_replies: UnsentReplies,
     /// Whether the input may hold a complete message that was left to the next iteration.
     pub(crate) has_postponed_input: bool,
     /// The events that it is polled for.
@@ -189,6 +201,20 @@
             && !self.has_postponed_input
     }
 
+    /// Whether the peer is a client with so many open requests and unsent replies that none of its messages is handled
+    /// until it has read some.
+    pub(crate) fn has_too_many_unanswered(&self) -> bool {
+        let unsent_replies = self.unsent_replies.count();
+        unsent_replies > 0
+            && self.role.is_client()
+            && self.role.open_requests() + unsent_replies >= MAX_UNANSWERED_MESSAGES
+    }
+
+    /// Whether buffered input can be handled in the next iteration.
+    pub(crate) fn has_ready_input(&self) -> bool {
+        self.has_postponed_input && !self.has_too_many_unanswered()
+    }
+
     /// When the connection times out unless there is activity on it.
     pub(crate) fn timeout_at(&self, now: MonotonicTime, timeouts: Timeouts) -> MonotonicTime {
         let unsent_bytes = !self.output.remaining().is_empty();
@@ -239,7 +265,7 @@
         // An attempt whose first write would have blocked also waits for the connection to be writable.
         let has_waiting = matches!(&self.role, Role::Store(session) if !session.waiting.is_empty());
         Interest {
-            readable: !is_backlogged,
+            readable: !is_backlogged && !self.has_too_many_unanswered(),
             writable: !self.state.is_connected() || unsent_bytes > 0 || has_waiting,
         }
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -43,5 +43,6 @@
 pub mod store_overrides;
 pub mod system_errors;
 pub mod thrift;
+pub mod unsent_replies;
 pub mod upgrade;
 pub mod wire_settings;
--- a/gateway/src/net/connections.rs
+++ b/gateway/src/net/connections.rs
@@ -14,6 +14,7 @@
 use crate::slots::SlotKey;
 use crate::sockets::{begin_connect, is_hung_up};
 use crate::system_errors::{is_reset, Failure};
+use crate::unsent_replies::UnsentReplies;
 use larchway::MonotonicTime;
 use polling::{Event, PollMode};
 use std::net::{SocketAddr, TcpStream};
@@ -78,6 +79,7 @@
             has_requested: false,
             incomplete_since: None,
             budget: InputBudget::default(),
+            unsent_replies: UnsentReplies::default(),
             has_postponed_input: false,
             polled_interest,
             deadline,
@@ -279,7 +281,8 @@
         loop {
             let iteration = self.iteration;
             let Some(conn) = self.connections.get_mut(key) else { return Ok(()) };
-            if !input.remaining().is_empty() && !conn.budget.allows(iteration) {
+            let may_handle = conn.budget.allows(iteration) && !conn.has_too_many_unanswered();
+            if !input.remaining().is_empty() && !may_handle {
                 self.postpone_input(key);
                 return Ok(());
             }
@@ -289,6 +292,7 @@
             }
             if let Some(conn) = self.connections.get_mut(key) {
                 conn.budget.charge(iteration, used);
+                conn.unsent_replies.record_output(conn.output.remaining().len());
             }
         }
     }
@@ -304,10 +308,12 @@
         Ok(())
     }
 
-    /// Schedules a connection's buffered input for the next iteration of the loop.
+    /// Schedules a connection's buffered input for the next iteration of the loop. Input of a client that has too many
+    /// unsent replies waits until some are written.
     fn postpone_input(&mut self, key: SlotKey) {
         let Some(conn) = self.connections.get_mut(key) else { return };
-        if !std::mem::replace(&mut conn.has_postponed_input, true) {
+        conn.has_postponed_input = true;
+        if conn.has_ready_input() {
             self.postponed_input.push(key);
         }
     }
@@ -360,6 +366,7 @@
                 Ok(0) => {}
                 Ok(count) => {
                     conn.output.consume(count);
+                    conn.unsent_replies.record_written(count);
                     conn.last_activity = now;
                 }
                 Err(e) => {
@@ -369,6 +376,9 @@
             }
         }
         conn.output.compact();
+        if conn.has_ready_input() {
+            self.postponed_input.push(key);
+        }
         self.update_client_bytes(key);
         let Some(conn) = self.connections.get_mut(key) else { return false };
         let all_written = conn.output.remaining().is_empty();
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -267,7 +267,7 @@
     /// Connections stay listed until their input is handled: this iteration may be cut short as well.
     fn add_postponed_input(&mut self, events: &mut Vec<Event>) {
         let connections = &self.connections;
-        self.postponed_input.retain(|key| connections.get(*key).is_some_and(|c| c.has_postponed_input));
+        self.postponed_input.retain(|key| connections.get(*key).is_some_and(Connection::has_ready_input));
         self.postponed_input.sort_unstable();
         self.postponed_input.dedup();
         let reported: BTreeSet<usize> =
--- a/gateway/src/thrift/error.rs
+++ b/gateway/src/thrift/error.rs
@@ -1,6 +1,15 @@
 //! Errors of the protocol with the platform's clients.
 use thiserror::Error;
 
+/// Maximum number of characters of a client's text that replies and the log repeat: replies to a client that does not read
+/// are buffered.
+const MAX_EXCERPT_CHARS: usize = 64;
+
+/// The beginning of a client's text, as replies and the log repeat it.
+pub(super) fn excerpt(text: &str) -> String {
+    text.chars().take(MAX_EXCERPT_CHARS).collect()
+}
+
 /// A violation of the protocol by a client. The connection has to be closed, since what follows cannot be trusted
 /// either.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
--- a/gateway/src/thrift/request.rs
+++ b/gateway/src/thrift/request.rs
@@ -1,6 +1,6 @@
 //! Validation and decoding of a request's fields. A store closes the connection on which it receives an invalid
 //! request, which ends all other attempts there, so no invalid request may be forwarded.
-use super::error::RequestError;
+use super::error::{excerpt, RequestError};
 use crate::core::Request;
 use crate::spans::floor_millis;
 use crate::wire_settings::WireSettings;
@@ -42,7 +42,7 @@
 }
 
 fn invalid(field: &'static str, value: &str) -> RequestError {
-    RequestError::InvalidValue { field, value: value.to_string() }
+    RequestError::InvalidValue { field, value: excerpt(value) }
 }
 
 /// Validates and decodes the fields and the body of a request.
@@ -56,7 +56,7 @@
     check_unique(fields)?;
     let operation = required(field_name::OPERATION)?;
     let class =
-        settings.class(operation).ok_or_else(|| RequestError::UnknownOperation(operation.to_string()))?;
+        settings.class(operation).ok_or_else(|| RequestError::UnknownOperation(excerpt(operation)))?;
     let (call, object) = (required(field_name::CALL)?, required(field_name::OBJECT)?);
     read_id(field_name::CALL, call)?;
     let max_timeout_ms = settings
@@ -97,7 +97,7 @@
     let mut names: Vec<&str> = fields.iter().map(|(name, _)| *name).collect();
     names.sort_unstable();
     match names.windows(2).find(|pair| pair[0] == pair[1]) {
-        Some(pair) => Err(RequestError::Duplicate(pair[0].to_string())),
+        Some(pair) => Err(RequestError::Duplicate(excerpt(pair[0]))),
         None => Ok(()),
     }
 }
--- a/gateway/src/thrift/session.rs
+++ b/gateway/src/thrift/session.rs
@@ -2,7 +2,7 @@
 //! I/O and does not decide on requests.
 use super::decode::{decode_frame, decode_message, Call, Message};
 use super::encode::{write_answer, write_busy, write_exception, write_failed, Answer};
-use super::error::ProtocolError;
+use super::error::{excerpt, ProtocolError};
 use super::protocol::{method, PROTOCOL_ERROR, UNKNOWN_METHOD};
 use super::request::read_request;
 use crate::core::{FinalReply, Request};
@@ -122,7 +122,7 @@
                 write_answer(output, method::HEALTH_CHECK, sequence, answer);
             }
             Call::Unknown(name) => {
-                write_exception(output, name, sequence, UNKNOWN_METHOD, "the method is unknown");
+                write_exception(output, &excerpt(name), sequence, UNKNOWN_METHOD, "the method is unknown");
             }
         }
         Action::Flush
--- a/gateway/src/thrift/session/tests.rs
+++ b/gateway/src/thrift/session/tests.rs
@@ -108,3 +108,19 @@
         output.clear();
     }
 }
+
+/// Guards against replies that repeat all of a large message: a client that does not read has them buffered.
+#[test]
+fn a_reply_repeats_no_more_than_the_beginning_of_what_it_rejects() {
+    const MAX_REPLY_BYTES: usize = 512;
+    let settings = wire_settings();
+    let long = "x".repeat(100_000);
+    let mut content = vec![value_type::MAP, 0, 1, value_type::STRING, value_type::STRING, 0, 0, 0, 1];
+    content.extend([string("op"), string(&long)].concat());
+    for frame in [call(&long, 1, &[]), call(method::SERVE, 1, &content)] {
+        let mut output = Vec::new();
+        let handled = Session::default().handle(&frame, &context(&settings), &mut output);
+        assert_eq!(handled.expect("no error").expect("complete").used, frame.len());
+        assert!((1..MAX_REPLY_BYTES).contains(&output.len()), "{}", output.len());
+    }
+}
--- a/gateway/tests/net/floods.rs
+++ b/gateway/tests/net/floods.rs
@@ -7,6 +7,9 @@
 /// Messages of each. They fit into what the kernel takes in for a process that reads nothing.
 const MESSAGES: usize = 300;
 
+/// Sends the messages of a client.
+type SendMessages = fn(&mut Scenario, &str);
+
 /// The messages of a client of the platform's front that names an unknown class.
 fn unknown_classes(s: &mut Scenario, client: &str) {
     for n in 2..2 + MESSAGES {
@@ -25,7 +28,7 @@
 /// request.
 #[test]
 fn a_request_does_not_wait_until_all_that_bad_clients_have_sent_is_answered() {
-    let floods: [(&str, &str, fn(&mut Scenario, &str)); 2] =
+    let floods: [(&str, &str, SendMessages); 2] =
         [("q", "> isWell 1\n< well 1", unknown_classes), ("w", "connect", health_checks)];
     for (kind, greeting, send_messages) in floods {
         let mut s = usual_with(Setup { sockets: 512, ..Setup::default() });
@@ -33,7 +36,9 @@
         s.run("c8 > isWell 1\nc8 < well 1");
         let bad_clients: Vec<String> = (0..BAD_CLIENTS).map(|n| format!("{kind}{n}")).collect();
         for client in &bad_clients {
-            greeting.lines().for_each(|line| drop(s.run(&format!("{client} {line}"))));
+            for line in greeting.lines() {
+                s.run(&format!("{client} {line}"));
+            }
         }
         s.run("c7 > isWell 1\nc7 < well 1\npause");
         bad_clients.iter().for_each(|client| send_messages(&mut s, client));
--- a/gateway/tests/net/main.rs
+++ b/gateway/tests/net/main.rs
@@ -11,6 +11,7 @@
 mod floods;
 mod hierarchy;
 mod membership;
+mod memory;
 mod operations;
 mod platform;
 mod production;
--- a/gateway/tests/net/scenario/clients.rs
+++ b/gateway/tests/net/scenario/clients.rs
@@ -5,7 +5,7 @@
 use super::{Scenario, PATIENCE};
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{ErrorKind, Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 /// How long the end of a client's connection is given to come to the other side.
@@ -138,6 +138,14 @@
         true
     }
 
+    /// The address of the front that a client of this name uses.
+    pub fn front_address(&self, name: char) -> SocketAddr {
+        match name {
+            'w' => self.second,
+            _ => self.front,
+        }
+    }
+
     pub(super) fn client(&mut self, name: &str) -> &mut (TcpStream, Vec<u8>) {
         let address = match name.as_bytes()[0] {
             b'w' => self.second,
--- a/gateway/tests/net/scenario/process.rs
+++ b/gateway/tests/net/scenario/process.rs
@@ -170,6 +170,14 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("its descriptors").count()
     }
 
+    /// Memory that the program alone uses, in kB: what limits count.
+    pub fn private_kilobytes(&self) -> usize {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("its state");
+        let private = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).expect("a figure");
+        private.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
     /// Ticks of the processor that the program has used (a hundred a second).
     pub fn ticks(&self) -> u64 {
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).expect("its state");
