Remember the ids of requests that must not run again

A request that must not run twice went to a store again when its id came again after its client had left.

Cause: an id was forgotten as soon as its request had ended, which it does when its client leaves, though its store may be at work.

Result: the test failed before and passes.

--- a/gateway/src/core/decisions.rs
+++ b/gateway/src/core/decisions.rs
@@ -103,6 +103,7 @@
     fn fail(&mut self, now: MonotonicTime, request: SlotKey) {
         let late = self.requests.get(request).is_some_and(|open| now >= open.deadline);
         let cause = if late { FailureCause::DeadlineExceeded } else { FailureCause::Unserved };
+        self.remember_unsafe_call(now, request);
         self.answer(request, RequestEnd::Failed, |reply_to| Command::ReplyFailed(reply_to, cause));
     }
 }
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -9,6 +9,7 @@
 mod object_cache;
 mod origin;
 mod outcomes;
+mod recent_calls;
 mod requests;
 mod settings;
 mod store_request;
@@ -32,6 +33,7 @@
 use larchway_object_cache::ObjectCache;
 use larchway_operations::{ClassTable, RequestCounters};
 use origin::LoopDetector;
+use recent_calls::RecentCalls;
 use requests::OpenRequest;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -45,6 +47,8 @@
     pub counters: RequestCounters,
     requests: Slots<OpenRequest>,
     open_call_ids: BTreeSet<String>,
+    /// The call ids of requests that have ended and must not run again.
+    recent_calls: RecentCalls,
     attempts: Slots<Attempt>,
     /// The attempts of which no byte is written, which a purge or a drain can still withdraw.
     unsent_attempts: BTreeSet<SlotKey>,
@@ -96,6 +100,7 @@
             counters: RequestCounters::default(),
             requests: Slots::default(),
             open_call_ids: BTreeSet::new(),
+            recent_calls: RecentCalls::default(),
             attempts: Slots::default(),
             unsent_attempts: BTreeSet::new(),
             stores: BTreeMap::new(),
--- a/gateway/src/core/outcomes.rs
+++ b/gateway/src/core/outcomes.rs
@@ -65,6 +65,9 @@
         }
         let served =
             if status == Status::Ok { self.mark_answered(attempt.request, RequestEnd::Served) } else { None };
+        if served.is_some() {
+            self.remember_unsafe_call(now, attempt.request);
+        }
         let outcome = Outcome {
             id: attempt.request.0,
             attempt: attempt.number,
--- a/gateway/src/core/requests.rs
+++ b/gateway/src/core/requests.rs
@@ -17,6 +17,10 @@
 /// The smallest reply margin.
 const SHORTEST_REPLY_MARGIN: Duration = Duration::from_millis(2);
 
+/// How long the call id of a request that must not run again is remembered, as a multiple of its class's deadline: the
+/// longest time that a client may wait for it.
+const REMEMBERED_DEADLINES: u32 = 2;
+
 /// The key returned for a request that was answered from the cache and has no slot.
 const ANSWERED_FROM_CACHE: SlotKey = SlotKey(u64::MAX);
 
@@ -99,9 +103,11 @@
     }
 
     /// Admits a request; its final reply comes as a command or from [`Core::end_attempt_with_reply`]. Returns none if
-    /// its call id is that of a request that has not ended: stores could not distinguish the two.
+    /// its call id is that of a request that has not ended, since stores could not distinguish the two, or of one that may
+    /// have run and must not run again.
     pub fn admit(&mut self, now: MonotonicTime, reply_to: ReplyHandle, request: Request) -> Option<SlotKey> {
-        if self.open_call_ids.contains(&request.call_id) {
+        if self.open_call_ids.contains(&request.call_id) || self.recent_calls.contains(now, &request.call_id)
+        {
             return None;
         }
         let until_end = self.answer_all_before.map_or(Duration::MAX, |end| end.saturating_since(now));
@@ -160,6 +166,7 @@
     /// Handles that the client has left: the request gets no reply.
     pub fn client_left(&mut self, now: MonotonicTime, request: SlotKey) {
         if self.mark_answered(request, RequestEnd::Failed).is_some() {
+            self.remember_unsafe_call(now, request);
             self.handle_event(now, Event::ClientLeft(request.0));
             self.withdraw_unsent(now, request);
         }
@@ -178,6 +185,7 @@
         } else {
             Command::ReplyRejected(reply_to, self.retry_after(Some(class), retry_after))
         });
+        self.remember_unsafe_call(now, request);
         self.handle_event(now, Event::ClientLeft(request.0));
         self.withdraw_unsent(now, request);
         self.remove_if_finished(request);
@@ -199,11 +207,22 @@
         !only_reads && (open.first_possible_run_at.is_some() || open.attempts.iter().any(is_begun))
     }
 
+    /// Remembers the call id of a request that has ended and that must not run again, if it may have run.
+    pub(super) fn remember_unsafe_call(&mut self, now: MonotonicTime, request: SlotKey) {
+        let Some(open) = self.requests.get(request) else { return };
+        let Some(slot) = self.classes.get(open.request.class) else { return };
+        if slot.settings.class.effect == Effect::Unsafe && self.may_have_run(open) {
+            let until = now + slot.settings.deadline * REMEMBERED_DEADLINES;
+            self.recent_calls.insert(now, &open.request.call_id, until);
+        }
+    }
+
     /// Fails an unanswered request whose deadline has passed, without waiting for the module: each request must get a
     /// reply.
     pub(super) fn fail_overdue(&mut self, now: MonotonicTime, request: SlotKey) {
         if let Some(reply_to) = self.mark_answered(request, RequestEnd::Failed) {
             self.commands.push_back(Command::ReplyFailed(reply_to, FailureCause::DeadlineExceeded));
+            self.remember_unsafe_call(now, request);
             self.handle_event(now, Event::ClientLeft(request.0));
         }
     }
--- a/gateway/tests/net/main.rs
+++ b/gateway/tests/net/main.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod floods;
 mod hierarchy;
+mod left_clients;
 mod membership;
 mod memory;
 mod operations;
