Move the handling of input out of the module of connections

Change: reading, and handling messages within the limits of an iteration, is gateway/src/net/input.rs; connections.rs keeps registration, writing, time-outs and closing.

--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -10,6 +10,7 @@
 mod ensemble;
 pub mod errors;
 mod event_source;
+mod input;
 mod listeners;
 mod operators;
 mod platform_clients;
--- a/gateway/src/net/startup.rs
+++ b/gateway/src/net/startup.rs
@@ -1,7 +1,7 @@
 //! The start of a process: reads the configuration, takes over the state of another process of the gateway, and
 //! listens.
-use super::connections::LARGE_READ_BYTES;
 use super::errors::GatewayError;
+use super::input::LARGE_READ_BYTES;
 use super::poll_key::PollKey;
 use super::{saves_roster, Gateway};
 use crate::clock;
