--- a/gateway/src/connection.rs
+++ b/gateway/src/connection.rs
@@ -1,6 +1,5 @@
 //! Connections of the gateway: buffers, role, state and time-outs.
-use crate::input_budget::InputBudget;
-use crate::net::MAX_ITERATION_TIME;
+use crate::input_budget::{InputBudget, MAX_ITERATION_TIME};
 use crate::resp;
 use crate::signed;
 use crate::sockets;
--- a/gateway/src/input_budget.rs
+++ b/gateway/src/input_budget.rs
@@ -1,8 +1,13 @@
-//! The limit on the work that one connection causes in one iteration of the event loop.
+//! The limits on one iteration of the event loop, and on the work that one connection causes in it.
 //!
 //! Danger: a peer that sends small messages at full speed has thousands of them in a buffer of the kernel. If all were
 //! handled before the next connection has its turn, a few dozen such peers would delay all others by seconds.
 
+use std::time::Duration;
+
+/// Time limit of one iteration of the loop; remaining events are polled again. It keeps callers of the console, who
+/// have a time-out of one second, from waiting.
+pub const MAX_ITERATION_TIME: Duration = Duration::from_millis(20);
 /// Maximum number of messages of one connection that are handled in one iteration: twice as many as the requests that a
 /// client may have open, so that those and their cancellations are never split.
 pub const MAX_MESSAGES_PER_ITERATION: usize = 64;
--- a/gateway/src/net/connections.rs
+++ b/gateway/src/net/connections.rs
@@ -2,13 +2,13 @@
 use super::clients::SMALL_ANSWER_BYTES;
 use super::errors::CloseReason;
 use super::poll_key::PollKey;
-use super::{Gateway, MAX_ITERATION_TIME};
+use super::Gateway;
 use crate::connection::{
     Buffer, ConnectFailure, Connection, ConnectionState, Interest, Role, Timeouts, MAX_BACKLOG_BYTES,
     UNREAD_ANSWERS_TIMEOUT,
 };
 use crate::deadlines::DeadlineKind;
-use crate::input_budget::InputBudget;
+use crate::input_budget::{InputBudget, MAX_ITERATION_TIME};
 use crate::nonblocking::write_available;
 use crate::slots::SlotKey;
 use crate::sockets::begin_connect;
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -37,6 +37,7 @@
 use crate::event_order::order_events;
 use crate::events::Events;
 use crate::hierarchy::Hierarchy;
+use crate::input_budget::MAX_ITERATION_TIME;
 use crate::membership::{EnsembleSettings, Membership};
 use crate::peers::Peers;
 use crate::pools::Pools;
@@ -68,10 +69,6 @@
 use std::time::Duration;
 use tracing::info;
 
-/// Time limit of one iteration of the loop; remaining events are polled again. It keeps callers of the console, who
-/// have a time-out of one second, from waiting.
-pub(crate) const MAX_ITERATION_TIME: Duration = Duration::from_millis(20);
-
 /// Whether the roster of gateways is saved for the next process.
 fn saves_roster(ensemble: Option<&EnsembleSettings>) -> bool {
     ensemble.is_some_and(|ensemble| ensemble.state_folder.is_some())
