Wrap comments, and group what the loop knows of waiting input

Change: comments are wrapped; the number of the iteration and the two lists of connections with buffered input are one structure. No behaviour changes.

--- a/crates/distribution/src/subscriber.rs
+++ b/crates/distribution/src/subscriber.rs
@@ -27,10 +27,10 @@
 
 /// Time without data after which a source is left. Sources send at least a heartbeat every second.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Time from a request to the first event or comment of the response after which a source is left. Relays queue requests
-/// beyond their limit of concurrent catch-ups, and a crowded source serves requests in turn. Doubled, up to
-/// [`MAX_ANSWER_TIMEOUT`], for each round of requests to all sources that none has answered: one that takes longer than
-/// the time-out would never be heard.
+/// Time from a request to the first event or comment of the response after which a source is left. Relays queue
+/// requests beyond their limit of concurrent catch-ups, and a crowded source serves requests in turn. Doubled, up to
+/// [`MAX_ANSWER_TIMEOUT`], for each round of requests to all sources that none has answered: one that takes longer
+/// than the time-out would never be heard.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(6);
 /// The longest time that a source may take to answer.
 pub const MAX_ANSWER_TIMEOUT: Duration = Duration::from_secs(24);
--- a/crates/distribution/src/subscriber/messages.rs
+++ b/crates/distribution/src/subscriber/messages.rs
@@ -9,8 +9,8 @@
 /// The kind of source that a subscriber connects to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SourceKind {
-    /// The source of events itself. It ignores `If-Match`, and its comments prove that it is alive and that all earlier
-    /// events were sent.
+    /// The source of events itself. It ignores `If-Match`, and its comments prove that it is alive and that all
+    /// earlier events were sent.
     Plain,
     /// Relays, which compare histories and send heartbeats only while the source is alive.
     Relay,
--- a/gateway/src/connection.rs
+++ b/gateway/src/connection.rs
@@ -25,8 +25,8 @@
 /// Maximum number of bytes read from one connection per event, so that other connections are not delayed.
 pub(crate) const MAX_BYTES_PER_ITERATION: usize = 512 * 1024;
 
-/// Requests that are open and replies that are unsent at which no further message of a client is handled: twice as many
-/// as a client may have open.
+/// Requests that are open and replies that are unsent at which no further message of a client is handled: twice as
+/// many as a client may have open.
 const MAX_UNANSWERED_MESSAGES: usize = 64;
 
 /// Number of consumed bytes above which a buffer is compacted.
@@ -200,8 +200,8 @@
             && !self.has_postponed_input
     }
 
-    /// Whether the peer is a client with so many open requests and unsent replies that none of its messages is handled
-    /// until it has read some.
+    /// Whether the peer is a client with so many open requests and unsent replies that none of its messages is
+    /// handled until it has read some.
     pub(crate) fn has_too_many_unanswered(&self) -> bool {
         let unsent_replies = self.unsent_replies.count();
         unsent_replies > 0
--- a/gateway/src/core/recent_calls.rs
+++ b/gateway/src/core/recent_calls.rs
@@ -1,5 +1,5 @@
-//! Call ids of requests that have ended and must not run again. Clients use a new id for each request, so one that comes
-//! again, from a client that has left and returned, is the same request once more.
+//! Call ids of requests that have ended and must not run again. Clients use a new id for each request, so one that
+//! comes again, from a client that has left and returned, is the same request once more.
 use larchway::MonotonicTime;
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/gateway/src/core/requests.rs
+++ b/gateway/src/core/requests.rs
@@ -17,8 +17,8 @@
 /// The smallest reply margin.
 const SHORTEST_REPLY_MARGIN: Duration = Duration::from_millis(2);
 
-/// How long the call id of a request that must not run again is remembered, as a multiple of its class's deadline: the
-/// longest time that a client may wait for it.
+/// How long the call id of a request that must not run again is remembered, as a multiple of its class's deadline:
+/// the longest time that a client may wait for it.
 const REMEMBERED_DEADLINES: u32 = 2;
 
 /// The key returned for a request that was answered from the cache and has no slot.
@@ -103,8 +103,8 @@
     }
 
     /// Admits a request; its final reply comes as a command or from [`Core::end_attempt_with_reply`]. Returns none if
-    /// its call id is that of a request that has not ended, since stores could not distinguish the two, or of one that may
-    /// have run and must not run again.
+    /// its call id is that of a request that has not ended, since stores could not distinguish the two, or of one
+    /// that may have run and must not run again.
     pub fn admit(&mut self, now: MonotonicTime, reply_to: ReplyHandle, request: Request) -> Option<SlotKey> {
         if self.open_call_ids.contains(&request.call_id) || self.recent_calls.contains(now, &request.call_id)
         {
--- a/gateway/src/input_budget.rs
+++ b/gateway/src/input_budget.rs
@@ -1,15 +1,15 @@
 //! The limits on one iteration of the event loop, and on the work that one connection causes in it.
 //!
-//! Danger: a peer that sends small messages at full speed has thousands of them in a buffer of the kernel. If all were
-//! handled before the next connection has its turn, a few dozen such peers would delay all others by seconds.
+//! Danger: a peer that sends small messages at full speed has thousands of them in a buffer of the kernel. If all
+//! were handled before the next connection has its turn, a few dozen such peers would delay all others by seconds.
 
 use std::time::Duration;
 
 /// Time limit of one iteration of the loop; remaining events are polled again. It keeps callers of the console, who
 /// have a time-out of one second, from waiting.
 pub const MAX_ITERATION_TIME: Duration = Duration::from_millis(20);
-/// Maximum number of messages of one connection that are handled in one iteration: twice as many as the requests that a
-/// client may have open, so that those and their cancellations are never split.
+/// Maximum number of messages of one connection that are handled in one iteration: twice as many as the requests that
+/// a client may have open, so that those and their cancellations are never split.
 pub const MAX_MESSAGES_PER_ITERATION: usize = 64;
 /// Number of bytes of handled messages after which no further one of the connection is handled in the same iteration.
 pub const MAX_MESSAGE_BYTES_PER_ITERATION: usize = 256 * 1024;
--- a/gateway/src/net/connections.rs
+++ b/gateway/src/net/connections.rs
@@ -154,7 +154,7 @@
         }
         conn.output.compact();
         if conn.has_ready_input() {
-            self.postponed_input.push(key);
+            self.input_schedule.postponed.push(key);
         }
         self.update_client_bytes(key);
         let Some(conn) = self.connections.get_mut(key) else { return false };
@@ -172,7 +172,7 @@
             }
             // A buffered request that waited for the client to read earlier replies can be handled now.
             Role::SignedClient(_) if all_written && !conn.input.remaining().is_empty() => {
-                self.resumable.push(key);
+                self.input_schedule.resumable.push(key);
             }
             _ => {}
         }
--- a/gateway/src/net/input.rs
+++ b/gateway/src/net/input.rs
@@ -1,4 +1,5 @@
-//! Input of connections of every role: reading, and handling the messages within the limits of one iteration of the loop.
+//! Input of connections of every role: reading, and handling the messages within the limits of one iteration of the
+//! loop.
 use super::errors::CloseReason;
 use super::Gateway;
 use crate::connection::{Buffer, Connection, Role, MAX_BYTES_PER_ITERATION, MESSAGE_TIMEOUT};
@@ -18,6 +19,17 @@
 /// Limit on the bytes to read for which one read is made.
 const PIECE: usize = 1;
 
+/// The connections whose buffered input is to be handled.
+#[derive(Debug, Default)]
+pub(super) struct InputSchedule {
+    /// Number of the current iteration of the loop.
+    pub(super) iteration: u64,
+    /// Connections whose buffered input may be parsed for the next request in this iteration.
+    pub(super) resumable: Vec<SlotKey>,
+    /// Connections whose buffered input was left to the next iteration; some may be listed twice or no longer apply.
+    pub(super) postponed: Vec<SlotKey>,
+}
+
 /// The result of reading from a connection.
 #[derive(Default)]
 struct ReadResult {
@@ -37,7 +49,7 @@
 impl Gateway {
     /// Schedules a connection for parsing of the input that is already buffered.
     pub(super) fn resume(&mut self, key: SlotKey) {
-        self.resumable.push(key);
+        self.input_schedule.resumable.push(key);
     }
 
     /// Reads available bytes, handles the complete messages in them up to the limits of one iteration, and closes the
@@ -67,8 +79,8 @@
         }
     }
 
-    /// Reads from a client piece by piece and handles the messages of each piece, so that no more input is buffered than
-    /// what one iteration leaves of a piece. No request is begun for a client that has disconnected.
+    /// Reads from a client piece by piece and handles the messages of each piece, so that no more input is buffered
+    /// than what one iteration leaves of a piece. No request is begun for a client that has disconnected.
     fn read_client(&mut self, now: MonotonicTime, key: SlotKey, input: &mut Buffer) -> ReadResult {
         let mut total_read = 0;
         loop {
@@ -154,7 +166,7 @@
         input: &mut Buffer,
     ) -> Result<(), CloseReason> {
         loop {
-            let iteration = self.iteration;
+            let iteration = self.input_schedule.iteration;
             let Some(conn) = self.connections.get_mut(key) else { return Ok(()) };
             let may_handle = conn.budget.allows(iteration) && !conn.has_too_many_unanswered();
             if !input.remaining().is_empty() && !may_handle {
@@ -183,18 +195,18 @@
         Ok(())
     }
 
-    /// Schedules a connection's buffered input for the next iteration of the loop. Input of a client that has too many
-    /// unsent replies waits until some are written.
+    /// Schedules a connection's buffered input for the next iteration of the loop. Input of a client that has too
+    /// many unsent replies waits until some are written.
     fn postpone_input(&mut self, key: SlotKey) {
         let Some(conn) = self.connections.get_mut(key) else { return };
         conn.has_postponed_input = true;
         if conn.has_ready_input() {
-            self.postponed_input.push(key);
+            self.input_schedule.postponed.push(key);
         }
     }
 
-    /// Decodes and handles the first message of the input, with the codec of the connection's role. Returns the number
-    /// of bytes consumed; 0 if there is no complete message that can be handled now.
+    /// Decodes and handles the first message of the input, with the codec of the connection's role. Returns the
+    /// number of bytes consumed; 0 if there is no complete message that can be handled now.
     fn handle_message(
         &mut self,
         now: MonotonicTime,
@@ -235,7 +247,7 @@
 
     /// Handles buffered input of the connections that [`Self::resume`] scheduled.
     pub(super) fn resume_all(&mut self, now: MonotonicTime) {
-        for key in std::mem::take(&mut self.resumable) {
+        for key in std::mem::take(&mut self.input_schedule.resumable) {
             let Some(conn) = self.connections.get_mut(key) else { continue };
             conn.has_postponed_input = false;
             let mut input = std::mem::take(&mut conn.input);
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -56,6 +56,7 @@
 use configuration::PendingReload;
 use errors::GatewayError;
 use event_source::EventsRequest;
+use input::InputSchedule;
 use larchway::{MonotonicTime, Settings};
 use larchway_distribution::configuration::Candidate;
 use larchway_operations::manual_ejection::{self, ManualEjections};
@@ -137,12 +138,8 @@
     shutdown: Shutdown,
     /// Poll key of the first event that the last iteration left unserved; the next iteration starts with it.
     first_unserved: Option<usize>,
-    /// Connections whose buffered input may be parsed for the next request.
-    resumable: Vec<SlotKey>,
-    /// Number of the current iteration of the loop.
-    iteration: u64,
-    /// Connections whose buffered input was left to the next iteration; some may be listed twice or no longer apply.
-    postponed_input: Vec<SlotKey>,
+    /// The connections whose buffered input is to be handled.
+    input_schedule: InputSchedule,
     /// Random numbers from the configured seed.
     random_numbers: RandomNumbers,
     /// The files of the configuration.
@@ -236,7 +233,7 @@
                 return Ok(());
             }
             self.wait_for_events(&mut events)?;
-            self.iteration += 1;
+            self.input_schedule.iteration += 1;
             self.add_postponed_input(&mut events);
             self.handle_events(&mut events);
         }
@@ -253,7 +250,8 @@
     /// Waits for events, a signal or the next deadline.
     fn wait_for_events(&mut self, events: &mut Vec<Event>) -> Result<(), EventLoopError> {
         let until_deadline = self.core.deadlines.next().map(|next| next.saturating_since(clock::now()));
-        let timeout = if self.postponed_input.is_empty() { until_deadline } else { Some(Duration::ZERO) };
+        let timeout =
+            if self.input_schedule.postponed.is_empty() { until_deadline } else { Some(Duration::ZERO) };
         events.clear();
         match self.poller.wait(events, timeout) {
             Err(e) if Failure::of(&e) != Failure::Interrupted => Err(EventLoopError::Poll(e)),
@@ -261,16 +259,18 @@
         }
     }
 
-    /// Adds an event for each connection whose buffered input was left to this iteration, unless the poller reported one.
-    /// Connections stay listed until their input is handled: this iteration may be cut short as well.
+    /// Adds an event for each connection whose buffered input was left to this iteration, unless the poller reported
+    /// one. Connections stay listed until their input is handled: this iteration may be cut short as well.
     fn add_postponed_input(&mut self, events: &mut Vec<Event>) {
         let connections = &self.connections;
-        self.postponed_input.retain(|key| connections.get(*key).is_some_and(Connection::has_ready_input));
-        self.postponed_input.sort_unstable();
-        self.postponed_input.dedup();
+        self.input_schedule
+            .postponed
+            .retain(|key| connections.get(*key).is_some_and(Connection::has_ready_input));
+        self.input_schedule.postponed.sort_unstable();
+        self.input_schedule.postponed.dedup();
         let reported: BTreeSet<usize> =
             events.iter().filter(|event| event.readable).map(|event| event.key).collect();
-        let keys = self.postponed_input.iter().map(|key| PollKey::Connection(*key).into());
+        let keys = self.input_schedule.postponed.iter().map(|key| PollKey::Connection(*key).into());
         events.extend(keys.filter(|key| !reported.contains(key)).map(Event::readable));
     }
 
@@ -411,7 +411,7 @@
             self.report_evidence(now);
             self.report_suspected_loops(now);
             self.pass_load_reports(now);
-            if self.resumable.is_empty() && self.core.commands.is_empty() {
+            if self.input_schedule.resumable.is_empty() && self.core.commands.is_empty() {
                 return;
             }
             self.resume_all(now);
--- a/gateway/src/net/platform_clients.rs
+++ b/gateway/src/net/platform_clients.rs
@@ -7,8 +7,8 @@
 use larchway::MonotonicTime;
 
 impl Gateway {
-    /// Handles the first message of a client's input. Returns its length in bytes; 0 if it is incomplete. A reply that
-    /// needs no decision is left in the output.
+    /// Handles the first message of a client's input. Returns its length in bytes; 0 if it is incomplete. A reply
+    /// that needs no decision is left in the output.
     pub(super) fn handle_platform_input(
         &mut self,
         now: MonotonicTime,
--- a/gateway/src/net/startup.rs
+++ b/gateway/src/net/startup.rs
@@ -1,7 +1,7 @@
 //! The start of a process: reads the configuration, takes over the state of another process of the gateway, and
 //! listens.
 use super::errors::GatewayError;
-use super::input::LARGE_READ_BYTES;
+use super::input::{InputSchedule, LARGE_READ_BYTES};
 use super::poll_key::PollKey;
 use super::{saves_roster, Gateway};
 use crate::clock;
@@ -103,9 +103,7 @@
             saver_deadline: None,
             shutdown: Shutdown::default(),
             first_unserved: None,
-            resumable: Vec::new(),
-            iteration: 0,
-            postponed_input: Vec::new(),
+            input_schedule: InputSchedule::default(),
             random_numbers: RandomNumbers::new(seed),
             files,
             files_in_force: None,
--- a/gateway/src/net/store_connections.rs
+++ b/gateway/src/net/store_connections.rs
@@ -145,9 +145,9 @@
         }
     }
 
-    /// Moves the attempts of which nothing is written from a connection whose store is served by another process now, or
-    /// at another address: what answers at the former address may be another store. A connection that carries nothing
-    /// else is closed.
+    /// Moves the attempts of which nothing is written from a connection whose store is served by another process now,
+    /// or at another address: what answers at the former address may be another store. A connection that carries
+    /// nothing else is closed.
     pub(super) fn redirect_waiting(&mut self, now: MonotonicTime, key: SlotKey) {
         let Some(Connection { role: Role::Store(session), .. }) = self.connections.get_mut(key) else {
             return;
--- a/gateway/src/net/store_traffic.rs
+++ b/gateway/src/net/store_traffic.rs
@@ -43,8 +43,8 @@
     }
 
     /// Whether the client of an attempt is still connected; if not, closes the connection. No attempt may begin for a
-    /// client that has disconnected, and the disconnect may be in an event that is not handled yet, or behind bytes that
-    /// are not read yet.
+    /// client that has disconnected, and the disconnect may be in an event that is not handled yet, or behind bytes
+    /// that are not read yet.
     fn check_client(&mut self, now: MonotonicTime, attempt: SlotKey) -> ClientPresence {
         let Some(client) = self.core.client_connection(attempt) else { return ClientPresence::Connected };
         let Some(conn) = self.connections.get(client) else { return ClientPresence::Connected };
--- a/gateway/src/thrift/error.rs
+++ b/gateway/src/thrift/error.rs
@@ -1,8 +1,8 @@
 //! Errors of the protocol with the platform's clients.
 use thiserror::Error;
 
-/// Maximum number of characters of a client's text that replies and the log repeat: replies to a client that does not read
-/// are buffered.
+/// Maximum number of characters of a client's text that replies and the log repeat: replies to a client that does not
+/// read are buffered.
 const MAX_EXCERPT_CHARS: usize = 64;
 
 /// The beginning of a client's text, as replies and the log repeat it.
--- a/gateway/src/unsent_replies.rs
+++ b/gateway/src/unsent_replies.rs
@@ -1,7 +1,7 @@
 //! The replies of a connection's output that are not written completely.
 //!
-//! A request is open for its client until the reply has come. Danger: a client that sends and never reads gets a reply to
-//! each message, however small; if they were not counted, they would take the memory that all clients share.
+//! A request is open for its client until the reply has come. Danger: a client that sends and never reads gets a
+//! reply to each message, however small; if they were not counted, they would take the memory that all clients share.
 use std::collections::VecDeque;
 
 /// The ends of the unsent replies, as positions in all that was ever appended to the output. As many as messages are
