Read input by one function, and count replies where they are written

Change: read_piece reads once, and both kinds of peers use it; the end of input is one error type; an iteration without waiting input does nothing for it; the count is the map's length; the bounds are twice thrift::MAX_OPEN_REQUESTS (64, as before); flush and the loop over messages record replies. The list's connections are not cloned. No behaviour changes.

--- a/gateway/src/connection.rs
+++ b/gateway/src/connection.rs
@@ -27,7 +27,7 @@
 
 /// Requests that are open and replies that are unsent at which no further message of a client is handled: twice as
 /// many as a client may have open.
-const MAX_UNANSWERED_MESSAGES: usize = 64;
+const MAX_UNANSWERED_MESSAGES: usize = 2 * thrift::MAX_OPEN_REQUESTS;
 
 /// Number of consumed bytes above which a buffer is compacted.
 const COMPACTION_THRESHOLD_BYTES: usize = 64 * 1024;
@@ -92,7 +92,7 @@
     /// Number of requests of a client that wait for their final reply.
     fn open_requests(&self) -> usize {
         match self {
-            Role::PlatformClient(session) => session.open_requests().count(),
+            Role::PlatformClient(session) => session.open_request_count(),
             Role::SignedClient(session) => usize::from(session.has_open_request()),
             Role::Store(_) | Role::Events | Role::Ensemble => 0,
         }
@@ -200,13 +200,18 @@
             && !self.has_postponed_input
     }
 
-    /// Whether the peer is a client with so many open requests and unsent replies that none of its messages is
-    /// handled until it has read some.
+    /// Counts the reply at the end of a client's output, unless it is counted already.
+    pub(crate) fn record_reply(&mut self) {
+        if self.role.is_client() {
+            self.unsent_replies.record_output(self.output.remaining().len());
+        }
+    }
+
+    /// Whether the peer is a client with too many open requests and unsent replies: none of its messages is handled
+    /// until it has read some.
     pub(crate) fn has_too_many_unanswered(&self) -> bool {
         let unsent_replies = self.unsent_replies.count();
-        unsent_replies > 0
-            && self.role.is_client()
-            && self.role.open_requests() + unsent_replies >= MAX_UNANSWERED_MESSAGES
+        unsent_replies > 0 && self.role.open_requests() + unsent_replies >= MAX_UNANSWERED_MESSAGES
     }
 
     /// Whether buffered input can be handled in the next iteration.
--- a/gateway/src/input_budget.rs
+++ b/gateway/src/input_budget.rs
@@ -2,7 +2,7 @@
 //!
 //! Danger: a peer that sends small messages at full speed has thousands of them in a buffer of the kernel. If all
 //! were handled before the next connection has its turn, a few dozen such peers would delay all others by seconds.
-
+use crate::thrift::MAX_OPEN_REQUESTS;
 use std::time::Duration;
 
 /// Time limit of one iteration of the loop; remaining events are polled again. It keeps callers of the console, who
@@ -10,7 +10,7 @@
 pub const MAX_ITERATION_TIME: Duration = Duration::from_millis(20);
 /// Maximum number of messages of one connection that are handled in one iteration: twice as many as the requests that
 /// a client may have open, so that those and their cancellations are never split.
-pub const MAX_MESSAGES_PER_ITERATION: usize = 64;
+pub const MAX_MESSAGES_PER_ITERATION: usize = 2 * MAX_OPEN_REQUESTS;
 /// Number of bytes of handled messages after which no further one of the connection is handled in the same iteration.
 pub const MAX_MESSAGE_BYTES_PER_ITERATION: usize = 256 * 1024;
 
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -78,7 +78,6 @@
             }
             _ => return self.finish_signed_request(now, reply_to, reply),
         }
-        conn.unsent_replies.record_output(conn.output.remaining().len());
         self.flush(now, reply_to.connection);
         self.enforce_client_bytes(now);
     }
--- a/gateway/src/net/connections.rs
+++ b/gateway/src/net/connections.rs
@@ -138,6 +138,7 @@
     /// Writes as much output as the socket accepts. Returns whether the connection is still open.
     pub(super) fn flush(&mut self, now: MonotonicTime, key: SlotKey) -> bool {
         let Some(conn) = self.connections.get_mut(key) else { return false };
+        conn.record_reply();
         if conn.state.is_connected() && !conn.output.remaining().is_empty() {
             match write_available(&conn.stream, conn.output.remaining()) {
                 Ok(0) => {}
@@ -153,9 +154,7 @@
             }
         }
         conn.output.compact();
-        if conn.has_ready_input() {
-            self.input_schedule.postponed.push(key);
-        }
+        self.schedule_postponed_input(key);
         self.update_client_bytes(key);
         let Some(conn) = self.connections.get_mut(key) else { return false };
         let all_written = conn.output.remaining().is_empty();
--- a/gateway/src/net/endpoint_list.rs
+++ b/gateway/src/net/endpoint_list.rs
@@ -147,11 +147,10 @@
                 };
                 let Some(links) = self.pools.connections_mut(store.host.server) else { continue };
                 let (idle, busy): (Vec<SlotKey>, Vec<SlotKey>) = links.iter().partition(|key| is_idle(key));
-                *links = if address_changed { Vec::new() } else { busy.clone() };
+                let (kept, left) = if address_changed { (Vec::new(), busy) } else { (busy, Vec::new()) };
+                *links = kept;
                 idle.into_iter().for_each(|key| self.close(now, key, None));
-                if address_changed {
-                    busy.into_iter().for_each(|key| self.redirect_waiting(now, key));
-                }
+                left.into_iter().for_each(|key| self.redirect_waiting(now, key));
                 self.forget_removed_store(store.host.server);
             }
         }
--- a/gateway/src/net/input.rs
+++ b/gateway/src/net/input.rs
@@ -1,6 +1,7 @@
 //! Input of connections of every role: reading, and handling the messages within the limits of one iteration of the
 //! loop.
 use super::errors::CloseReason;
+use super::poll_key::PollKey;
 use super::Gateway;
 use crate::connection::{Buffer, Connection, Role, MAX_BYTES_PER_ITERATION, MESSAGE_TIMEOUT};
 use crate::deadlines::DeadlineKind;
@@ -9,6 +10,8 @@
 use crate::slots::SlotKey;
 use crate::sockets::is_hung_up;
 use larchway::MonotonicTime;
+use polling::Event;
+use std::collections::BTreeSet;
 use tracing::warn;
 
 /// Size in bytes of one read while the input buffer holds at most this many bytes.
@@ -16,9 +19,6 @@
 /// Size in bytes of one read while the input buffer holds more, as within a large message.
 pub(super) const LARGE_READ_BYTES: usize = 64 * 1024;
 
-/// Limit on the bytes to read for which one read is made.
-const PIECE: usize = 1;
-
 /// The connections whose buffered input is to be handled.
 #[derive(Debug, Default)]
 pub(super) struct InputSchedule {
@@ -30,20 +30,20 @@
     pub(super) postponed: Vec<SlotKey>,
 }
 
-/// The result of reading from a connection.
-#[derive(Default)]
-struct ReadResult {
-    /// Why the connection has ended, if it has.
-    end_reason: Option<CloseReason>,
-    /// Why its input cannot be understood, if it cannot.
-    malformed: Option<CloseReason>,
+/// Why no more input of a connection is handled.
+enum InputEnd {
+    /// The peer has closed the connection, or it has failed.
+    Closed(CloseReason),
+    /// A message is malformed.
+    Malformed(CloseReason),
 }
 
-impl ReadResult {
-    /// The connection has ended.
-    fn ended(reason: CloseReason) -> ReadResult {
-        ReadResult { end_reason: Some(reason), malformed: None }
-    }
+/// The outcome of one read from a connection.
+struct Piece {
+    /// Number of bytes received; 0 if none were available.
+    bytes: usize,
+    /// Whether as many were received as the read had room for, so that more may be available.
+    is_full: bool,
 }
 
 impl Gateway {
@@ -59,7 +59,7 @@
         let Some(conn) = self.connections.get_mut(key) else { return };
         let is_client = conn.role.is_client();
         let mut input = std::mem::take(&mut conn.input);
-        let ReadResult { end_reason, malformed } = match is_client {
+        let outcome = match is_client {
             true => self.read_client(now, key, &mut input),
             false => self.read_peer(now, key, &mut input),
         };
@@ -67,61 +67,58 @@
         self.store_unprocessed_input(now, key, input);
         self.update_client_bytes(key);
         self.enforce_client_bytes(now);
-        if let Some(reason) = malformed {
-            warn!(%reason, "a connection is closed");
-            if is_client {
-                self.finish_client(now, key);
-            } else {
-                self.close(now, key, Some(&reason));
+        match outcome {
+            Ok(()) => {}
+            Err(InputEnd::Closed(reason)) => self.close(now, key, Some(&reason)),
+            Err(InputEnd::Malformed(reason)) => {
+                warn!(%reason, "a connection is closed");
+                if is_client {
+                    self.finish_client(now, key);
+                } else {
+                    self.close(now, key, Some(&reason));
+                }
             }
-        } else if let Some(reason) = end_reason {
-            self.close(now, key, Some(&reason));
         }
     }
 
     /// Reads from a client piece by piece and handles the messages of each piece, so that no more input is buffered
     /// than what one iteration leaves of a piece. No request is begun for a client that has disconnected.
-    fn read_client(&mut self, now: MonotonicTime, key: SlotKey, input: &mut Buffer) -> ReadResult {
+    fn read_client(&mut self, now: MonotonicTime, key: SlotKey, input: &mut Buffer) -> Result<(), InputEnd> {
+        let Some(conn) = self.connections.get_mut(key) else { return Ok(()) };
+        // The end may have arrived behind bytes that are not read yet.
+        if is_hung_up(&conn.stream) {
+            return Err(InputEnd::Closed(CloseReason::ClosedByPeer));
+        }
+        if std::mem::take(&mut conn.has_postponed_input) {
+            return self.handle_messages(now, key, input).map_err(InputEnd::Malformed);
+        }
         let mut total_read = 0;
-        loop {
-            let Some(conn) = self.connections.get_mut(key) else { return ReadResult::default() };
-            // The end may have arrived behind bytes that are not read yet.
-            if total_read == 0 && is_hung_up(&conn.stream) {
-                return ReadResult::ended(CloseReason::ClosedByPeer);
-            }
-            let is_postponed = std::mem::take(&mut conn.has_postponed_input);
-            if !is_postponed {
-                let buffered = input.bytes.len();
-                if let Some(reason) = read_available(now, conn, input, &mut self.read_buffer, PIECE) {
-                    return ReadResult::ended(reason);
-                }
-                total_read += input.bytes.len() - buffered;
-            }
-            if let Err(reason) = self.handle_messages(now, key, input) {
-                return ReadResult { end_reason: None, malformed: Some(reason) };
-            }
+        while total_read < MAX_BYTES_PER_ITERATION {
+            let Some(conn) = self.connections.get_mut(key) else { return Ok(()) };
+            let piece = read_piece(now, conn, input, &mut self.read_buffer).map_err(InputEnd::Closed)?;
+            total_read += piece.bytes;
+            self.handle_messages(now, key, input).map_err(InputEnd::Malformed)?;
+            // Read until nothing is available, and not only until a piece is not full, to detect the client's end.
             let has_more = |conn: &Connection| !conn.fully_read && !conn.has_postponed_input;
-            if is_postponed
-                || total_read >= MAX_BYTES_PER_ITERATION
-                || !self.connections.get(key).is_some_and(has_more)
-            {
-                return ReadResult::default();
+            if !self.connections.get(key).is_some_and(has_more) {
+                return Ok(());
             }
         }
+        Ok(())
     }
 
     /// Reads from a peer other than a client, whose last messages are handled also if it has disconnected.
-    fn read_peer(&mut self, now: MonotonicTime, key: SlotKey, input: &mut Buffer) -> ReadResult {
-        let Some(conn) = self.connections.get_mut(key) else { return ReadResult::default() };
-        let end_reason = match std::mem::take(&mut conn.has_postponed_input) {
-            true => None,
-            false => read_available(now, conn, input, &mut self.read_buffer, MAX_BYTES_PER_ITERATION),
+    fn read_peer(&mut self, now: MonotonicTime, key: SlotKey, input: &mut Buffer) -> Result<(), InputEnd> {
+        let Some(conn) = self.connections.get_mut(key) else { return Ok(()) };
+        let is_postponed = std::mem::take(&mut conn.has_postponed_input);
+        let read =
+            if is_postponed { Ok(()) } else { read_available(now, conn, input, &mut self.read_buffer) };
+        let handled = match read {
+            Ok(()) => self.handle_messages(now, key, input),
+            Err(_) => self.handle_last_messages(now, key, input),
         };
-        let handled = match end_reason {
-            Some(_) => self.handle_last_messages(now, key, input),
-            None => self.handle_messages(now, key, input),
-        };
-        ReadResult { end_reason, malformed: handled.err() }
+        handled.map_err(InputEnd::Malformed)?;
+        read.map_err(InputEnd::Closed)
     }
 
     /// Stores unprocessed input for the next read, and sets an earlier deadline if needed, so that an incomplete
@@ -179,7 +176,8 @@
             }
             if let Some(conn) = self.connections.get_mut(key) {
                 conn.budget.charge(iteration, used);
-                conn.unsent_replies.record_output(conn.output.remaining().len());
+                // Replies are written together, and counted one by one.
+                conn.record_reply();
             }
         }
     }
@@ -200,11 +198,33 @@
     fn postpone_input(&mut self, key: SlotKey) {
         let Some(conn) = self.connections.get_mut(key) else { return };
         conn.has_postponed_input = true;
-        if conn.has_ready_input() {
+        self.schedule_postponed_input(key);
+    }
+
+    /// Schedules a connection's postponed input, if there is any that can be handled now.
+    pub(super) fn schedule_postponed_input(&mut self, key: SlotKey) {
+        if self.connections.get(key).is_some_and(Connection::has_ready_input) {
             self.input_schedule.postponed.push(key);
         }
     }
 
+    /// Begins an iteration: adds an event for each connection whose buffered input was left to it, unless the poller
+    /// reported one. Connections stay listed until their input is handled: this iteration may be cut short as well.
+    pub(super) fn begin_input_iteration(&mut self, events: &mut Vec<Event>) {
+        let InputSchedule { iteration, postponed, .. } = &mut self.input_schedule;
+        *iteration += 1;
+        if postponed.is_empty() {
+            return;
+        }
+        postponed.retain(|key| self.connections.get(*key).is_some_and(Connection::has_ready_input));
+        postponed.sort_unstable();
+        postponed.dedup();
+        let reported: BTreeSet<usize> =
+            events.iter().filter(|event| event.readable).map(|event| event.key).collect();
+        let keys = postponed.iter().map(|key| PollKey::Connection(*key).into());
+        events.extend(keys.filter(|key| !reported.contains(key)).map(Event::readable));
+    }
+
     /// Decodes and handles the first message of the input, with the codec of the connection's role. Returns the
     /// number of bytes consumed; 0 if there is no complete message that can be handled now.
     fn handle_message(
@@ -263,43 +283,47 @@
     }
 }
 
-/// Reads until the socket has no more bytes or `max_read` are read. Returns why the connection has ended, if it has.
-/// `buffer`: scratch space for one read.
+/// Reads until the socket seems to have no more bytes or [`MAX_BYTES_PER_ITERATION`] are read. An error is why the
+/// connection has ended. `buffer`: scratch space for one read.
 fn read_available(
     now: MonotonicTime,
     conn: &mut Connection,
     input: &mut Buffer,
     buffer: &mut [u8],
-    max_read: usize,
-) -> Option<CloseReason> {
-    let is_client = conn.role.is_client();
+) -> Result<(), CloseReason> {
     let mut total_read = 0;
+    while total_read < MAX_BYTES_PER_ITERATION {
+        let piece = read_piece(now, conn, input, buffer)?;
+        if !piece.is_full {
+            break;
+        }
+        total_read += piece.bytes;
+    }
+    Ok(())
+}
+
+/// Reads once. An error is why the connection has ended. `buffer`: scratch space.
+fn read_piece(
+    now: MonotonicTime,
+    conn: &mut Connection,
+    input: &mut Buffer,
+    buffer: &mut [u8],
+) -> Result<Piece, CloseReason> {
+    // Large messages are read in large pieces.
+    let room = if input.bytes.len() > SMALL_READ_BYTES { LARGE_READ_BYTES } else { SMALL_READ_BYTES };
     conn.fully_read = false;
-    while total_read < max_read {
-        // Large messages are read in large pieces.
-        let read_bytes =
-            if input.bytes.len() > SMALL_READ_BYTES { LARGE_READ_BYTES } else { SMALL_READ_BYTES };
-        match read_once(&conn.stream, &mut buffer[..read_bytes]) {
-            Ok(ReadOutcome::Ended) => return Some(CloseReason::ClosedByPeer),
-            Ok(ReadOutcome::Received(count)) => {
-                input.bytes.extend_from_slice(&buffer[..count]);
-                total_read += count;
-                (conn.last_activity, conn.last_read) = (now, now);
-                if let Role::SignedClient(session) = &mut conn.role {
-                    session.record_read(now, count);
-                }
-                // A client's socket is read on to detect its end: no request is begun for a client that has
-                // disconnected.
-                if count < read_bytes && !is_client {
-                    return None;
-                }
-            }
-            Ok(ReadOutcome::NotReady) => {
-                conn.fully_read = true;
-                return None;
-            }
-            Err(e) => return Some(e.into()),
+    let bytes = match read_once(&conn.stream, &mut buffer[..room])? {
+        ReadOutcome::Ended => return Err(CloseReason::ClosedByPeer),
+        ReadOutcome::Received(bytes) => bytes,
+        ReadOutcome::NotReady => {
+            conn.fully_read = true;
+            return Ok(Piece { bytes: 0, is_full: false });
         }
+    };
+    input.bytes.extend_from_slice(&buffer[..bytes]);
+    (conn.last_activity, conn.last_read) = (now, now);
+    if let Role::SignedClient(session) = &mut conn.role {
+        session.record_read(now, bytes);
     }
-    None
+    Ok(Piece { bytes, is_full: bytes == room })
 }
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -64,7 +64,7 @@
 use larchway_operations::ProcessGroup;
 use poll_key::PollKey;
 use polling::{Event, Poller};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::UnixStream;
 use std::time::Duration;
@@ -233,8 +233,7 @@
                 return Ok(());
             }
             self.wait_for_events(&mut events)?;
-            self.input_schedule.iteration += 1;
-            self.add_postponed_input(&mut events);
+            self.begin_input_iteration(&mut events);
             self.handle_events(&mut events);
         }
     }
@@ -259,21 +258,6 @@
         }
     }
 
-    /// Adds an event for each connection whose buffered input was left to this iteration, unless the poller reported
-    /// one. Connections stay listed until their input is handled: this iteration may be cut short as well.
-    fn add_postponed_input(&mut self, events: &mut Vec<Event>) {
-        let connections = &self.connections;
-        self.input_schedule
-            .postponed
-            .retain(|key| connections.get(*key).is_some_and(Connection::has_ready_input));
-        self.input_schedule.postponed.sort_unstable();
-        self.input_schedule.postponed.dedup();
-        let reported: BTreeSet<usize> =
-            events.iter().filter(|event| event.readable).map(|event| event.key).collect();
-        let keys = self.input_schedule.postponed.iter().map(|key| PollKey::Connection(*key).into());
-        events.extend(keys.filter(|key| !reported.contains(key)).map(Event::readable));
-    }
-
     /// Handles events in order until the iteration's time limit; unserved events are polled again.
     fn handle_events(&mut self, events: &mut [Event]) {
         let turn_started = clock::now();
--- a/gateway/src/net/signed_clients.rs
+++ b/gateway/src/net/signed_clients.rs
@@ -108,7 +108,6 @@
         if after == AfterReply::Finish && conn.state == ConnectionState::Open {
             conn.state = ConnectionState::Finishing;
         }
-        conn.unsent_replies.record_output(conn.output.remaining().len());
         self.flush(now, key);
     }
 }
--- a/gateway/src/thrift/mod.rs
+++ b/gateway/src/thrift/mod.rs
@@ -11,7 +11,7 @@
 mod session;
 
 pub use error::{ProtocolError, RequestError};
-pub use session::{Action, Context, Handled, Session};
+pub use session::{Action, Context, Handled, Session, MAX_OPEN_REQUESTS};
 
 #[cfg(test)]
 mod tests;
--- a/gateway/src/thrift/session.rs
+++ b/gateway/src/thrift/session.rs
@@ -14,7 +14,7 @@
 use tracing::warn;
 
 /// Maximum number of open requests on one connection.
-const MAX_OPEN_REQUESTS: usize = 32;
+pub const MAX_OPEN_REQUESTS: usize = 32;
 /// The field of a reply which states that the client's own copy is current.
 const NOT_MODIFIED: (&str, &str) = ("keep", "1");
 
@@ -189,6 +189,11 @@
         self.open.values().copied()
     }
 
+    /// The number of requests that wait for their final reply.
+    pub fn open_request_count(&self) -> usize {
+        self.open.len()
+    }
+
     /// Whether a request waits for its final reply.
     pub fn has_open_requests(&self) -> bool {
         !self.open.is_empty()
