Remember ids where a request is marked as answered, not at five of its callers

Cause: found by reading the change once more. Each way in which a request ends goes through Core::mark_answered; the id of one that must not run again was remembered beside it by five callers, and not by the sixth, a refusal of the decision module.

Change: mark_answered takes the time and remembers the id. A refused request that may have run, which the module does not produce for such classes, would be remembered as well; otherwise behaviour is as it was.

--- a/gateway/src/core/decisions.rs
+++ b/gateway/src/core/decisions.rs
@@ -56,7 +56,7 @@
             Action::Get(get) => self.begin_attempt(now, get),
             Action::Refuse { id, retry_after } => {
                 let reply = |reply_to| Command::ReplyRejected(reply_to, retry_after);
-                self.answer(SlotKey(id), RequestEnd::Rejected, reply);
+                self.answer(now, SlotKey(id), RequestEnd::Rejected, reply);
             }
             Action::Fail(id) => self.fail(now, SlotKey(id)),
             Action::Cancel { id, attempt } => {
@@ -103,8 +103,7 @@
     fn fail(&mut self, now: MonotonicTime, request: SlotKey) {
         let late = self.requests.get(request).is_some_and(|open| now >= open.deadline);
         let cause = if late { FailureCause::DeadlineExceeded } else { FailureCause::Unserved };
-        self.remember_unsafe_call(now, request);
-        self.answer(request, RequestEnd::Failed, |reply_to| Command::ReplyFailed(reply_to, cause));
+        self.answer(now, request, RequestEnd::Failed, |reply_to| Command::ReplyFailed(reply_to, cause));
     }
 }
 
--- a/gateway/src/core/outcomes.rs
+++ b/gateway/src/core/outcomes.rs
@@ -63,11 +63,11 @@
             open_request.first_possible_run_at =
                 open_request.first_possible_run_at.into_iter().chain(attempt.first_byte_at).min();
         }
-        let served =
-            if status == Status::Ok { self.mark_answered(attempt.request, RequestEnd::Served) } else { None };
-        if served.is_some() {
-            self.remember_unsafe_call(now, attempt.request);
-        }
+        let served = if status == Status::Ok {
+            self.mark_answered(now, attempt.request, RequestEnd::Served)
+        } else {
+            None
+        };
         let outcome = Outcome {
             id: attempt.request.0,
             attempt: attempt.number,
--- a/gateway/src/core/requests.rs
+++ b/gateway/src/core/requests.rs
@@ -165,8 +165,7 @@
 
     /// Handles that the client has left: the request gets no reply.
     pub fn client_left(&mut self, now: MonotonicTime, request: SlotKey) {
-        if self.mark_answered(request, RequestEnd::Failed).is_some() {
-            self.remember_unsafe_call(now, request);
+        if self.mark_answered(now, request, RequestEnd::Failed).is_some() {
             self.handle_event(now, Event::ClientLeft(request.0));
             self.withdraw_unsent(now, request);
         }
@@ -179,13 +178,12 @@
         let class = open.request.class;
         let may_have_run = self.may_have_run(open);
         let end = if may_have_run { RequestEnd::Failed } else { RequestEnd::Rejected };
-        let Some(reply_to) = self.mark_answered(request, end) else { return };
+        let Some(reply_to) = self.mark_answered(now, request, end) else { return };
         self.commands.push_back(if may_have_run {
             Command::ReplyFailed(reply_to, FailureCause::Unserved)
         } else {
             Command::ReplyRejected(reply_to, self.retry_after(Some(class), retry_after))
         });
-        self.remember_unsafe_call(now, request);
         self.handle_event(now, Event::ClientLeft(request.0));
         self.withdraw_unsent(now, request);
         self.remove_if_finished(request);
@@ -207,22 +205,11 @@
         !only_reads && (open.first_possible_run_at.is_some() || open.attempts.iter().any(is_begun))
     }
 
-    /// Remembers the call id of a request that has ended and that must not run again, if it may have run.
-    pub(super) fn remember_unsafe_call(&mut self, now: MonotonicTime, request: SlotKey) {
-        let Some(open) = self.requests.get(request) else { return };
-        let Some(slot) = self.classes.get(open.request.class) else { return };
-        if slot.settings.class.effect == Effect::Unsafe && self.may_have_run(open) {
-            let until = now + slot.settings.deadline * REMEMBERED_DEADLINES;
-            self.recent_calls.insert(now, &open.request.call_id, until);
-        }
-    }
-
     /// Fails an unanswered request whose deadline has passed, without waiting for the module: each request must get a
     /// reply.
     pub(super) fn fail_overdue(&mut self, now: MonotonicTime, request: SlotKey) {
-        if let Some(reply_to) = self.mark_answered(request, RequestEnd::Failed) {
+        if let Some(reply_to) = self.mark_answered(now, request, RequestEnd::Failed) {
             self.commands.push_back(Command::ReplyFailed(reply_to, FailureCause::DeadlineExceeded));
-            self.remember_unsafe_call(now, request);
             self.handle_event(now, Event::ClientLeft(request.0));
         }
     }
@@ -245,24 +232,42 @@
     /// Sends the final reply of a request, unless one was sent before.
     pub(super) fn answer(
         &mut self,
+        now: MonotonicTime,
         key: SlotKey,
         end: RequestEnd,
         command: impl FnOnce(ReplyHandle) -> Command,
     ) {
-        let Some(reply_to) = self.mark_answered(key, end) else { return };
+        let Some(reply_to) = self.mark_answered(now, key, end) else { return };
         self.commands.push_back(command(reply_to));
         self.remove_if_finished(key);
     }
 
-    /// Marks a request as answered, once, and counts how it ended; returns where its reply goes.
-    pub(super) fn mark_answered(&mut self, request: SlotKey, end: RequestEnd) -> Option<ReplyHandle> {
+    /// Marks a request as answered, once, counts how it ended, and remembers its call id if it must not run again.
+    /// Returns where its reply goes.
+    pub(super) fn mark_answered(
+        &mut self,
+        now: MonotonicTime,
+        request: SlotKey,
+        end: RequestEnd,
+    ) -> Option<ReplyHandle> {
         let open = self.requests.get_mut(request).filter(|open| !open.answered)?;
         open.answered = true;
         let (reply_to, class) = (open.reply_to, open.request.class);
         self.count_ended(class, end);
+        self.remember_unsafe_call(now, request);
         Some(reply_to)
     }
 
+    /// Remembers the call id of a request that has ended and that must not run again, if it may have run.
+    fn remember_unsafe_call(&mut self, now: MonotonicTime, request: SlotKey) {
+        let Some(open) = self.requests.get(request) else { return };
+        let Some(slot) = self.classes.get(open.request.class) else { return };
+        if slot.settings.class.effect == Effect::Unsafe && self.may_have_run(open) {
+            let until = now + slot.settings.deadline * REMEMBERED_DEADLINES;
+            self.recent_calls.insert(now, &open.request.call_id, until);
+        }
+    }
+
     fn count_ended(&mut self, class: usize, end: RequestEnd) {
         if let Some(slot) = self.classes.get(class) {
             self.counters.count_ended(&slot.name, end);
