Move the limit on clients' buffered bytes into a module of its own

Moved as it was: net/clients.rs keeps connections and replies, net/memory.rs has the account of buffered bytes and what is rejected beyond it. No behaviour changes.

--- a/gateway/src/net/configuration.rs
+++ b/gateway/src/net/configuration.rs
@@ -1,6 +1,6 @@
 //! Applies a configuration, at the start and at each SIGHUP.
-use super::clients::CLIENT_MEMORY_DIVISOR;
 use super::errors::ConfigurationError;
+use super::memory::CLIENT_MEMORY_DIVISOR;
 use super::poll_key::{ClientListener, PollKey};
 use super::{saves_roster, Gateway};
 use crate::config::{Config, ConfigError, FileSet, Loaded};
--- a/gateway/src/net/connections.rs
+++ b/gateway/src/net/connections.rs
@@ -1,6 +1,6 @@
 //! Connections of every role: registration with the poller, writing, time-outs and closing.
-use super::clients::SMALL_ANSWER_BYTES;
 use super::errors::CloseReason;
+use super::memory::SMALL_ANSWER_BYTES;
 use super::poll_key::PollKey;
 use super::Gateway;
 use crate::connection::{
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -12,6 +12,7 @@
 mod event_source;
 mod input;
 mod listeners;
+mod memory;
 mod operators;
 mod platform_clients;
 pub mod poll_key;
