Encode calls of the platform's front in one place of the tests

The scenario's client and the tests of memory each had an encoder, and two ways to connect with a narrow window. Now both use thrift_calls and connect_narrow. No check changes.

--- a/gateway/tests/net/memory.rs
+++ b/gateway/tests/net/memory.rs
@@ -1,6 +1,7 @@
 //! Memory while clients send much, or nothing whole, and read nothing.
-use crate::scenario::{connect_to_both_stores, usual_with, Scenario, Setup};
-use socket2::{Domain, Socket, Type};
+use crate::scenario::{
+    call_frame, connect_narrow, connect_to_both_stores, request_fields, usual_with, Scenario, Setup, CALL,
+};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
@@ -19,25 +20,9 @@
 /// Makes the message of this number on the connection.
 type NextMessage = fn(u32) -> Vec<u8>;
 
-/// A message of the platform's front: a call of this method with these fields.
+/// A call of this method with these fields.
 fn message(method: &str, sequence: u32, fields: &[(String, String)]) -> Vec<u8> {
-    let string = |out: &mut Vec<u8>, text: &str| {
-        out.extend_from_slice(&(text.len() as u32).to_be_bytes());
-        out.extend_from_slice(text.as_bytes());
-    };
-    let mut content = vec![0x80, 1, 0, 1];
-    string(&mut content, method);
-    content.extend_from_slice(&sequence.to_be_bytes());
-    content.extend_from_slice(&[13, 0, 1, 11, 11]);
-    content.extend_from_slice(&(fields.len() as u32).to_be_bytes());
-    for (name, value) in fields {
-        string(&mut content, name);
-        string(&mut content, value);
-    }
-    content.push(0);
-    let mut message = (content.len() as u32).to_be_bytes().to_vec();
-    message.append(&mut content);
-    message
+    call_frame(CALL, method, sequence as i32, &request_fields(fields))
 }
 
 fn fields<const N: usize>(pairs: [(&str, String); N]) -> Vec<(String, String)> {
@@ -61,9 +46,11 @@
     s
 }
 
-fn assert_within_limit(s: &Scenario, what: &str) {
+/// Returns the memory that the process alone uses, in kB.
+fn assert_within_limit(s: &Scenario, what: &str) -> usize {
     let kilobytes = s.private_kilobytes();
     assert!(kilobytes <= MEMORY_MB as usize * 1024, "{what}: {kilobytes} kB");
+    kilobytes
 }
 
 /// Writes what the peer takes in; whether the connection is still open.
@@ -76,21 +63,16 @@
     true
 }
 
-fn connect(address: SocketAddr) -> TcpStream {
-    let stream = TcpStream::connect(address).expect("connects");
+/// Connects to a front without blocking in reads and writes. Where little is to be read, replies wait in the gateway early.
+fn connect(address: SocketAddr, reading: Reading) -> TcpStream {
+    let stream = match reading {
+        Reading::Everything => TcpStream::connect(address).expect("connects"),
+        Reading::Nothing => connect_narrow(address),
+    };
     stream.set_nonblocking(true).expect("sets");
     stream
 }
 
-/// Connects with little room for what is not read, so that replies wait in the gateway early.
-fn connect_narrow(address: SocketAddr) -> TcpStream {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-    socket.set_recv_buffer_size(4096).expect("sets");
-    socket.connect(&address.into()).expect("connects");
-    socket.set_nonblocking(true).expect("sets");
-    socket.into()
-}
-
 /// Guards against a process that passes its limit of memory because hundreds of clients write slowly, stop half way through a
 /// large request, or send very many short fields.
 #[test]
@@ -112,7 +94,8 @@
     ] {
         let mut s = gateway();
         let address = s.front_address(front);
-        let mut senders: Vec<(TcpStream, &[u8])> = (0..SENDERS).map(|_| (connect(address), bytes)).collect();
+        let mut senders: Vec<(TcpStream, &[u8])> =
+            (0..SENDERS).map(|_| (connect(address, Reading::Everything), bytes)).collect();
         let mut peak = 0;
         // Slowly: all of them a piece each, in turn.
         for turn in 1_u32.. {
@@ -126,15 +109,14 @@
             if turn % 4 == 0 {
                 s.run(&format!("c8 > isWell {turn}\nc8 < well {turn}"));
             }
-            assert_within_limit(&s, what);
-            peak = peak.max(s.private_kilobytes());
+            peak = peak.max(assert_within_limit(&s, what));
             if senders.is_empty() || turn > 60 {
                 break;
             }
         }
         s.run("wait 200");
-        assert_within_limit(&s, what);
-        println!("{what}: {} kB at the end, {peak} kB at most", s.private_kilobytes());
+        let at_the_end = assert_within_limit(&s, what);
+        println!("{what}: {at_the_end} kB at the end, {peak} kB at most");
     }
 }
 
@@ -162,8 +144,7 @@
             let what = format!("{what} by {clients}");
             let mut s = gateway();
             connect_to_both_stores(&mut s);
-            let connect = if reading == Reading::Nothing { connect_narrow } else { connect };
-            let streams = (0..clients).map(|_| connect(s.front_address(front))).collect();
+            let streams = (0..clients).map(|_| connect(s.front_address(front), reading)).collect();
             let flood = std::thread::spawn(move || flood(streams, next, reading));
             let mut slowest = Duration::ZERO;
             for n in 2.. {
--- a/gateway/tests/net/scenario/clients.rs
+++ b/gateway/tests/net/scenario/clients.rs
@@ -2,6 +2,7 @@
 use super::expectations::soon;
 use super::machine_sockets::{connection_end, ESTABLISHED};
 use super::script::{hex, id};
+use super::thrift_calls::{call_frame, request_body, request_fields, CALL, ONEWAY};
 use super::{Scenario, PATIENCE};
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{ErrorKind, Read, Write};
@@ -74,6 +75,14 @@
     }
 }
 
+/// Connects with little room for what is not read.
+pub fn connect_narrow(address: SocketAddr) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(4096).expect("sets");
+    socket.connect(&address.into()).expect("connects");
+    socket.into()
+}
+
 impl Scenario {
     /// A line on what a client does or is answered. Returns whether it is one.
     pub(super) fn play_client_line(&mut self, line: &str, words: &[&str], head: &str, body: &[u8]) -> bool {
@@ -89,11 +98,9 @@
             }
             [client, "connect"] => drop(self.client(client)),
             [client, "narrow"] => {
-                let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-                socket.set_recv_buffer_size(4096).expect("sets");
-                socket.connect(&self.front.into()).expect("connects");
-                socket.set_read_timeout(Some(PATIENCE)).expect("sets");
-                self.clients.insert(client.to_string(), (socket.into(), Vec::new()));
+                let stream = connect_narrow(self.front);
+                stream.set_read_timeout(Some(PATIENCE)).expect("sets");
+                self.clients.insert(client.to_string(), (stream, Vec::new()));
             }
             [client, "close"] => {
                 if let Some((stream, _)) = self.clients.remove(*client) {
@@ -138,20 +145,17 @@
         true
     }
 
-    /// The address of the front that a client of this name uses.
-    pub fn front_address(&self, name: char) -> SocketAddr {
-        match name {
+    /// The address that a client whose name begins so uses.
+    pub fn front_address(&self, initial: char) -> SocketAddr {
+        match initial {
             'w' => self.second,
+            'o' => self.console.expect("a console"),
             _ => self.front,
         }
     }
 
     pub(super) fn client(&mut self, name: &str) -> &mut (TcpStream, Vec<u8>) {
-        let address = match name.as_bytes()[0] {
-            b'w' => self.second,
-            b'o' => self.console.expect("a console"),
-            _ => self.front,
-        };
+        let address = self.front_address(name.chars().next().expect("a name"));
         self.clients.entry(name.to_string()).or_insert_with(|| {
             let stream = TcpStream::connect(address).expect("connects");
             stream.set_read_timeout(Some(PATIENCE)).expect("sets");
@@ -180,31 +184,21 @@
 
     pub(super) fn send_call(&mut self, client: &str, words: &[&str], body: &[u8]) {
         let (name, seq) = (words[0], words[1].parse::<i32>().expect("a number"));
-        let string = |out: &mut Vec<u8>, text: &[u8]| {
-            out.extend_from_slice(&(text.len() as u32).to_be_bytes());
-            out.extend_from_slice(text);
-        };
-        let mut out = vec![0x80, 1, 0, if name == "forget" { 4 } else { 1 }];
-        string(&mut out, name.as_bytes());
-        out.extend_from_slice(&seq.to_be_bytes());
-        if name == "forget" {
-            out.extend_from_slice(&[8, 0, 1]);
-            out.extend_from_slice(&words[2].parse::<i32>().expect("a number").to_be_bytes());
-        } else if name == "serve" {
-            out.extend_from_slice(&[13, 0, 1, 11, 11]);
-            out.extend_from_slice(&(words.len() as u32 - 2).to_be_bytes());
-            for (name, value) in words[2..].iter().map(|w| w.split_once('=').expect("name=value")) {
-                string(&mut out, name.as_bytes());
-                let value = if name == "call" { id(value) } else { value.to_string() };
-                string(&mut out, value.as_bytes());
+        let frame = match name {
+            "forget" => {
+                let cancelled = words[2].parse::<i32>().expect("a number");
+                call_frame(ONEWAY, name, seq, &[&[8, 0, 1][..], &cancelled.to_be_bytes()].concat())
             }
-            out.extend_from_slice(&[11, 0, 2]);
-            string(&mut out, body);
-        }
-        out.push(0);
-        let mut framed = (out.len() as u32).to_be_bytes().to_vec();
-        framed.append(&mut out);
-        self.write(client, &framed);
+            "serve" => {
+                let pairs = words[2..].iter().map(|word| word.split_once('=').expect("name=value"));
+                let value_of = |name, value: &str| if name == "call" { id(value) } else { value.to_string() };
+                let fields: Vec<_> =
+                    pairs.map(|(name, value)| (name.to_string(), value_of(name, value))).collect();
+                call_frame(CALL, name, seq, &[request_fields(&fields), request_body(body)].concat())
+            }
+            _ => call_frame(CALL, name, seq, &[]),
+        };
+        self.write(client, &frame);
     }
 
     pub(super) fn frame(&mut self, client: &str) -> Vec<u8> {
@@ -223,6 +217,22 @@
 
     /// The words of the answers that have come for a client by now, and whether its connection has ended in order.
     pub fn answers_so_far(&mut self, client: &str) -> (Vec<String>, bool) {
+        let has_ended = self.read_so_far(client);
+        let (_, input) = self.client(client);
+        let mut answers = Vec::new();
+        while let Some(head) = input.first_chunk::<4>() {
+            let end = 4 + u32::from_be_bytes(*head) as usize;
+            if input.len() < end {
+                break;
+            }
+            answers.push(describe(&input[4..end]).0);
+            input.drain(..end);
+        }
+        (answers, has_ended)
+    }
+
+    /// Reads what has come for a client by now. Returns whether its connection has ended in order.
+    fn read_so_far(&mut self, client: &str) -> bool {
         let (stream, input) = self.client(client);
         stream.set_nonblocking(true).expect("sets");
         let mut piece = [0; 65536];
@@ -235,28 +245,16 @@
             }
         };
         stream.set_nonblocking(false).expect("sets");
-        let mut answers = Vec::new();
-        if client.starts_with('w') {
-            return (answers, ended);
-        }
-        while let Some(head) = input.first_chunk::<4>() {
-            let end = 4 + u32::from_be_bytes(*head) as usize;
-            if input.len() < end {
-                break;
-            }
-            answers.push(describe(&input[4..end]).0);
-            input.drain(..end);
-        }
-        (answers, ended)
+        ended
     }
 
     /// How many replies have come for a client since this was last asked. Those of the second front must have one line of
     /// status each and a body that has none.
     pub fn replies_so_far(&mut self, client: &str) -> usize {
-        let (answers, _) = self.answers_so_far(client);
         if !client.starts_with('w') {
-            return answers.len();
+            return self.answers_so_far(client).0.len();
         }
+        self.read_so_far(client);
         let (_, input) = self.client(client);
         let text = String::from_utf8_lossy(input).into_owned();
         let Some((complete, rest)) = text.rsplit_once("well") else { return 0 };
--- a/gateway/tests/net/scenario/mod.rs
+++ b/gateway/tests/net/scenario/mod.rs
@@ -49,8 +49,10 @@
 mod settings;
 mod setup;
 mod stores;
+mod thrift_calls;
 mod traffic;
 
+pub use clients::connect_narrow;
 use faults::Faults;
 pub use files::file;
 pub use settings::{edited_settings, FILES, FRONT, ROW, SECOND, SETTINGS};
@@ -65,6 +67,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 pub use stores::entry;
 use stores::HeldStore;
+pub use thrift_calls::{call_frame, request_fields, CALL};
 pub use traffic::{
     connect_to_both_stores, leave_answers_unread, read_unread_answers, serve_objects,
     write_as_an_idle_connection_ends,
