Bound the length of a store's array, not only of each of its strings

Cause: an array of 16 strings of 300,000 bytes each was buffered whole, 4.8 MB, before its length was found wrong. Change: an array that passes 308,192 bytes is an error as soon as the length of the string is read that passes it. The longest reply of the protocol (one string of 300,000 bytes) is decoded as before. Result: an_array_of_several_long_strings_is_rejected_at_the_length_that_passes_the_limit fails without the bound, by the code (the third string is asked for); it passes.

--- a/gateway/src/resp/array.rs
+++ b/gateway/src/resp/array.rs
@@ -3,6 +3,8 @@
 
 /// Maximum length of a string in bytes: enough for a complete object.
 pub const MAX_STRING_BYTES: usize = 300_000;
+/// Maximum length of an encoded array in bytes: a string of maximum length, and the others short.
+const MAX_ARRAY_BYTES: usize = MAX_STRING_BYTES + 8 * 1024;
 /// Maximum number of strings in an array.
 const MAX_ARRAY_LENGTH: usize = 16;
 /// Maximum length in bytes of a line that states a length.
@@ -51,7 +53,7 @@
     let mut strings = Vec::with_capacity(count);
     for _ in 0..count {
         let Some((length, start)) = decode_length_line(input, position, b'$')? else { return Ok(None) };
-        if length > MAX_STRING_BYTES {
+        if length > MAX_STRING_BYTES || start + length > MAX_ARRAY_BYTES {
             return Err(ProtocolError::StringTooLong(length));
         }
         let end = start + length;
--- a/gateway/src/resp/tests.rs
+++ b/gateway/src/resp/tests.rs
@@ -1,4 +1,7 @@
-use super::{decode_array, decode_load, decode_reply, encode_array, encode_request, field, ProtocolError};
+use super::{
+    decode_array, decode_load, decode_reply, encode_array, encode_request, field, ProtocolError,
+    MAX_STRING_BYTES,
+};
 use crate::core::StoreRequest;
 use crate::wire_settings::{ClassSettings, WireClass};
 use larchway::{Note, Status};
@@ -81,3 +84,14 @@
     assert!(decoded_length(&[b"*", &[b'1'; 40][..]].concat()).is_err());
     assert!(decoded_length(b"*2\r\n$1\r\na\r\n$1\r\n\xff\r\n").is_err(), "a status that is not UTF-8");
 }
+
+#[test]
+fn an_array_of_several_long_strings_is_rejected_at_the_length_that_passes_the_limit() {
+    let half = format!("$150000\r\n{}\r\n", "x".repeat(150_000));
+    let input = format!("*4\r\n{half}{half}$150000\r\n").into_bytes();
+    assert_eq!(decode_array(&input), Err(ProtocolError::StringTooLong(150_000)));
+    assert_eq!(decode_array(&input[..input.len() - 9]), Ok(None));
+    let mut longest = Vec::new();
+    encode_array(&mut longest, &[b"id", b"ok", b"-", &vec![0; MAX_STRING_BYTES]]);
+    assert!(decode_array(&longest).is_ok_and(|array| array.is_some()));
+}
