--- a/crates/object-cache/src/cache.rs
+++ b/crates/object-cache/src/cache.rs
@@ -30,6 +30,10 @@
     entries: SegmentedLru,
     /// Maximum bytes of memory for the entries.
     capacity: usize,
+    /// The configured share of the memory limit in bytes.
+    share: usize,
+    /// The most bytes that the entries have taken.
+    peak_bytes: usize,
     link_budget: LinkBudget,
     /// Recent purges. Objects still in transit from a store may have been issued before them.
     purges: PurgeTable,
@@ -45,6 +49,8 @@
             settings,
             entries: SegmentedLru::default(),
             capacity: 0,
+            share: 0,
+            peak_bytes: 0,
             link_budget: LinkBudget::new(link),
             purges: PurgeTable::default(),
             purge_feed: PurgeFeed::new(),
@@ -62,8 +68,8 @@
     /// Sets the capacity to the configured share of the memory limit, less the bytes reserved by others, and
     /// evicts what no longer fits.
     pub fn set_capacity(&mut self, memory: MemoryBudget) {
-        let share = memory.limit / 100 * usize::from(self.settings.memory_percent);
-        self.capacity = share.saturating_sub(memory.reserved);
+        self.share = memory.limit / 100 * usize::from(self.settings.memory_percent);
+        self.capacity = self.share.saturating_sub(memory.reserved);
         self.evict();
     }
 
@@ -201,6 +207,12 @@
         }
     }
 
+    /// The bytes of memory that cached objects may take in addition to the most that they have taken so far, once no
+    /// bytes are reserved by others. The heap keeps what evicted objects have freed.
+    pub fn bytes_to_come(&self) -> usize {
+        self.share.saturating_sub(self.peak_bytes)
+    }
+
     /// The bytes of memory that all cached objects take.
     pub fn bytes(&self) -> usize {
         self.entries.bytes()
@@ -208,6 +220,7 @@
 
     fn evict(&mut self) {
         self.counts.evicted += self.entries.evict(self.capacity);
+        self.peak_bytes = self.peak_bytes.max(self.entries.bytes());
     }
 }
 
--- a/crates/operations/src/request_counters.rs
+++ b/crates/operations/src/request_counters.rs
@@ -54,6 +54,36 @@
     pub warming_stores: usize,
     /// Requests that the decision module itself has rejected, by reason.
     pub rejections: RejectionCounts,
+    /// The memory of the process.
+    pub memory: MemoryGauges,
+}
+
+/// The private memory of a process by holder, in bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct MemoryGauges {
+    /// Limit for all processes of the gateway together.
+    pub limit: usize,
+    /// What the kernel counts as memory of this process alone.
+    pub private: usize,
+    /// Buffers of connections of clients.
+    pub client_buffers: usize,
+    /// Buffers of all other connections.
+    pub store_buffers: usize,
+    /// Pages that are kept for the next buffers.
+    pub spare_pages: usize,
+    /// Cached copies of objects.
+    pub copies: usize,
+    /// Bodies of open requests.
+    pub request_bodies: usize,
+}
+
+impl MemoryGauges {
+    /// The rest: tables, and what the allocator of the heap keeps of freed memory.
+    pub fn other(&self) -> usize {
+        let held =
+            self.client_buffers + self.store_buffers + self.spare_pages + self.copies + self.request_bodies;
+        self.private.saturating_sub(held)
+    }
 }
 
 /// Counters since the process started.
--- a/crates/operations/src/request_counters/statsd.rs
+++ b/crates/operations/src/request_counters/statsd.rs
@@ -1,5 +1,5 @@
 //! The report of the counters in StatsD format. `docs/operate/operations.md` documents the metric names.
-use super::{CountedClass, Gauges, RequestCounters};
+use super::{CountedClass, Gauges, MemoryGauges, RequestCounters};
 use std::fmt::Write;
 
 impl RequestCounters {
@@ -25,6 +25,7 @@
         write_metric(&mut report, "given_up.no_store", rejections.no_server, COUNTER);
         write_metric(&mut report, "given_up.slow_start", rejections.slow_start, COUNTER);
         write_metric(&mut report, "given_up.not_in_time", rejections.not_in_time, COUNTER);
+        write_memory(&mut report, &gauges.memory);
         report
     }
 }
@@ -34,6 +35,23 @@
 /// StatsD type of a gauge, the current value.
 const GAUGE: char = 'g';
 
+/// Writes the limit on memory, the private memory, and its holders, which add up to it.
+fn write_memory(report: &mut String, memory: &MemoryGauges) {
+    let values = [
+        ("limit", memory.limit),
+        ("private", memory.private),
+        ("client_buffers", memory.client_buffers),
+        ("store_buffers", memory.store_buffers),
+        ("spare_pages", memory.spare_pages),
+        ("copies", memory.copies),
+        ("request_bodies", memory.request_bodies),
+        ("other", memory.other()),
+    ];
+    for (name, bytes) in values {
+        write_metric(report, &format!("memory.{name}"), bytes as u64, GAUGE);
+    }
+}
+
 fn write_metric(report: &mut String, name: &str, value: u64, kind: char) {
     let _ = writeln!(report, "svc.{name}:{value}|{kind}");
 }
--- a/crates/operations/src/request_counters/tests.rs
+++ b/crates/operations/src/request_counters/tests.rs
@@ -2,7 +2,16 @@
 
 fn gauges() -> Gauges {
     let rejections = RejectionCounts { attempts_exhausted: 4, no_server: 5, slow_start: 6, not_in_time: 7 };
-    Gauges { known_stores: 9, skipped_stores: 1, unsaved_files: 2, warming_stores: 3, rejections }
+    let memory = MemoryGauges {
+        limit: 100,
+        private: 60,
+        client_buffers: 1,
+        store_buffers: 2,
+        spare_pages: 3,
+        copies: 4,
+        request_bodies: 5,
+    };
+    Gauges { known_stores: 9, skipped_stores: 1, unsaved_files: 2, warming_stores: 3, rejections, memory }
 }
 
 #[test]
@@ -47,6 +56,9 @@
                     svc.upstream_tries:1|c\nsvc.in_progress:1|g\nsvc.known_stores:9|g\nsvc.skipped_stores:1|g\n\
                     svc.loads:0|c\nsvc.load_errors:0|c\nsvc.unsaved_files:2|g\n\
                     svc.warming_stores:3|g\nsvc.given_up.attempts:4|c\nsvc.given_up.no_store:5|c\n\
-                    svc.given_up.slow_start:6|c\nsvc.given_up.not_in_time:7|c\n";
+                    svc.given_up.slow_start:6|c\nsvc.given_up.not_in_time:7|c\n\
+                    svc.memory.limit:100|g\nsvc.memory.private:60|g\nsvc.memory.client_buffers:1|g\n\
+                    svc.memory.store_buffers:2|g\nsvc.memory.spare_pages:3|g\nsvc.memory.copies:4|g\n\
+                    svc.memory.request_bodies:5|g\nsvc.memory.other:45|g\n";
     assert_eq!(counters.report(gauges()), expected);
 }
--- a/gateway/src/connection.rs
+++ b/gateway/src/connection.rs
@@ -1,5 +1,6 @@
 //! Connections of the gateway: buffers, role, state and time-outs.
 use crate::input_budget::{InputBudget, MAX_ITERATION_TIME};
+use crate::memory::{InputBuffer, OutputBuffer};
 use crate::resp;
 use crate::signed;
 use crate::sockets;
@@ -11,6 +12,10 @@
 
 /// Time after which a client that does not read its replies is disconnected.
 pub(crate) const UNREAD_ANSWERS_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for which output is unsent after which a client counts as one that reads slowly.
+const SLOW_READING_TIME: Duration = Duration::from_millis(100);
+/// Time after that for which it counts as one.
+const SLOW_READER_TIME: Duration = UNREAD_ANSWERS_TIMEOUT;
 /// Time after which a client without requests is disconnected.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time within which a client's message must be complete; for the first one it starts at the connect.
@@ -29,41 +34,6 @@
 /// many as a client may have open.
 const MAX_UNANSWERED_MESSAGES: usize = 2 * thrift::MAX_OPEN_REQUESTS;
 
-/// Number of consumed bytes above which a buffer is compacted.
-const COMPACTION_THRESHOLD_BYTES: usize = 64 * 1024;
-
-/// An input or output buffer.
-#[derive(Default)]
-pub struct Buffer {
-    /// The bytes; consumed ones come first.
-    pub bytes: Vec<u8>,
-    /// Number of consumed bytes.
-    pub consumed: usize,
-}
-
-impl Buffer {
-    /// The bytes that are not consumed yet.
-    pub fn remaining(&self) -> &[u8] {
-        &self.bytes[self.consumed..]
-    }
-
-    /// Consumes `count` bytes. An empty buffer frees its memory, so that an idle connection needs almost none.
-    pub fn consume(&mut self, count: usize) {
-        self.consumed += count;
-        if self.consumed >= self.bytes.len() {
-            *self = Buffer::default();
-        }
-    }
-
-    /// Removes consumed bytes if there are more than [`COMPACTION_THRESHOLD_BYTES`].
-    pub(crate) fn compact(&mut self) {
-        if self.consumed > COMPACTION_THRESHOLD_BYTES {
-            self.bytes.drain(..self.consumed);
-            self.consumed = 0;
-        }
-    }
-}
-
 /// The role of a connection, with the state of its protocol.
 pub enum Role {
     /// A client of the platform's front.
@@ -157,9 +127,9 @@
 /// A connection.
 pub struct Connection {
     pub(crate) stream: TcpStream,
-    pub(crate) input: Buffer,
+    pub(crate) input: InputBuffer,
     /// Output that is still to be written.
-    pub output: Buffer,
+    pub output: OutputBuffer,
     /// The role of the connection.
     pub role: Role,
     /// The state of the connection.
@@ -186,8 +156,16 @@
     pub(crate) polled_interest: Interest,
     /// When its time-outs are checked next.
     pub(crate) deadline: MonotonicTime,
-    /// Buffered bytes that are included in the count of all clients.
+    /// Since when some output is unsent without a break.
+    pub(crate) unsent_since: Option<MonotonicTime>,
+    /// Until when its client counts as one that reads slowly.
+    pub(crate) reads_slowly_until: MonotonicTime,
+    /// Memory of its buffers that is included in the sum of all clients.
     pub(crate) counted_bytes: usize,
+    /// Whether it is included in the number of connections to stores with input on pages.
+    pub(crate) is_counted_on_pages: bool,
+    /// Whether it is not read from until there is memory for a long reply of its store.
+    pub(crate) awaits_memory: bool,
 }
 
 impl Connection {
@@ -195,7 +173,7 @@
     pub(crate) fn is_idle(&self) -> bool {
         self.role.is_client_without_requests()
             && self.state == ConnectionState::Open
-            && self.output.remaining().is_empty()
+            && self.output.is_empty()
             && self.incomplete_since.is_none()
             && !self.has_postponed_input
     }
@@ -203,10 +181,28 @@
     /// Counts the reply at the end of a client's output, unless it is counted already.
     pub(crate) fn record_reply(&mut self) {
         if self.role.is_client() {
-            self.unsent_replies.record_output(self.output.remaining().len());
+            self.unsent_replies.record_output(self.output.len());
         }
     }
 
+    /// Records whether output is unsent after an attempt to write it.
+    pub(crate) fn record_unsent(&mut self, now: MonotonicTime) {
+        if self.output.is_empty() {
+            self.unsent_since = None;
+            return;
+        }
+        let unsent_since = *self.unsent_since.get_or_insert(now);
+        if now >= unsent_since + SLOW_READING_TIME {
+            self.reads_slowly_until = now + SLOW_READER_TIME;
+        }
+    }
+
+    /// Whether the client has unsent replies, or had some for so long that it reads slowly. Replies of this iteration may
+    /// not be written yet.
+    pub(crate) fn has_unread_replies(&self, now: MonotonicTime) -> bool {
+        self.polled_interest.writable || now < self.reads_slowly_until
+    }
+
     /// Whether the peer is a client with too many open requests and unsent replies: none of its messages is handled
     /// until it has read some.
     pub(crate) fn has_too_many_unanswered(&self) -> bool {
@@ -221,13 +217,13 @@
 
     /// When the connection times out unless there is activity on it.
     pub(crate) fn timeout_at(&self, now: MonotonicTime, timeouts: Timeouts) -> MonotonicTime {
-        let unsent_bytes = !self.output.remaining().is_empty();
+        let unsent_bytes = !self.output.is_empty();
         match &self.role {
             _ if matches!(self.state, ConnectionState::HalfClosed { .. }) => self.deadline,
             _ if !self.state.is_connected() => self.opened_at + timeouts.connect,
             role if role.is_client() && unsent_bytes => self.last_activity + UNREAD_ANSWERS_TIMEOUT,
             // The gateway is late, not the peer.
-            _ if self.has_postponed_input => now + MESSAGE_TIMEOUT,
+            _ if self.has_postponed_input || self.awaits_memory => now + MESSAGE_TIMEOUT,
             // A stalled message does not time out while requests are open, since closing would lose their replies.
             Role::PlatformClient(session)
                 if self.incomplete_since.is_some() && session.has_open_requests() =>
@@ -255,7 +251,7 @@
 
     /// The events to poll for. `max_unsent_bytes`: unsent output above which a client is not read from.
     pub(crate) fn interest(&self, max_unsent_bytes: usize) -> Interest {
-        let unsent_bytes = self.output.remaining().len();
+        let unsent_bytes = self.output.len();
         // A client of the front for signed links that does not read its replies, or that pipelines too much, is not
         // read from. A platform client is read from unless memory is scarce: its requests have to be handled as soon as
         // they are written, and would be late if left unread. There are few such clients, and few replies to them.
@@ -269,7 +265,7 @@
         // An attempt whose first write would have blocked also waits for the connection to be writable.
         let has_waiting = matches!(&self.role, Role::Store(session) if !session.waiting.is_empty());
         Interest {
-            readable: !is_backlogged && !self.has_too_many_unanswered(),
+            readable: !is_backlogged && !self.awaits_memory && !self.has_too_many_unanswered(),
             writable: !self.state.is_connected() || unsent_bytes > 0 || has_waiting,
         }
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod json_fields;
 pub mod logging;
 pub mod membership;
+pub mod memory;
 pub mod net;
 pub mod nonblocking;
 pub mod operator_file;
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -1,8 +1,9 @@
 //! Client connections: connection capacity, final replies and graceful closing.
 use super::Gateway;
-use crate::connection::{Buffer, Connection, ConnectionState, Role, LINGER, MIN_LINGER};
+use crate::connection::{Connection, ConnectionState, Role, LINGER, MIN_LINGER};
 use crate::core::{FinalReply, ReplyHandle, NO_CAPACITY_RETRY_AFTER};
 use crate::deadlines::DeadlineKind;
+use crate::memory::InputBuffer;
 use crate::slots::SlotKey;
 use larchway::MonotonicTime;
 use std::net::Shutdown as Side;
@@ -50,7 +51,8 @@
         let Some(conn) = self.connections.get_mut(reply_to.connection) else { return };
         match &mut conn.role {
             Role::PlatformClient(session) => {
-                session.finish(reply_to.sequence as i32, reply, &mut conn.output.bytes);
+                conn.output.use_scratch(&mut self.reply_scratch);
+                session.finish(reply_to.sequence as i32, reply, conn.output.tail());
             }
             _ => return self.finish_signed_request(now, reply_to, reply),
         }
@@ -107,13 +109,13 @@
             return;
         };
         conn.state = ConnectionState::Finishing;
-        (conn.input, conn.incomplete_since, conn.has_postponed_input) = (Buffer::default(), None, false);
+        (conn.input, conn.incomplete_since, conn.has_postponed_input) = (InputBuffer::default(), None, false);
         let open_requests: Vec<SlotKey> = match &mut conn.role {
             Role::PlatformClient(session) => session.open_requests().collect(),
             Role::SignedClient(session) => session.disable_keep_alive().into_iter().collect(),
             Role::Store(_) | Role::Events | Role::Ensemble => Vec::new(),
         };
-        self.update_client_bytes(key);
+        self.update_buffer_use(now, key);
         for request in open_requests {
             self.core.give_up(now, request, NO_CAPACITY_RETRY_AFTER);
         }
--- a/gateway/src/net/configuration.rs
+++ b/gateway/src/net/configuration.rs
@@ -1,8 +1,8 @@
 //! Applies a configuration, at the start and at each SIGHUP.
 use super::errors::ConfigurationError;
-use super::memory::CLIENT_MEMORY_DIVISOR;
 use super::poll_key::{ClientListener, PollKey};
 use super::{saves_roster, Gateway};
+use crate::clock;
 use crate::config::{Config, ConfigError, FileSet, Loaded};
 use crate::deadlines::DeadlineKind;
 use crate::descriptors::DescriptorLimits;
@@ -348,7 +348,6 @@
     pub(super) fn share_limits(&mut self) {
         let processes = self.processes.process_count();
         let (sockets, memory) = (self.descriptor_limit / processes, self.memory_limit / processes);
-        self.max_client_bytes = memory / CLIENT_MEMORY_DIVISOR;
         let budget = MemoryBudget { limit: memory, reserved: self.client_bytes };
         self.core.object_cache.iter_mut().for_each(|cache| cache.set_capacity(budget));
         let limits = DescriptorLimits::share(sockets);
@@ -357,5 +356,6 @@
             store_connections: limits.store_connections.min(store_connections_in_memory),
             ..limits
         };
+        self.divide_memory(clock::now());
     }
 }
--- a/gateway/src/net/connections.rs
+++ b/gateway/src/net/connections.rs
@@ -4,11 +4,12 @@
 use super::poll_key::PollKey;
 use super::Gateway;
 use crate::connection::{
-    Buffer, ConnectFailure, Connection, ConnectionState, Interest, Role, Timeouts, MAX_BACKLOG_BYTES,
+    ConnectFailure, Connection, ConnectionState, Interest, Role, Timeouts, MAX_BACKLOG_BYTES,
     UNREAD_ANSWERS_TIMEOUT,
 };
 use crate::deadlines::DeadlineKind;
 use crate::input_budget::{InputBudget, MAX_ITERATION_TIME};
+use crate::memory::{InputBuffer, OutputBuffer};
 use crate::nonblocking::write_available;
 use crate::slots::SlotKey;
 use crate::sockets::begin_connect;
@@ -34,12 +35,11 @@
             Role::PlatformClient(_) | Role::SignedClient(_) => self.client_count += 1,
             Role::Events | Role::Ensemble => {}
         }
-        let (input, output) = (Buffer::default(), Buffer::default());
         let polled_interest = Interest { readable: true, writable: !state.is_connected() };
         let key = self.connections.insert(Connection {
             stream,
-            input,
-            output,
+            input: InputBuffer::default(),
+            output: OutputBuffer::default(),
             role,
             state,
             opened_at: now,
@@ -53,7 +53,11 @@
             has_postponed_input: false,
             polled_interest,
             deadline,
+            unsent_since: None,
+            reads_slowly_until: MonotonicTime::MIN,
             counted_bytes: 0,
+            is_counted_on_pages: false,
+            awaits_memory: false,
         });
         self.core.deadlines.set(deadline, DeadlineKind::Connection(key));
         let conn = self.connections.get(key)?;
@@ -139,11 +143,11 @@
     pub(super) fn flush(&mut self, now: MonotonicTime, key: SlotKey) -> bool {
         let Some(conn) = self.connections.get_mut(key) else { return false };
         conn.record_reply();
-        if conn.state.is_connected() && !conn.output.remaining().is_empty() {
-            match write_available(&conn.stream, conn.output.remaining()) {
+        if conn.state.is_connected() && !conn.output.is_empty() {
+            let Connection { output, stream, .. } = conn;
+            match output.write_with(|bytes| write_available(&*stream, bytes)) {
                 Ok(0) => {}
                 Ok(count) => {
-                    conn.output.consume(count);
                     conn.unsent_replies.record_written(count);
                     conn.last_activity = now;
                 }
@@ -153,11 +157,12 @@
                 }
             }
         }
-        conn.output.compact();
+        conn.output.compact(&mut self.reply_scratch);
+        conn.record_unsent(now);
         self.schedule_postponed_input(key);
-        self.update_client_bytes(key);
+        self.update_buffer_use(now, key);
         let Some(conn) = self.connections.get_mut(key) else { return false };
-        let all_written = conn.output.remaining().is_empty();
+        let all_written = conn.output.is_empty();
         if all_written && conn.state == ConnectionState::Finishing && conn.role.is_client_without_requests() {
             self.half_close(now, key);
         }
@@ -181,7 +186,7 @@
 
     /// Updates the events that a connection is polled for.
     pub(super) fn update_interest(&mut self, key: SlotKey) {
-        let memory_is_scarce = self.client_bytes > self.max_client_bytes / 8 * 7;
+        let memory_is_scarce = self.client_bytes > self.memory_shares.clients / 8 * 7;
         let Some(conn) = self.connections.get_mut(key) else { return };
         let interest = conn.interest(if memory_is_scarce { SMALL_ANSWER_BYTES } else { MAX_BACKLOG_BYTES });
         if interest != conn.polled_interest {
@@ -197,6 +202,7 @@
     pub(super) fn close(&mut self, now: MonotonicTime, key: SlotKey, reason: Option<&CloseReason>) {
         let Some(conn) = self.connections.remove(key) else { return };
         self.client_bytes -= conn.counted_bytes;
+        self.store_inputs_on_pages -= usize::from(conn.is_counted_on_pages);
         self.half_closed_count -= usize::from(matches!(conn.state, ConnectionState::HalfClosed { .. }));
         self.core.deadlines.clear(conn.deadline, DeadlineKind::Connection(key));
         // The socket is dropped with the connection, which ends polling too, so an error has no effect.
@@ -223,6 +229,7 @@
                     conn.state.is_connected(),
                     &describe_close(reason),
                 );
+                self.resume_store_inputs(now);
             }
             Role::Ensemble if self.ensemble_connection == Some(key) => {
                 self.ensemble_connection = None;
@@ -266,7 +273,7 @@
             };
             // The last replies may still be in transit to the client, so the connection is closed gracefully.
             if conn.role.is_client_without_requests()
-                && conn.output.remaining().is_empty()
+                && conn.output.is_empty()
                 && conn.state == ConnectionState::Open
             {
                 return self.half_close(now, key);
--- a/gateway/src/net/ensemble.rs
+++ b/gateway/src/net/ensemble.rs
@@ -95,7 +95,7 @@
                     if let Some(connection) =
                         self.ensemble_connection.and_then(|key| self.connections.get_mut(key))
                     {
-                        connection.output.bytes.extend_from_slice(&bytes);
+                        connection.output.tail().extend_from_slice(&bytes);
                     }
                 }
                 Effect::Close(reason) => {
--- a/gateway/src/net/event_source.rs
+++ b/gateway/src/net/event_source.rs
@@ -59,7 +59,7 @@
     fn write_events(&mut self, now: MonotonicTime, bytes: &[u8]) {
         let Some(key) = self.events_connection else { return };
         if let Some(connection) = self.connections.get_mut(key) {
-            connection.output.bytes.extend_from_slice(bytes);
+            connection.output.tail().extend_from_slice(bytes);
         }
         self.flush(now, key);
     }
@@ -82,7 +82,7 @@
             Ok(key) => {
                 self.events_connection = Some(key);
                 if let Some(connection) = self.connections.get_mut(key) {
-                    connection.output.bytes.extend_from_slice(&request.bytes);
+                    connection.output.tail().extend_from_slice(&request.bytes);
                 }
             }
             Err(ConnectFailure::LocalShortage) if now < since + timeout => {
--- a/gateway/src/net/input.rs
+++ b/gateway/src/net/input.rs
@@ -3,8 +3,10 @@
 use super::errors::CloseReason;
 use super::poll_key::PollKey;
 use super::Gateway;
-use crate::connection::{Buffer, Connection, Role, MAX_BYTES_PER_ITERATION, MESSAGE_TIMEOUT};
+use crate::connection::{Connection, Role, MAX_BYTES_PER_ITERATION, MESSAGE_TIMEOUT};
 use crate::deadlines::DeadlineKind;
+use crate::memory::input_buffer::MAX_HEAP_INPUT_BYTES;
+use crate::memory::InputBuffer;
 use crate::nonblocking::{read_once, ReadOutcome};
 use crate::resp;
 use crate::slots::SlotKey;
@@ -65,7 +67,7 @@
         };
         input.compact();
         self.store_unprocessed_input(now, key, input);
-        self.update_client_bytes(key);
+        self.update_buffer_use(now, key);
         self.enforce_client_bytes(now);
         match outcome {
             Ok(()) => {}
@@ -83,7 +85,12 @@
 
     /// Reads from a client piece by piece and handles the messages of each piece, so that no more input is buffered
     /// than what one iteration leaves of a piece. No request is begun for a client that has disconnected.
-    fn read_client(&mut self, now: MonotonicTime, key: SlotKey, input: &mut Buffer) -> Result<(), InputEnd> {
+    fn read_client(
+        &mut self,
+        now: MonotonicTime,
+        key: SlotKey,
+        input: &mut InputBuffer,
+    ) -> Result<(), InputEnd> {
         let Some(conn) = self.connections.get_mut(key) else { return Ok(()) };
         // The end may have arrived behind bytes that are not read yet.
         if is_hung_up(&conn.stream) {
@@ -95,7 +102,8 @@
         let mut total_read = 0;
         while total_read < MAX_BYTES_PER_ITERATION {
             let Some(conn) = self.connections.get_mut(key) else { return Ok(()) };
-            let piece = read_piece(now, conn, input, &mut self.read_buffer).map_err(InputEnd::Closed)?;
+            let piece =
+                read_piece(now, conn, input, usize::MAX, &mut self.read_buffer).map_err(InputEnd::Closed)?;
             total_read += piece.bytes;
             self.handle_messages(now, key, input).map_err(InputEnd::Malformed)?;
             // Read until nothing is available, and not only until a piece is not full, to detect the client's end.
@@ -108,22 +116,34 @@
     }
 
     /// Reads from a peer other than a client, whose last messages are handled also if it has disconnected.
-    fn read_peer(&mut self, now: MonotonicTime, key: SlotKey, input: &mut Buffer) -> Result<(), InputEnd> {
+    fn read_peer(
+        &mut self,
+        now: MonotonicTime,
+        key: SlotKey,
+        input: &mut InputBuffer,
+    ) -> Result<(), InputEnd> {
+        let Some(conn) = self.connections.get(key) else { return Ok(()) };
+        let max_input = self.max_input_bytes(conn);
         let Some(conn) = self.connections.get_mut(key) else { return Ok(()) };
         let is_postponed = std::mem::take(&mut conn.has_postponed_input);
-        let read =
-            if is_postponed { Ok(()) } else { read_available(now, conn, input, &mut self.read_buffer) };
+        let read = match is_postponed {
+            true => Ok(()),
+            false => read_available(now, conn, input, max_input, &mut self.read_buffer),
+        };
         let handled = match read {
             Ok(()) => self.handle_messages(now, key, input),
             Err(_) => self.handle_last_messages(now, key, input),
         };
         handled.map_err(InputEnd::Malformed)?;
+        if max_input == MAX_HEAP_INPUT_BYTES && input.remaining().len() >= max_input {
+            self.await_memory(key);
+        }
         read.map_err(InputEnd::Closed)
     }
 
     /// Stores unprocessed input for the next read, and sets an earlier deadline if needed, so that an incomplete
     /// message times out.
-    fn store_unprocessed_input(&mut self, now: MonotonicTime, key: SlotKey, input: Buffer) {
+    fn store_unprocessed_input(&mut self, now: MonotonicTime, key: SlotKey, input: InputBuffer) {
         let Some(conn) = self.connections.get_mut(key) else { return };
         let is_incomplete = !input.remaining().is_empty() && !conn.has_postponed_input;
         conn.incomplete_since = is_incomplete.then(|| conn.incomplete_since.unwrap_or(now));
@@ -146,10 +166,10 @@
         &mut self,
         now: MonotonicTime,
         key: SlotKey,
-        input: &mut Buffer,
+        input: &mut InputBuffer,
     ) -> Result<(), CloseReason> {
         let handled = self.handle_messages_in_budget(now, key, input);
-        let has_replies = |conn: &Connection| conn.role.is_client() && !conn.output.remaining().is_empty();
+        let has_replies = |conn: &Connection| conn.role.is_client() && !conn.output.is_empty();
         if self.connections.get(key).is_some_and(has_replies) {
             self.flush(now, key);
         }
@@ -160,7 +180,7 @@
         &mut self,
         now: MonotonicTime,
         key: SlotKey,
-        input: &mut Buffer,
+        input: &mut InputBuffer,
     ) -> Result<(), CloseReason> {
         loop {
             let iteration = self.input_schedule.iteration;
@@ -187,7 +207,7 @@
         &mut self,
         now: MonotonicTime,
         key: SlotKey,
-        input: &mut Buffer,
+        input: &mut InputBuffer,
     ) -> Result<(), CloseReason> {
         while self.handle_message(now, key, input)? > 0 {}
         Ok(())
@@ -231,7 +251,7 @@
         &mut self,
         now: MonotonicTime,
         key: SlotKey,
-        input: &mut Buffer,
+        input: &mut InputBuffer,
     ) -> Result<usize, CloseReason> {
         let Some(conn) = self.connections.get_mut(key) else { return Ok(0) };
         if conn.state.ignores_input() {
@@ -284,16 +304,17 @@
 }
 
 /// Reads until the socket seems to have no more bytes or [`MAX_BYTES_PER_ITERATION`] are read. An error is why the
-/// connection has ended. `buffer`: scratch space for one read.
+/// connection has ended. `max_input`: number of bytes up to which is buffered. `buffer`: scratch space for one read.
 fn read_available(
     now: MonotonicTime,
     conn: &mut Connection,
-    input: &mut Buffer,
+    input: &mut InputBuffer,
+    max_input: usize,
     buffer: &mut [u8],
 ) -> Result<(), CloseReason> {
     let mut total_read = 0;
     while total_read < MAX_BYTES_PER_ITERATION {
-        let piece = read_piece(now, conn, input, buffer)?;
+        let piece = read_piece(now, conn, input, max_input, buffer)?;
         if !piece.is_full {
             break;
         }
@@ -302,17 +323,25 @@
     Ok(())
 }
 
-/// Reads once. An error is why the connection has ended. `buffer`: scratch space.
+/// Reads once. An error is why the connection has ended. `max_input`: number of bytes up to which is buffered.
+/// `buffer`: scratch space.
 fn read_piece(
     now: MonotonicTime,
     conn: &mut Connection,
-    input: &mut Buffer,
+    input: &mut InputBuffer,
+    max_input: usize,
     buffer: &mut [u8],
 ) -> Result<Piece, CloseReason> {
     // Large messages are read in large pieces.
-    let room = if input.bytes.len() > SMALL_READ_BYTES { LARGE_READ_BYTES } else { SMALL_READ_BYTES };
+    let buffered = input.remaining().len();
+    let room = if buffered > SMALL_READ_BYTES { LARGE_READ_BYTES } else { SMALL_READ_BYTES };
+    let room = room.min(max_input - buffered.min(max_input));
+    if room == 0 {
+        return Ok(Piece { bytes: 0, is_full: false });
+    }
     conn.fully_read = false;
-    let bytes = match read_once(&conn.stream, &mut buffer[..room])? {
+    let stream = &conn.stream;
+    let bytes = match input.read_with(room, buffer, |space| read_once(stream, space))? {
         ReadOutcome::Ended => return Err(CloseReason::ClosedByPeer),
         ReadOutcome::Received(bytes) => bytes,
         ReadOutcome::NotReady => {
@@ -320,7 +349,6 @@
             return Ok(Piece { bytes: 0, is_full: false });
         }
     };
-    input.bytes.extend_from_slice(&buffer[..bytes]);
     (conn.last_activity, conn.last_read) = (now, now);
     if let Role::SignedClient(session) = &mut conn.role {
         session.record_read(now, bytes);
--- a/gateway/src/net/memory.rs
+++ b/gateway/src/net/memory.rs
@@ -1,26 +1,35 @@
-//! The memory of connections: the limit on the buffered bytes of all clients, and what is rejected beyond it.
+//! The memory of connections: what their buffers take, what is rejected beyond their part of the limit, and which
+//! stores are not read from until there is memory again.
+//!
+//! When memory becomes scarce, this is given up in order: cached copies; reading from clients that have unread replies;
+//! reading long replies of stores; requests, which are rejected; replies that their clients have no room for. Nothing
+//! is taken back that a client is still to read.
 use super::Gateway;
-use crate::connection::ConnectionState;
+use crate::connection::{Connection, ConnectionState, Role};
+use crate::memory::budget::{Succession, MEASUREMENT_INTERVAL};
+use crate::memory::input_buffer::{INPUT_PAGES_BYTES, MAX_HEAP_INPUT_BYTES};
+use crate::memory::{page_buffer, private_memory, MemoryShares, MemoryUse};
 use crate::slots::SlotKey;
 use larchway::MonotonicTime;
-use larchway_object_cache::MemoryBudget;
+use larchway_object_cache::{MemoryBudget, ObjectCache};
+use larchway_operations::request_counters::MemoryGauges;
+use std::time::Duration;
 use tracing::warn;
 
-/// Divisor of the memory limit for the buffered bytes of all client connections (unprocessed input and unsent output)
-/// above which a client that has unsent replies gets no further request admitted.
-const UNREAD_CLIENT_MEMORY_DIVISOR: usize = 6;
-/// Divisor of the memory limit for these buffered bytes above which no client gets a further request admitted.
-const ADMIT_MEMORY_DIVISOR: usize = 4;
-/// Divisor of the memory limit for the hard limit on these buffered bytes: beyond it, requests whose replies have
-/// arrived are rejected too, and the client with the most unprocessed input is disconnected. Clients that read slowly
-/// are not: that is no fault, and disconnecting one loses the replies that are still to be sent to it.
-pub(super) const CLIENT_MEMORY_DIVISOR: usize = 3;
+/// Percentage of the clients' share above which a client that reads slowly gets no further request admitted.
+const UNREAD_CLIENT_PERCENT: usize = 50;
+/// Percentage of the clients' share above which no client gets a further request admitted.
+const ADMIT_PERCENT: usize = 75;
 /// Divisor of the memory limit for the bodies of all open requests.
 const REQUEST_MEMORY_DIVISOR: usize = 8;
 /// Maximum number of open requests.
 const MAX_OPEN_REQUESTS: usize = 4000;
-/// Bytes of unsent replies that each client may always have. While the clients' buffers are over seven eighths of their
-/// limit, a client with more unsent bytes is not read from, since even small replies to many requests add up.
+/// Number of open requests up to which further ones are admitted although memory is short.
+const MIN_OPEN_REQUESTS: usize = 64;
+/// Time for which pages are kept that no buffer needs.
+const PAGE_RELEASE_INTERVAL: Duration = Duration::from_secs(1);
+/// Size of a short reply, which has a share of memory of its own. While the clients' buffers are over seven eighths of
+/// their share, a client with more unsent bytes is not read from, since even small replies to many requests add up.
 pub(super) const SMALL_ANSWER_BYTES: usize = 16 * 1024;
 
 /// Whether this number of unprocessed input bytes is above the size that a client may always buffer.
@@ -29,28 +38,151 @@
 }
 
 impl Gateway {
-    /// Updates the count of buffered bytes of all clients with those of this connection.
-    pub(super) fn update_client_bytes(&mut self, key: SlotKey) {
-        if let Some(conn) = self.connections.get_mut(key).filter(|c| c.role.is_client()) {
-            let buffered = conn.output.remaining().len() + conn.input.remaining().len();
-            self.client_bytes = self.client_bytes + buffered - conn.counted_bytes;
-            conn.counted_bytes = buffered;
+    /// Measures the memory of the gateway's processes, unless that was done a moment ago, and divides the limit anew.
+    pub(super) fn measure_memory(&mut self, now: MonotonicTime) {
+        if now >= self.next_memory_measurement {
+            self.divide_memory(now);
         }
     }
 
-    /// Enforces the limit on the buffered bytes of all client connections: several hundred clients that read 1 MB per
+    /// Divides the limit on memory by what the processes of the gateway take now.
+    pub(super) fn divide_memory(&mut self, now: MonotonicTime) {
+        self.next_memory_measurement = now + MEASUREMENT_INTERVAL;
+        // If it cannot be measured, the last figure is the best one.
+        self.private_bytes = private_memory::of_this_process().unwrap_or(self.private_bytes);
+        let pages = page_buffer::page_use();
+        let cache = self.core.object_cache.as_ref();
+        let used = MemoryUse {
+            private: self.private_bytes,
+            occupied_pages: pages.occupied_bytes,
+            spare_pages: pages.spare_bytes,
+            copies_to_come: cache.map_or(0, ObjectCache::bytes_to_come),
+            other_processes: self.memory_of_other_processes(),
+            process_count: self.processes.process_count(),
+            succession: match self.upgrade {
+                Some(_) => Succession::Possible,
+                None => Succession::Impossible,
+            },
+        };
+        self.memory_shares = MemoryShares::divide(self.memory_limit, &used);
+        page_buffer::set_max_bytes(self.memory_shares.pages);
+        if now >= self.next_page_release {
+            self.next_page_release = now + PAGE_RELEASE_INTERVAL;
+            page_buffer::drop_unneeded();
+        }
+        self.resume_store_inputs(now);
+    }
+
+    /// Private memory of the gateway's other processes; an equal part of the limit for one that cannot be measured.
+    fn memory_of_other_processes(&self) -> usize {
+        let part = self.memory_limit / self.processes.process_count();
+        let Some(upgrade) = &self.upgrade else { return 0 };
+        let places = upgrade.places().into_iter();
+        places
+            .map(|place| upgrade.process_id(place).and_then(private_memory::of_process).unwrap_or(part))
+            .sum()
+    }
+
+    /// Updates the account of buffers with what those of this connection take.
+    pub(super) fn update_buffer_use(&mut self, now: MonotonicTime, key: SlotKey) {
+        let Some(conn) = self.connections.get_mut(key) else { return };
+        match conn.role {
+            Role::PlatformClient(_) | Role::SignedClient(_) => {
+                let taken = conn.output.allocated_bytes() + conn.input.allocated_bytes();
+                self.client_bytes = self.client_bytes + taken - conn.counted_bytes;
+                let is_less = taken < std::mem::replace(&mut conn.counted_bytes, taken);
+                if is_less {
+                    self.resume_store_inputs(now);
+                }
+            }
+            Role::Store(_) => {
+                let is_on_pages = conn.input.is_on_pages();
+                let was_on_pages = std::mem::replace(&mut conn.is_counted_on_pages, is_on_pages);
+                self.store_inputs_on_pages += usize::from(is_on_pages);
+                self.store_inputs_on_pages -= usize::from(was_on_pages);
+                if was_on_pages && !is_on_pages {
+                    self.resume_store_inputs(now);
+                }
+            }
+            Role::Events | Role::Ensemble => {}
+        }
+    }
+
+    /// Whether there is memory for one more long reply of a store. One can always be received; clients lend the half of
+    /// their share that they do not use.
+    fn can_receive_long_reply(&self) -> bool {
+        let lent = (self.memory_shares.clients / 2).saturating_sub(self.client_bytes);
+        let needed = (self.store_inputs_on_pages + 1) * INPUT_PAGES_BYTES;
+        self.store_inputs_on_pages == 0 || needed <= self.memory_shares.stores + lent
+    }
+
+    /// Memory of the clients' share that replies of stores take.
+    fn lent_bytes(&self) -> usize {
+        (self.store_inputs_on_pages * INPUT_PAGES_BYTES).saturating_sub(self.memory_shares.stores)
+    }
+
+    /// Number of input bytes up to which a connection may be read from now. A store may have sent more replies than the
+    /// pages of one input hold.
+    pub(super) fn max_input_bytes(&self, conn: &Connection) -> usize {
+        if !matches!(conn.role, Role::Store(_)) {
+            return usize::MAX;
+        }
+        // One that waits for memory is not polled, so this is the end of the connection.
+        let may_use_pages = conn.is_counted_on_pages || conn.awaits_memory || self.can_receive_long_reply();
+        if may_use_pages {
+            INPUT_PAGES_BYTES
+        } else {
+            MAX_HEAP_INPUT_BYTES
+        }
+    }
+
+    /// Stops reading from a store until there is memory for a long reply, unless messages of it are still to be handled.
+    pub(super) fn await_memory(&mut self, key: SlotKey) {
+        let Some(conn) = self.connections.get_mut(key) else { return };
+        if !conn.awaits_memory && !conn.has_postponed_input {
+            conn.awaits_memory = true;
+            self.awaiting_memory.push_back(key);
+        }
+        self.update_interest(key);
+    }
+
+    /// Reads again from stores that wait for memory, in order, as far as there is some for their replies.
+    pub(super) fn resume_store_inputs(&mut self, now: MonotonicTime) {
+        while !self.awaiting_memory.is_empty() && self.can_receive_long_reply() {
+            let Some(key) = self.awaiting_memory.pop_front() else { return };
+            let Some(conn) = self.connections.get_mut(key) else { continue };
+            conn.awaits_memory = false;
+            // The silence was not the store's.
+            conn.last_read = now;
+            // Its memory is taken from now on.
+            self.store_inputs_on_pages += usize::from(!conn.is_counted_on_pages);
+            conn.is_counted_on_pages = true;
+            self.update_interest(key);
+        }
+    }
+
+    /// Enforces the limit on the buffers of all client connections: several hundred clients that read 1 MB per
     /// second, or that send half a message, exhaust the memory together although each buffers little.
     pub(super) fn enforce_client_bytes(&mut self, now: MonotonicTime) {
         // The object cache shrinks first: buffered replies take precedence over cached objects.
         let memory = self.memory_limit / self.processes.process_count();
         let budget = MemoryBudget { limit: memory, reserved: self.client_bytes };
         self.core.object_cache.iter_mut().for_each(|cache| cache.set_capacity(budget));
-        while self.client_bytes > self.max_client_bytes {
-            let Some((key, input)) = self.largest_input() else { return };
+        while self.client_bytes > self.memory_shares.clients {
+            let Some((key, input)) = self.largest_input().filter(|input| self.is_excessive_input(*input))
+            else {
+                return;
+            };
             self.disconnect_for_memory(now, key, input);
         }
     }
 
+    /// Whether a client's unprocessed input is a reason for too little memory: it is large, or those of all clients are.
+    fn is_excessive_input(&self, (_, input): (SlotKey, usize)) -> bool {
+        let all_inputs = || self.client_inputs().map(|(_, input)| input).sum::<usize>();
+        is_large_input(&input) || all_inputs() > self.memory_shares.clients / 2
+    }
+
     /// Makes capacity for a reply of `answer_bytes` and returns whether there is enough. Disconnects the clients with
     /// the largest unprocessed inputs, if all large inputs together free enough: otherwise a reply that a client waits
     /// for would be lost in favour of incomplete messages. Clients with small inputs stay connected.
@@ -59,7 +191,8 @@
             return true;
         }
         let large_inputs: usize = self.client_inputs().map(|(_, input)| input).filter(is_large_input).sum();
-        let excess = (self.client_bytes + answer_bytes).saturating_sub(self.max_client_bytes);
+        let taken = self.client_bytes + self.lent_bytes();
+        let excess = (taken + answer_bytes).saturating_sub(self.memory_shares.clients);
         while !self.can_buffer(answer_bytes) && large_inputs >= excess {
             let Some((key, input)) = self.largest_input().filter(|(_, input)| is_large_input(input)) else {
                 break;
@@ -90,19 +223,38 @@
         self.client_inputs().filter(|(_, input)| *input > 0).max_by_key(|(_, input)| *input)
     }
 
-    /// Whether a reply of `answer_bytes` can be buffered until its client reads it; a small one always can.
+    /// Whether a reply of `answer_bytes` can be buffered until its client reads it.
     pub(super) fn can_buffer(&self, answer_bytes: usize) -> bool {
-        answer_bytes <= SMALL_ANSWER_BYTES || self.client_bytes + answer_bytes <= self.max_client_bytes
+        let short_replies =
+            if answer_bytes <= SMALL_ANSWER_BYTES { self.memory_shares.short_replies } else { 0 };
+        let taken = self.client_bytes + self.lent_bytes();
+        taken + answer_bytes <= self.memory_shares.clients + short_replies
     }
 
     /// Whether memory use and the number of open requests allow one more request of this client.
-    pub(super) fn has_capacity(&self, key: SlotKey) -> bool {
-        // Replies of this iteration may not be written yet.
-        let has_unread_answers = self.connections.get(key).is_some_and(|c| c.polled_interest.writable);
-        let divisor = if has_unread_answers { UNREAD_CLIENT_MEMORY_DIVISOR } else { ADMIT_MEMORY_DIVISOR };
+    pub(super) fn has_capacity(&self, now: MonotonicTime, key: SlotKey) -> bool {
+        let has_unread_answers = self.connections.get(key).is_some_and(|c| c.has_unread_replies(now));
+        let percent = if has_unread_answers { UNREAD_CLIENT_PERCENT } else { ADMIT_PERCENT };
         let processes = self.processes.process_count();
+        let max_open = if self.memory_shares.is_short { MIN_OPEN_REQUESTS } else { MAX_OPEN_REQUESTS };
         self.core.request_body_bytes < self.memory_limit / processes / REQUEST_MEMORY_DIVISOR
-            && self.core.open_requests() < MAX_OPEN_REQUESTS
-            && self.client_bytes < self.memory_limit / processes / divisor
+            && self.core.open_requests() < max_open
+            && self.client_bytes < self.memory_shares.clients / 100 * percent
+    }
+
+    /// The private memory of this process by holder, for the statistics report.
+    pub(super) fn memory_gauges(&self) -> MemoryGauges {
+        let pages = page_buffer::page_use();
+        let allocated = |c: &Connection| c.input.allocated_bytes() + c.output.allocated_bytes();
+        let others = self.connections.iter().filter(|(_, c)| !c.role.is_client());
+        MemoryGauges {
+            limit: self.memory_limit,
+            private: private_memory::of_this_process().unwrap_or(self.private_bytes),
+            client_buffers: self.client_bytes,
+            store_buffers: others.map(|(_, c)| allocated(c)).sum(),
+            spare_pages: pages.spare_bytes,
+            copies: self.core.object_cache.as_ref().map_or(0, ObjectCache::bytes),
+            request_bodies: self.core.request_body_bytes,
+        }
     }
 }
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -40,6 +40,7 @@
 use crate::hierarchy::Hierarchy;
 use crate::input_budget::MAX_ITERATION_TIME;
 use crate::membership::{EnsembleSettings, Membership};
+use crate::memory::MemoryShares;
 use crate::peers::Peers;
 use crate::pools::Pools;
 use crate::postponed::Postponed;
@@ -65,7 +66,7 @@
 use larchway_operations::ProcessGroup;
 use poll_key::PollKey;
 use polling::{Event, Poller};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::UnixStream;
 use std::time::Duration;
@@ -183,10 +184,22 @@
     core: Core,
     /// Limit on the memory, in bytes, of all processes of the gateway together.
     memory_limit: usize,
-    /// Buffered bytes of all client connections: unprocessed input and unsent output.
+    /// Private memory of this process in bytes, by the last measurement.
+    private_bytes: usize,
+    /// The parts of the limit for buffers, by the last measurement.
+    memory_shares: MemoryShares,
+    /// When the memory of the processes is measured next.
+    next_memory_measurement: MonotonicTime,
+    /// When pages that no buffer has needed are given back next.
+    next_page_release: MonotonicTime,
+    /// Memory of the buffers of all client connections: unprocessed input and unsent output.
     client_bytes: usize,
-    /// Limit on [`Self::client_bytes`] in this process.
-    max_client_bytes: usize,
+    /// Number of connections to stores whose input is on pages, since a long reply is being received.
+    store_inputs_on_pages: usize,
+    /// Connections to stores that are not read from until there is memory for a long reply; some may be closed.
+    awaiting_memory: VecDeque<SlotKey>,
+    /// Memory in which the next long reply is encoded.
+    reply_scratch: Vec<u8>,
     /// Scratch buffer for one read of a connection.
     read_buffer: Vec<u8>,
     /// Duration of the longest iteration of the loop so far.
@@ -270,6 +283,7 @@
                 self.first_unserved = Some(event.key);
                 break;
             }
+            self.measure_memory(now);
             self.handle_event(now, event);
             self.process_commands(now);
         }
--- a/gateway/src/net/operators.rs
+++ b/gateway/src/net/operators.rs
@@ -266,6 +266,7 @@
             unsaved_files: self.saver.as_ref().map_or(0, StateSaver::unsaved),
             warming_stores: self.core.warming(now).count(),
             rejections: self.core.rejections(),
+            memory: self.memory_gauges(),
         }
     }
 }
--- a/gateway/src/net/platform_clients.rs
+++ b/gateway/src/net/platform_clients.rs
@@ -15,7 +15,7 @@
         key: SlotKey,
         input: &[u8],
     ) -> Result<usize, ProtocolError> {
-        let has_capacity = self.has_capacity(key);
+        let has_capacity = self.has_capacity(now, key);
         let context = Context {
             wire_settings: &self.wire_settings,
             has_endpoints: self.core.has_endpoints,
@@ -26,7 +26,7 @@
         else {
             return Ok(0);
         };
-        let Some(handled) = session.handle(input, &context, &mut output.bytes)? else { return Ok(0) };
+        let Some(handled) = session.handle(input, &context, output.tail())? else { return Ok(0) };
         match handled.action {
             Action::Submit { sequence, request } => {
                 self.submit_platform_request(now, key, sequence, request);
@@ -34,7 +34,7 @@
             }
             Action::Reject { sequence, class } => {
                 let retry_after = self.core.retry_after(Some(class), NO_CAPACITY_RETRY_AFTER);
-                session.reject(sequence, retry_after, &mut output.bytes);
+                session.reject(sequence, retry_after, output.tail());
                 self.core.count_rejected(class);
             }
             Action::Cancel(request) => self.core.client_left(now, request),
@@ -56,7 +56,7 @@
             // Its final reply may be queued as a command already; sending that removes the entry again.
             Some(request) => session.admitted(sequence, request),
             None => {
-                session.reject_duplicate(sequence, &call_id, &mut output.bytes);
+                session.reject_duplicate(sequence, &call_id, output.tail());
             }
         }
     }
--- a/gateway/src/net/signed_clients.rs
+++ b/gateway/src/net/signed_clients.rs
@@ -26,9 +26,9 @@
             has_endpoints: self.core.has_endpoints,
             is_stopping,
             may_advise_retry: self.core.retry_after(None, SHORTEST_RETRY_AFTER) > Duration::ZERO,
-            unsent_bytes: output.remaining().len(),
+            unsent_bytes: output.len(),
         };
-        let handled = session.handle(now, input, &context, &mut output.bytes);
+        let handled = session.handle(now, input, &context, output.tail());
         match handled.action {
             Action::None => {}
             Action::Flush => drop(self.flush(now, key)),
@@ -51,7 +51,7 @@
         reply_to: ReplyHandle,
         mut request: Request,
     ) -> Result<SlotKey, RequestError> {
-        if !self.has_capacity(reply_to.connection) {
+        if !self.has_capacity(now, reply_to.connection) {
             self.core.count_rejected(request.class);
             return Err(RequestError::NoCapacity);
         }
@@ -77,7 +77,7 @@
             return;
         };
         let may_advise_retry = self.core.retry_after(None, SHORTEST_RETRY_AFTER) > Duration::ZERO;
-        let after = session.reject(error, may_advise_retry, is_stopping, &mut output.bytes);
+        let after = session.reject(error, may_advise_retry, is_stopping, output.tail());
         self.send_signed_reply(now, key, after);
     }
 
@@ -95,7 +95,8 @@
         else {
             return;
         };
-        let Some(after) = session.finish(reply_to.sequence, reply, is_stopping, &mut output.bytes) else {
+        output.use_scratch(&mut self.reply_scratch);
+        let Some(after) = session.finish(reply_to.sequence, reply, is_stopping, output.tail()) else {
             return;
         };
         self.send_signed_reply(now, key, after);
--- a/gateway/src/net/startup.rs
+++ b/gateway/src/net/startup.rs
@@ -12,6 +12,7 @@
 use crate::descriptors::DescriptorLimits;
 use crate::event_loop_error::EventLoopError;
 use crate::events::Events;
+use crate::memory::MemoryShares;
 use crate::polled_signals::{PolledSignals, SignalKeys};
 use crate::pools::Pools;
 use crate::random_numbers::RandomNumbers;
@@ -25,7 +26,7 @@
 use larchway_endpoints::endpoint::endpoint_id;
 use larchway_operations::manual_ejection::ManualEjections;
 use larchway_operations::ProcessGroup;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -124,8 +125,14 @@
             own_zone: 0,
             core: Core::new(seed),
             memory_limit: 0,
+            private_bytes: 0,
+            memory_shares: MemoryShares::default(),
+            next_memory_measurement: MonotonicTime::MIN,
+            next_page_release: MonotonicTime::MIN,
             client_bytes: 0,
-            max_client_bytes: 0,
+            store_inputs_on_pages: 0,
+            awaiting_memory: VecDeque::new(),
+            reply_scratch: Vec::new(),
             read_buffer: vec![0; LARGE_READ_BYTES],
             longest_iteration: Duration::ZERO,
             descriptor_limits: DescriptorLimits::default(),
--- a/gateway/src/net/store_traffic.rs
+++ b/gateway/src/net/store_traffic.rs
@@ -1,14 +1,16 @@
 //! Traffic on connections to stores: sending waiting attempts, handling replies, and abandoning attempts.
 use super::errors::CloseReason;
 use super::Gateway;
-use crate::connection::{Buffer, Connection, Role};
+use crate::connection::{Connection, Role};
 use crate::core::{AttemptResult, FinalReply, ServedReply, NO_CAPACITY_RETRY_AFTER};
+use crate::memory::OutputBuffer;
 use crate::resp::{self, AfterAbandon, AttemptReply, Context, ProtocolError, StoreInput};
 use crate::slots::SlotKey;
 use crate::sockets::{is_closed_by_peer, is_hung_up};
 use crate::system_errors::Failure;
 use larchway::{MonotonicTime, ServerId, Status};
 use std::io::{self, Write};
+use std::time::Duration;
 
 /// Whether the client of an attempt is still connected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,14 +32,14 @@
             let conn = self.connections.get(*key);
             conn.is_some_and(|c| {
                 c.state.is_connected()
-                    && c.output.remaining().is_empty()
+                    && c.output.is_empty()
                     && matches!(&c.role, Role::Store(session) if !session.is_doubtful)
             })
         };
         let Some(key) = connections.into_iter().find(is_free) else { return };
         let request_id = format!("{:016x}", self.random());
         if let Some(conn) = self.connections.get_mut(key) {
-            resp::encode_load_probe(&mut conn.output.bytes, &request_id);
+            resp::encode_load_probe(conn.output.tail(), &request_id);
         }
         self.flush(now, key);
     }
@@ -81,10 +83,8 @@
     /// Sends the attempts that wait for a connection, each when the one before it is completely written.
     pub(super) fn send_waiting(&mut self, now: MonotonicTime, key: SlotKey) {
         loop {
-            let Some(conn) = self
-                .connections
-                .get_mut(key)
-                .filter(|c| c.state.is_connected() && c.output.remaining().is_empty())
+            let Some(conn) =
+                self.connections.get_mut(key).filter(|c| c.state.is_connected() && c.output.is_empty())
             else {
                 return;
             };
@@ -130,16 +130,17 @@
         let Role::Store(session) = &mut conn.role else { return Ok(()) };
         let Some(request) = self.core.store_request(now, attempt) else { return Ok(()) };
         let call_id = request.request.call_id.clone();
-        resp::encode_request(&mut conn.output.bytes, &request, &self.wire_settings.classes);
-        match conn.stream.write(conn.output.remaining()) {
-            Ok(count) => {
-                conn.output.consume(count);
+        resp::encode_request(conn.output.tail(), &request, &self.wire_settings.classes);
+        let Connection { output, stream, .. } = conn;
+        match output.write_with(|bytes| stream.write(bytes)) {
+            Ok(_) => {
+                output.compact(&mut self.reply_scratch);
                 conn.last_activity = now;
                 if session.open.is_empty() {
                     conn.last_read = now;
                 }
                 session.open.push((call_id, attempt));
-                session.is_partly_written = !conn.output.remaining().is_empty();
+                session.is_partly_written = !conn.output.is_empty();
                 if !session.is_partly_written {
                     self.core.counters.count_attempt();
                 }
@@ -147,7 +148,7 @@
                 Ok(())
             }
             Err(error) => {
-                conn.output = Buffer::default();
+                conn.output = OutputBuffer::default();
                 session.waiting.push_front(attempt);
                 Err(error)
             }
@@ -210,9 +211,12 @@
         call_id: &str,
     ) {
         let Some(conn) = self.connections.get_mut(connection) else { return };
-        let silence = now.saturating_since(conn.last_read);
+        let silence = match conn.awaits_memory {
+            true => Duration::ZERO,
+            false => now.saturating_since(conn.last_read),
+        };
         let Role::Store(session) = &mut conn.role else { return };
-        let Some(after) = session.abandon(attempt, call_id, silence, &mut conn.output.bytes) else { return };
+        let Some(after) = session.abandon(attempt, call_id, silence, conn.output.tail()) else { return };
         if self.flush(now, connection) && after == AfterAbandon::Close {
             self.close(now, connection, Some(&CloseReason::NoAnswer));
         }
--- a/gateway/src/thrift/encode.rs
+++ b/gateway/src/thrift/encode.rs
@@ -8,6 +8,9 @@
 /// Field number of the exception `Failed` in a reply.
 const FAILED: i16 = 2;
 
+/// Bytes of an answer beside its body, in most cases.
+const ANSWER_OVERHEAD_BYTES: usize = 128;
+
 /// Writes a message in a frame, whose length is filled in after the content is written.
 fn write_message(
     output: &mut Vec<u8>,
@@ -59,6 +62,8 @@
 
 /// Writes the reply to a request or a health check.
 pub(super) fn write_answer(output: &mut Vec<u8>, name: &str, sequence: i32, answer: Answer<'_>) {
+    // Otherwise the fields behind a long body would double the capacity.
+    output.reserve(answer.body.len() + ANSWER_OVERHEAD_BYTES);
     write_message(output, message_type::REPLY, name, sequence, |output| {
         begin_field(output, value_type::STRUCT, RESULT);
         begin_field(output, value_type::STRING, 1);
--- a/gateway/src/upgrade/mod.rs
+++ b/gateway/src/upgrade/mod.rs
@@ -11,6 +11,7 @@
 use crate::sockets::accept_outcome;
 use larchway_operations::handover::{DecodedFrame, Frame, MAX_FRAME_LENGTH};
 use larchway_operations::manual_ejection::EjectionRecord;
+use rustix::net::sockopt::socket_peercred;
 use std::io;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::PathBuf;
@@ -79,6 +80,7 @@
             match Frame::decode_first(&self.input) {
                 Ok(Some(DecodedFrame { frame, length })) => {
                     self.input.drain(..length);
+                    release_if_empty(&mut self.input);
                     frames.push(frame);
                 }
                 Ok(None) => return Liveness::Alive,
@@ -91,6 +93,13 @@
     }
 }
 
+/// Frees the memory of a buffer that has held a large frame.
+fn release_if_empty(buffer: &mut Vec<u8>) {
+    if buffer.is_empty() {
+        *buffer = Vec::new();
+    }
+}
+
 /// The other processes of the gateway.
 pub struct Upgrade {
     /// The listener for later processes.
@@ -120,6 +129,12 @@
         self.peers.get(place)?.as_ref().map(|peer| &peer.stream)
     }
 
+    /// The process id of another process; none if the kernel does not tell it.
+    pub fn process_id(&self, place: usize) -> Option<u32> {
+        let credentials = socket_peercred(self.stream(place)?).ok()?;
+        u32::try_from(credentials.pid.as_raw_nonzero().get()).ok()
+    }
+
     /// Reads what another process has sent; none if there is no such process.
     pub fn read_frames(&mut self, place: usize) -> Option<ReadFrames> {
         let peer = self.peers.get_mut(place)?.as_mut()?;
@@ -148,6 +163,7 @@
         let peer = self.peers.get_mut(place)?.as_mut()?;
         let Ok(written) = write_available(&peer.stream, &peer.output) else { return self.remove(place) };
         peer.output.drain(..written);
+        release_if_empty(&mut peer.output);
         match peer.output.len() {
             0 => Some(ProcessState::Reading),
             unsent if unsent > MAX_OUTPUT_BYTES => self.remove(place),
--- a/gateway/tests/net/main.rs
+++ b/gateway/tests/net/main.rs
@@ -13,6 +13,7 @@
 mod left_clients;
 mod membership;
 mod memory;
+mod memory_limit;
 mod operations;
 mod platform;
 mod production;
--- a/gateway/tests/net/scenario/process.rs
+++ b/gateway/tests/net/scenario/process.rs
@@ -59,6 +59,13 @@
     }
 }
 
+/// Private memory of a process in kB; none if it has ended.
+fn private_kilobytes_of(process: &Child) -> Option<usize> {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", process.id())).ok()?;
+    let private = status.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
+    private.trim().trim_end_matches(" kB").parse().ok()
+}
+
 impl Scenario {
     /// Starts the next process: at the address of the one before while that is there, else at a free one. The address of
     /// a process that has ended may be taken by any other program of this machine.
@@ -172,10 +179,13 @@
 
     /// Memory that the program alone uses, in kB: what limits count.
     pub fn private_kilobytes(&self) -> usize {
-        let path = format!("/proc/{}/status", self.child.id());
-        let status = std::fs::read_to_string(path).expect("its state");
-        let private = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).expect("a figure");
-        private.trim().trim_end_matches(" kB").parse().expect("a number")
+        private_kilobytes_of(&self.child).expect("a figure")
+    }
+
+    /// Memory that its processes take together, in kB, without what a process shares with others.
+    pub fn private_kilobytes_of_all(&self) -> usize {
+        let processes = self.old.iter().chain([&self.child]);
+        processes.filter_map(private_kilobytes_of).sum()
     }
 
     /// Ticks of the processor that the program has used (a hundred a second).
--- a/gateway/tests/net/scenario/setup.rs
+++ b/gateway/tests/net/scenario/setup.rs
@@ -4,7 +4,7 @@
 use super::files::{console_folder, file, state_folder};
 use super::process::{started, Started};
 use super::settings::{FILES, FRONT, ROW, SETTINGS};
-use super::stores::{entry, listen, HeldStore};
+use super::stores::{entry, listen, serve_objects_of, HeldStore};
 use super::{ReceivedMessage, Scenario};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::{SocketAddr, TcpListener};
@@ -50,6 +50,8 @@
     pub held: &'static [&'static str],
     /// Seconds by which the program's wall clock is wrong when it starts.
     pub clock_ahead: i64,
+    /// Bytes of the objects with which stores answer every request at once; none if the scenario answers.
+    pub object_bytes: Option<usize>,
     /// Calls that fail from the start on, as lines of `fault`.
     pub faults: &'static [&'static str],
     /// Which calls on its state folders fail beside these.
@@ -87,6 +89,7 @@
         Setup {
             dead: &[],
             held: &[],
+            object_bytes: None,
             clock_ahead: 0,
             faults: &[],
             folder_faults: FolderFaults::AsAsked,
@@ -123,7 +126,10 @@
             let address = match name {
                 name if setup.dead.contains(&name) => DEAD_ADDRESS.parse().expect("an address"),
                 name if setup.held.contains(&name) => stores.hold(name),
-                name => listen(sender.clone(), name),
+                name => match setup.object_bytes {
+                    Some(bytes) => serve_objects_of(bytes),
+                    None => listen(sender.clone(), name),
+                },
             };
             stores.addresses.insert(name, address);
         }
--- a/gateway/tests/net/scenario/stores.rs
+++ b/gateway/tests/net/scenario/stores.rs
@@ -2,12 +2,13 @@
 use super::expectations::soon;
 use super::machine_sockets::{machine_sockets, SYN_SENT};
 use super::script::id;
-use super::{ReceivedMessage, Scenario};
+use super::{unix_ms, ReceivedMessage, Scenario};
 use larchway_gateway::resp::{decode_array, encode_array, Array};
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::Sender;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// A store that listens and takes no connection in: its queue is full, so that dials stay under way.
@@ -129,6 +130,40 @@
     }
 }
 
+/// A store that answers every request at once with an object of so many bytes.
+pub(super) fn serve_objects_of(bytes: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let address = listener.local_addr().expect("an address");
+    let object: Arc<[u8]> = vec![7; bytes].into();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let object = object.clone();
+            std::thread::spawn(move || answer_requests(stream, &object));
+        }
+    });
+    address
+}
+
+fn answer_requests(mut stream: TcpStream, object: &[u8]) {
+    let mut input = Vec::new();
+    let mut piece = [0; 65536];
+    loop {
+        let Ok(count @ 1..) = stream.read(&mut piece) else { return };
+        input.extend_from_slice(&piece[..count]);
+        while let Ok(Some(Array { strings, length })) = decode_array(&input) {
+            let mut answer = Vec::new();
+            if let [b"PULL", call, ..] = &strings[..] {
+                let fields = format!("remark=HIT,issued={}", unix_ms());
+                encode_array(&mut answer, &[call, b"ok", fields.as_bytes(), object]);
+            }
+            input.drain(..length);
+            if stream.write_all(&answer).is_err() {
+                return;
+            }
+        }
+    }
+}
+
 impl Scenario {
     /// A line on what a store does. Returns whether it is one.
     pub(super) fn play_store_line(&mut self, line: &str, words: &[&str], head: &str, body: &[u8]) -> bool {
@@ -177,6 +212,11 @@
         &self.last_request
     }
 
+    /// The connection of a request to a store, at the store.
+    pub fn request_stream(&self, call: &str) -> TcpStream {
+        self.request_streams[&id(call)].try_clone().expect("the same connection")
+    }
+
     /// Writes bytes on the connection of a request to a store, unless that has ended.
     pub fn try_store_bytes(&mut self, call: &str, bytes: &[u8]) {
         if let Some(stream) = self.request_streams.get_mut(&id(call)) {
