--- a/gateway/src/net/memory.rs
+++ b/gateway/src/net/memory.rs
@@ -136,7 +136,8 @@
         }
     }
 
-    /// Stops reading from a store until there is memory for a long reply, unless messages of it are still to be handled.
+    /// Stops reading from a store until there is memory for a long reply, unless messages of it are still to be
+    /// handled.
     pub(super) fn await_memory(&mut self, key: SlotKey) {
         let Some(conn) = self.connections.get_mut(key) else { return };
         if !conn.awaits_memory && !conn.has_postponed_input {
@@ -177,7 +178,8 @@
         }
     }
 
-    /// Whether a client's unprocessed input is a reason for too little memory: it is large, or those of all clients are.
+    /// Whether a client's unprocessed input is a reason for too little memory: it is large, or those of all clients
+    /// are.
     fn is_excessive_input(&self, (_, input): (SlotKey, usize)) -> bool {
         let all_inputs = || self.client_inputs().map(|(_, input)| input).sum::<usize>();
         is_large_input(&input) || all_inputs() > self.memory_shares.clients / 2
