--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -51,7 +51,7 @@
         let Some(conn) = self.connections.get_mut(reply_to.connection) else { return };
         match &mut conn.role {
             Role::PlatformClient(session) => {
-                conn.output.use_scratch(&mut self.reply_scratch);
+                conn.output.use_scratch(&mut self.memory.reply_scratch);
                 session.finish(reply_to.sequence as i32, reply, conn.output.tail());
             }
             _ => return self.finish_signed_request(now, reply_to, reply),
--- a/gateway/src/net/configuration.rs
+++ b/gateway/src/net/configuration.rs
@@ -65,7 +65,7 @@
             notice: config.wire_settings.notice_time,
             file: events,
         };
-        self.memory_limit = config.memory_bytes;
+        self.memory.limit = config.memory_bytes;
         self.descriptor_limit = config.max_descriptors;
         self.share_limits();
         self.own_zone = config.settings.zone;
@@ -347,8 +347,8 @@
     /// Divides the gateway's descriptor and memory limits by the number of its processes.
     pub(super) fn share_limits(&mut self) {
         let processes = self.processes.process_count();
-        let (sockets, memory) = (self.descriptor_limit / processes, self.memory_limit / processes);
-        let budget = MemoryBudget { limit: memory, reserved: self.client_bytes };
+        let (sockets, memory) = (self.descriptor_limit / processes, self.memory.limit / processes);
+        let budget = MemoryBudget { limit: memory, reserved: self.memory.client_bytes };
         self.core.object_cache.iter_mut().for_each(|cache| cache.set_capacity(budget));
         let limits = DescriptorLimits::share(sockets);
         let store_connections_in_memory = memory / STORE_MEMORY_DIVISOR / resp::MAX_STRING_BYTES;
--- a/gateway/src/net/connections.rs
+++ b/gateway/src/net/connections.rs
@@ -157,7 +157,7 @@
                 }
             }
         }
-        conn.output.compact(&mut self.reply_scratch);
+        conn.output.compact(&mut self.memory.reply_scratch);
         conn.record_unsent(now);
         self.schedule_postponed_input(key);
         self.update_buffer_use(now, key);
@@ -186,7 +186,7 @@
 
     /// Updates the events that a connection is polled for.
     pub(super) fn update_interest(&mut self, key: SlotKey) {
-        let memory_is_scarce = self.client_bytes > self.memory_shares.clients / 8 * 7;
+        let memory_is_scarce = self.memory.client_bytes > self.memory.shares.clients / 8 * 7;
         let Some(conn) = self.connections.get_mut(key) else { return };
         let interest = conn.interest(if memory_is_scarce { SMALL_ANSWER_BYTES } else { MAX_BACKLOG_BYTES });
         if interest != conn.polled_interest {
@@ -201,8 +201,8 @@
     /// Closes a connection and ends its requests or attempts.
     pub(super) fn close(&mut self, now: MonotonicTime, key: SlotKey, reason: Option<&CloseReason>) {
         let Some(conn) = self.connections.remove(key) else { return };
-        self.client_bytes -= conn.counted_bytes;
-        self.store_inputs_on_pages -= usize::from(conn.is_counted_on_pages);
+        self.memory.client_bytes -= conn.counted_bytes;
+        self.memory.store_inputs_on_pages -= usize::from(conn.is_counted_on_pages);
         self.half_closed_count -= usize::from(matches!(conn.state, ConnectionState::HalfClosed { .. }));
         self.core.deadlines.clear(conn.deadline, DeadlineKind::Connection(key));
         // The socket is dropped with the connection, which ends polling too, so an error has no effect.
--- a/gateway/src/net/memory.rs
+++ b/gateway/src/net/memory.rs
@@ -13,6 +13,7 @@
 use larchway::MonotonicTime;
 use larchway_object_cache::{MemoryBudget, ObjectCache};
 use larchway_operations::request_counters::MemoryGauges;
+use std::collections::VecDeque;
 use std::time::Duration;
 use tracing::warn;
 
@@ -32,6 +33,29 @@
 /// their share, a client with more unsent bytes is not read from, since even small replies to many requests add up.
 pub(super) const SMALL_ANSWER_BYTES: usize = 16 * 1024;
 
+/// The account of the memory of connections.
+#[derive(Default)]
+pub(super) struct MemoryAccount {
+    /// Limit on the memory, in bytes, of all processes of the gateway together.
+    pub(super) limit: usize,
+    /// Private memory of this process in bytes, by the last measurement.
+    private_bytes: usize,
+    /// The parts of the limit for buffers, by the last measurement.
+    pub(super) shares: MemoryShares,
+    /// When the memory of the processes is measured next.
+    next_measurement: MonotonicTime,
+    /// When pages that no buffer has needed are given back next.
+    next_page_release: MonotonicTime,
+    /// Memory of the buffers of all client connections: unprocessed input and unsent output.
+    pub(super) client_bytes: usize,
+    /// Number of connections to stores whose input is on pages, since a long reply is being received.
+    pub(super) store_inputs_on_pages: usize,
+    /// Connections to stores that are not read from until there is memory for a long reply; some may be closed.
+    awaiting: VecDeque<SlotKey>,
+    /// Memory in which the next long reply is encoded.
+    pub(super) reply_scratch: Vec<u8>,
+}
+
 /// Whether this number of unprocessed input bytes is above the size that a client may always buffer.
 fn is_large_input(input: &usize) -> bool {
     *input > SMALL_ANSWER_BYTES
@@ -40,20 +64,20 @@
 impl Gateway {
     /// Measures the memory of the gateway's processes, unless that was done a moment ago, and divides the limit anew.
     pub(super) fn measure_memory(&mut self, now: MonotonicTime) {
-        if now >= self.next_memory_measurement {
+        if now >= self.memory.next_measurement {
             self.divide_memory(now);
         }
     }
 
     /// Divides the limit on memory by what the processes of the gateway take now.
     pub(super) fn divide_memory(&mut self, now: MonotonicTime) {
-        self.next_memory_measurement = now + MEASUREMENT_INTERVAL;
+        self.memory.next_measurement = now + MEASUREMENT_INTERVAL;
         // If it cannot be measured, the last figure is the best one.
-        self.private_bytes = private_memory::of_this_process().unwrap_or(self.private_bytes);
+        self.memory.private_bytes = private_memory::of_this_process().unwrap_or(self.memory.private_bytes);
         let pages = page_buffer::page_use();
         let cache = self.core.object_cache.as_ref();
         let used = MemoryUse {
-            private: self.private_bytes,
+            private: self.memory.private_bytes,
             occupied_pages: pages.occupied_bytes,
             spare_pages: pages.spare_bytes,
             copies_to_come: cache.map_or(0, ObjectCache::bytes_to_come),
@@ -64,10 +88,10 @@
                 None => Succession::Impossible,
             },
         };
-        self.memory_shares = MemoryShares::divide(self.memory_limit, &used);
-        page_buffer::set_max_bytes(self.memory_shares.pages);
-        if now >= self.next_page_release {
-            self.next_page_release = now + PAGE_RELEASE_INTERVAL;
+        self.memory.shares = MemoryShares::divide(self.memory.limit, &used);
+        page_buffer::set_max_bytes(self.memory.shares.pages);
+        if now >= self.memory.next_page_release {
+            self.memory.next_page_release = now + PAGE_RELEASE_INTERVAL;
             page_buffer::drop_unneeded();
         }
         self.resume_store_inputs(now);
@@ -75,7 +99,7 @@
 
     /// Private memory of the gateway's other processes; an equal part of the limit for one that cannot be measured.
     fn memory_of_other_processes(&self) -> usize {
-        let part = self.memory_limit / self.processes.process_count();
+        let part = self.memory.limit / self.processes.process_count();
         let Some(upgrade) = &self.upgrade else { return 0 };
         let places = upgrade.places().into_iter();
         places
@@ -89,7 +113,7 @@
         match conn.role {
             Role::PlatformClient(_) | Role::SignedClient(_) => {
                 let taken = conn.output.allocated_bytes() + conn.input.allocated_bytes();
-                self.client_bytes = self.client_bytes + taken - conn.counted_bytes;
+                self.memory.client_bytes = self.memory.client_bytes + taken - conn.counted_bytes;
                 let is_less = taken < std::mem::replace(&mut conn.counted_bytes, taken);
                 if is_less {
                     self.resume_store_inputs(now);
@@ -98,8 +122,8 @@
             Role::Store(_) => {
                 let is_on_pages = conn.input.is_on_pages();
                 let was_on_pages = std::mem::replace(&mut conn.is_counted_on_pages, is_on_pages);
-                self.store_inputs_on_pages += usize::from(is_on_pages);
-                self.store_inputs_on_pages -= usize::from(was_on_pages);
+                self.memory.store_inputs_on_pages += usize::from(is_on_pages);
+                self.memory.store_inputs_on_pages -= usize::from(was_on_pages);
                 if was_on_pages && !is_on_pages {
                     self.resume_store_inputs(now);
                 }
@@ -111,14 +135,14 @@
     /// Whether there is memory for one more long reply of a store. One can always be received; clients lend the half of
     /// their share that they do not use.
     fn can_receive_long_reply(&self) -> bool {
-        let lent = (self.memory_shares.clients / 2).saturating_sub(self.client_bytes);
-        let needed = (self.store_inputs_on_pages + 1) * INPUT_PAGES_BYTES;
-        self.store_inputs_on_pages == 0 || needed <= self.memory_shares.stores + lent
+        let lent = (self.memory.shares.clients / 2).saturating_sub(self.memory.client_bytes);
+        let needed = (self.memory.store_inputs_on_pages + 1) * INPUT_PAGES_BYTES;
+        self.memory.store_inputs_on_pages == 0 || needed <= self.memory.shares.stores + lent
     }
 
     /// Memory of the clients' share that replies of stores take.
     fn lent_bytes(&self) -> usize {
-        (self.store_inputs_on_pages * INPUT_PAGES_BYTES).saturating_sub(self.memory_shares.stores)
+        (self.memory.store_inputs_on_pages * INPUT_PAGES_BYTES).saturating_sub(self.memory.shares.stores)
     }
 
     /// Number of input bytes up to which a connection may be read from now. A store may have sent more replies than the
@@ -142,21 +166,21 @@
         let Some(conn) = self.connections.get_mut(key) else { return };
         if !conn.awaits_memory && !conn.has_postponed_input {
             conn.awaits_memory = true;
-            self.awaiting_memory.push_back(key);
+            self.memory.awaiting.push_back(key);
         }
         self.update_interest(key);
     }
 
     /// Reads again from stores that wait for memory, in order, as far as there is some for their replies.
     pub(super) fn resume_store_inputs(&mut self, now: MonotonicTime) {
-        while !self.awaiting_memory.is_empty() && self.can_receive_long_reply() {
-            let Some(key) = self.awaiting_memory.pop_front() else { return };
+        while !self.memory.awaiting.is_empty() && self.can_receive_long_reply() {
+            let Some(key) = self.memory.awaiting.pop_front() else { return };
             let Some(conn) = self.connections.get_mut(key) else { continue };
             conn.awaits_memory = false;
             // The silence was not the store's.
             conn.last_read = now;
             // Its memory is taken from now on.
-            self.store_inputs_on_pages += usize::from(!conn.is_counted_on_pages);
+            self.memory.store_inputs_on_pages += usize::from(!conn.is_counted_on_pages);
             conn.is_counted_on_pages = true;
             self.update_interest(key);
         }
@@ -166,10 +190,10 @@
     /// second, or that send half a message, exhaust the memory together although each buffers little.
     pub(super) fn enforce_client_bytes(&mut self, now: MonotonicTime) {
         // The object cache shrinks first: buffered replies take precedence over cached objects.
-        let memory = self.memory_limit / self.processes.process_count();
-        let budget = MemoryBudget { limit: memory, reserved: self.client_bytes };
+        let memory = self.memory.limit / self.processes.process_count();
+        let budget = MemoryBudget { limit: memory, reserved: self.memory.client_bytes };
         self.core.object_cache.iter_mut().for_each(|cache| cache.set_capacity(budget));
-        while self.client_bytes > self.memory_shares.clients {
+        while self.memory.client_bytes > self.memory.shares.clients {
             let Some((key, input)) = self.largest_input().filter(|input| self.is_excessive_input(*input))
             else {
                 return;
@@ -182,7 +206,7 @@
     /// are.
     fn is_excessive_input(&self, (_, input): (SlotKey, usize)) -> bool {
         let all_inputs = || self.client_inputs().map(|(_, input)| input).sum::<usize>();
-        is_large_input(&input) || all_inputs() > self.memory_shares.clients / 2
+        is_large_input(&input) || all_inputs() > self.memory.shares.clients / 2
     }
 
     /// Makes capacity for a reply of `answer_bytes` and returns whether there is enough. Disconnects the clients with
@@ -193,8 +217,8 @@
             return true;
         }
         let large_inputs: usize = self.client_inputs().map(|(_, input)| input).filter(is_large_input).sum();
-        let taken = self.client_bytes + self.lent_bytes();
-        let excess = (taken + answer_bytes).saturating_sub(self.memory_shares.clients);
+        let taken = self.memory.client_bytes + self.lent_bytes();
+        let excess = (taken + answer_bytes).saturating_sub(self.memory.shares.clients);
         while !self.can_buffer(answer_bytes) && large_inputs >= excess {
             let Some((key, input)) = self.largest_input().filter(|(_, input)| is_large_input(input)) else {
                 break;
@@ -207,7 +231,7 @@
     fn disconnect_for_memory(&mut self, now: MonotonicTime, key: SlotKey, input: usize) {
         warn!(
             client_input_bytes = input,
-            all_clients_bytes = self.client_bytes,
+            all_clients_bytes = self.memory.client_bytes,
             "a client is cut off: too many bytes wait to be dealt with"
         );
         self.finish_client(now, key);
@@ -228,9 +252,9 @@
     /// Whether a reply of `answer_bytes` can be buffered until its client reads it.
     pub(super) fn can_buffer(&self, answer_bytes: usize) -> bool {
         let short_replies =
-            if answer_bytes <= SMALL_ANSWER_BYTES { self.memory_shares.short_replies } else { 0 };
-        let taken = self.client_bytes + self.lent_bytes();
-        taken + answer_bytes <= self.memory_shares.clients + short_replies
+            if answer_bytes <= SMALL_ANSWER_BYTES { self.memory.shares.short_replies } else { 0 };
+        let taken = self.memory.client_bytes + self.lent_bytes();
+        taken + answer_bytes <= self.memory.shares.clients + short_replies
     }
 
     /// Whether memory use and the number of open requests allow one more request of this client.
@@ -238,10 +262,10 @@
         let has_unread_answers = self.connections.get(key).is_some_and(|c| c.has_unread_replies(now));
         let percent = if has_unread_answers { UNREAD_CLIENT_PERCENT } else { ADMIT_PERCENT };
         let processes = self.processes.process_count();
-        let max_open = if self.memory_shares.is_short { MIN_OPEN_REQUESTS } else { MAX_OPEN_REQUESTS };
-        self.core.request_body_bytes < self.memory_limit / processes / REQUEST_MEMORY_DIVISOR
+        let max_open = if self.memory.shares.is_short { MIN_OPEN_REQUESTS } else { MAX_OPEN_REQUESTS };
+        self.core.request_body_bytes < self.memory.limit / processes / REQUEST_MEMORY_DIVISOR
             && self.core.open_requests() < max_open
-            && self.client_bytes < self.memory_shares.clients / 100 * percent
+            && self.memory.client_bytes < self.memory.shares.clients / 100 * percent
     }
 
     /// The private memory of this process by holder, for the statistics report.
@@ -250,9 +274,9 @@
         let allocated = |c: &Connection| c.input.allocated_bytes() + c.output.allocated_bytes();
         let others = self.connections.iter().filter(|(_, c)| !c.role.is_client());
         MemoryGauges {
-            limit: self.memory_limit,
-            private: private_memory::of_this_process().unwrap_or(self.private_bytes),
-            client_buffers: self.client_bytes,
+            limit: self.memory.limit,
+            private: private_memory::of_this_process().unwrap_or(self.memory.private_bytes),
+            client_buffers: self.memory.client_bytes,
             store_buffers: others.map(|(_, c)| allocated(c)).sum(),
             spare_pages: pages.spare_bytes,
             copies: self.core.object_cache.as_ref().map_or(0, ObjectCache::bytes),
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -40,7 +40,6 @@
 use crate::hierarchy::Hierarchy;
 use crate::input_budget::MAX_ITERATION_TIME;
 use crate::membership::{EnsembleSettings, Membership};
-use crate::memory::MemoryShares;
 use crate::peers::Peers;
 use crate::pools::Pools;
 use crate::postponed::Postponed;
@@ -64,9 +63,10 @@
 use larchway_operations::manual_ejection::{self, ManualEjections};
 use larchway_operations::shutdown::final_reply_deadline;
 use larchway_operations::ProcessGroup;
+use memory::MemoryAccount;
 use poll_key::PollKey;
 use polling::{Event, Poller};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::UnixStream;
 use std::time::Duration;
@@ -182,24 +182,8 @@
     start_dates: StartDates,
     /// The open requests and attempts, and the decision module.
     core: Core,
-    /// Limit on the memory, in bytes, of all processes of the gateway together.
-    memory_limit: usize,
-    /// Private memory of this process in bytes, by the last measurement.
-    private_bytes: usize,
-    /// The parts of the limit for buffers, by the last measurement.
-    memory_shares: MemoryShares,
-    /// When the memory of the processes is measured next.
-    next_memory_measurement: MonotonicTime,
-    /// When pages that no buffer has needed are given back next.
-    next_page_release: MonotonicTime,
-    /// Memory of the buffers of all client connections: unprocessed input and unsent output.
-    client_bytes: usize,
-    /// Number of connections to stores whose input is on pages, since a long reply is being received.
-    store_inputs_on_pages: usize,
-    /// Connections to stores that are not read from until there is memory for a long reply; some may be closed.
-    awaiting_memory: VecDeque<SlotKey>,
-    /// Memory in which the next long reply is encoded.
-    reply_scratch: Vec<u8>,
+    /// The account of the memory of connections.
+    memory: MemoryAccount,
     /// Scratch buffer for one read of a connection.
     read_buffer: Vec<u8>,
     /// Duration of the longest iteration of the loop so far.
--- a/gateway/src/net/signed_clients.rs
+++ b/gateway/src/net/signed_clients.rs
@@ -95,7 +95,7 @@
         else {
             return;
         };
-        output.use_scratch(&mut self.reply_scratch);
+        output.use_scratch(&mut self.memory.reply_scratch);
         let Some(after) = session.finish(reply_to.sequence, reply, is_stopping, output.tail()) else {
             return;
         };
--- a/gateway/src/net/startup.rs
+++ b/gateway/src/net/startup.rs
@@ -2,6 +2,7 @@
 //! listens.
 use super::errors::GatewayError;
 use super::input::{InputSchedule, LARGE_READ_BYTES};
+use super::memory::MemoryAccount;
 use super::poll_key::PollKey;
 use super::{saves_roster, Gateway};
 use crate::clock;
@@ -12,7 +13,6 @@
 use crate::descriptors::DescriptorLimits;
 use crate::event_loop_error::EventLoopError;
 use crate::events::Events;
-use crate::memory::MemoryShares;
 use crate::polled_signals::{PolledSignals, SignalKeys};
 use crate::pools::Pools;
 use crate::random_numbers::RandomNumbers;
@@ -26,7 +26,7 @@
 use larchway_endpoints::endpoint::endpoint_id;
 use larchway_operations::manual_ejection::ManualEjections;
 use larchway_operations::ProcessGroup;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -124,15 +124,7 @@
             events_deadline: None,
             own_zone: 0,
             core: Core::new(seed),
-            memory_limit: 0,
-            private_bytes: 0,
-            memory_shares: MemoryShares::default(),
-            next_memory_measurement: MonotonicTime::MIN,
-            next_page_release: MonotonicTime::MIN,
-            client_bytes: 0,
-            store_inputs_on_pages: 0,
-            awaiting_memory: VecDeque::new(),
-            reply_scratch: Vec::new(),
+            memory: MemoryAccount::default(),
             read_buffer: vec![0; LARGE_READ_BYTES],
             longest_iteration: Duration::ZERO,
             descriptor_limits: DescriptorLimits::default(),
--- a/gateway/src/net/store_traffic.rs
+++ b/gateway/src/net/store_traffic.rs
@@ -134,7 +134,7 @@
         let Connection { output, stream, .. } = conn;
         match output.write_with(|bytes| stream.write(bytes)) {
             Ok(_) => {
-                output.compact(&mut self.reply_scratch);
+                output.compact(&mut self.memory.reply_scratch);
                 conn.last_activity = now;
                 if session.open.is_empty() {
                     conn.last_read = now;
