Accept connections of the tests' stores in one place

listen and serve_objects_of each bound a socket and had the same loop of threads; both call accept_with now. No check changes.

--- a/gateway/tests/net/scenario/stores.rs
+++ b/gateway/tests/net/scenario/stores.rs
@@ -78,12 +78,17 @@
 }
 
 pub(super) fn listen(sender: Sender<ReceivedMessage>, name: &'static str) -> SocketAddr {
+    accept_with(move |stream| read_store(stream, &sender, name))
+}
+
+/// Listens, and serves each connection on a thread of its own.
+fn accept_with(serve: impl Fn(TcpStream) + Clone + Send + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
     let address = listener.local_addr().expect("an address");
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let sender = sender.clone();
-            std::thread::spawn(move || read_store(stream, &sender, name));
+            let serve = serve.clone();
+            std::thread::spawn(move || serve(stream));
         }
     });
     address
@@ -132,16 +137,8 @@
 
 /// A store that answers every request at once with an object of so many bytes.
 pub(super) fn serve_objects_of(bytes: usize) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
-    let address = listener.local_addr().expect("an address");
     let object: Arc<[u8]> = vec![7; bytes].into();
-    std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let object = object.clone();
-            std::thread::spawn(move || answer_requests(stream, &object));
-        }
-    });
-    address
+    accept_with(move |stream| answer_requests(stream, &object))
 }
 
 fn answer_requests(mut stream: TcpStream, object: &[u8]) {
