Say what the interval of measurements rests on

What holds is that buffers and copies have accounts of their own, and the margin is for the rest. A comment alone changes.

--- a/gateway/src/memory/budget.rs
+++ b/gateway/src/memory/budget.rs
@@ -6,7 +6,7 @@
 //! successor, and what is free. Each process may take an equal part of what is free.
 use std::time::Duration;
 
-/// Time between measurements: less than it takes to receive the margin from a few fast stores.
+/// Time between measurements. What grows faster than the margin in it has an account of its own: buffers, copies.
 pub const MEASUREMENT_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Divisor of the limit for the margin.
