--- a/gateway/src/connection.rs
+++ b/gateway/src/connection.rs
@@ -1,6 +1,7 @@
 //! Connections of the gateway: buffers, role, state and time-outs.
 use crate::input_budget::{InputBudget, MAX_ITERATION_TIME};
 use crate::memory::{InputBuffer, OutputBuffer};
+use crate::reply_history::ReplyHistory;
 use crate::resp;
 use crate::signed;
 use crate::sockets;
@@ -12,10 +13,6 @@
 
 /// Time after which a client that does not read its replies is disconnected.
 pub(crate) const UNREAD_ANSWERS_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time for which output is unsent after which a client counts as one that reads slowly.
-const SLOW_READING_TIME: Duration = Duration::from_millis(100);
-/// Time after that for which it counts as one.
-const SLOW_READER_TIME: Duration = UNREAD_ANSWERS_TIMEOUT;
 /// Time after which a client without requests is disconnected.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time within which a client's message must be complete; for the first one it starts at the connect.
@@ -156,10 +153,8 @@
     pub(crate) polled_interest: Interest,
     /// When its time-outs are checked next.
     pub(crate) deadline: MonotonicTime,
-    /// Since when some output is unsent without a break.
-    pub(crate) unsent_since: Option<MonotonicTime>,
-    /// Until when its client counts as one that reads slowly.
-    pub(crate) reads_slowly_until: MonotonicTime,
+    /// How its client has taken its replies of late.
+    pub(crate) reply_history: ReplyHistory,
     /// Memory of its buffers that is included in the sum of all clients.
     pub(crate) counted_bytes: usize,
     /// Whether it is included in the number of connections to stores with input on pages.
@@ -185,22 +180,10 @@
         }
     }
 
-    /// Records whether output is unsent after an attempt to write it.
-    pub(crate) fn record_unsent(&mut self, now: MonotonicTime) {
-        if self.output.is_empty() {
-            self.unsent_since = None;
-            return;
-        }
-        let unsent_since = *self.unsent_since.get_or_insert(now);
-        if now >= unsent_since + SLOW_READING_TIME {
-            self.reads_slowly_until = now + SLOW_READER_TIME;
-        }
-    }
-
     /// Whether the client has unsent replies, or had some for so long that it reads slowly. Replies of this iteration may
     /// not be written yet.
     pub(crate) fn has_unread_replies(&self, now: MonotonicTime) -> bool {
-        self.polled_interest.writable || now < self.reads_slowly_until
+        self.polled_interest.writable || self.reply_history.reads_slowly(now)
     }
 
     /// Whether the peer is a client with too many open requests and unsent replies: none of its messages is handled
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod postponed;
 pub mod random_numbers;
 pub mod relay;
+pub mod reply_history;
 pub mod resp;
 pub mod rollout;
 pub mod shutdown;
--- a/gateway/src/net/connections.rs
+++ b/gateway/src/net/connections.rs
@@ -11,6 +11,7 @@
 use crate::input_budget::{InputBudget, MAX_ITERATION_TIME};
 use crate::memory::{InputBuffer, OutputBuffer};
 use crate::nonblocking::write_available;
+use crate::reply_history::ReplyHistory;
 use crate::slots::SlotKey;
 use crate::sockets::begin_connect;
 use crate::system_errors::{is_reset, Failure};
@@ -53,8 +54,7 @@
             has_postponed_input: false,
             polled_interest,
             deadline,
-            unsent_since: None,
-            reads_slowly_until: MonotonicTime::MIN,
+            reply_history: ReplyHistory::default(),
             counted_bytes: 0,
             is_counted_on_pages: false,
             awaits_memory: false,
@@ -158,7 +158,7 @@
             }
         }
         conn.output.compact(&mut self.memory.reply_scratch);
-        conn.record_unsent(now);
+        conn.reply_history.record_write(now, !conn.output.is_empty());
         self.schedule_postponed_input(key);
         self.update_buffer_use(now, key);
         let Some(conn) = self.connections.get_mut(key) else { return false };
