Admit clients of short replies while others take the memory for long ones

Cause: nobody was admitted above three quarters of the clients' share. The replies that slow readers have asked for at one moment take as much before any of them has waited for 100 ms, so that they don't count as slow yet.

Change: a client that was served, and with replies of up to 16 KB alone in the last 10 s, is admitted up to the clients' share and half of the one for short replies. What it is sent is bounded as before (can_buffer).

--- a/gateway/src/connection.rs
+++ b/gateway/src/connection.rs
@@ -180,10 +180,9 @@
         }
     }
 
-    /// Whether the client has unsent replies, or had some for so long that it reads slowly. Replies of this iteration may
-    /// not be written yet.
-    pub(crate) fn has_unread_replies(&self, now: MonotonicTime) -> bool {
-        self.polled_interest.writable || self.reply_history.reads_slowly(now)
+    /// Whether the client has not read all replies. Those of this iteration may not be written yet.
+    pub(crate) fn has_unread_output(&self) -> bool {
+        self.polled_interest.writable
     }
 
     /// Whether the peer is a client with too many open requests and unsent replies: none of its messages is handled
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -1,4 +1,5 @@
 //! Client connections: connection capacity, final replies and graceful closing.
+use super::memory::SMALL_ANSWER_BYTES;
 use super::Gateway;
 use crate::connection::{Connection, ConnectionState, Role, LINGER, MIN_LINGER};
 use crate::core::{FinalReply, ReplyHandle, NO_CAPACITY_RETRY_AFTER};
@@ -49,6 +50,9 @@
     /// Sends the final reply to the client, in the protocol of the front that received the request.
     pub(super) fn reply(&mut self, now: MonotonicTime, reply_to: ReplyHandle, reply: &FinalReply<'_>) {
         let Some(conn) = self.connections.get_mut(reply_to.connection) else { return };
+        if let FinalReply::Served(served) = reply {
+            conn.reply_history.record_served(now, served.body.len() > SMALL_ANSWER_BYTES);
+        }
         match &mut conn.role {
             Role::PlatformClient(session) => {
                 conn.output.use_scratch(&mut self.memory.reply_scratch);
--- a/gateway/src/net/memory.rs
+++ b/gateway/src/net/memory.rs
@@ -19,7 +19,8 @@
 
 /// Percentage of the clients' share above which a client that reads slowly gets no further request admitted.
 const UNREAD_CLIENT_PERCENT: usize = 50;
-/// Percentage of the clients' share above which no client gets a further request admitted.
+/// Percentage of the clients' share above which no client gets a further request admitted, unless it gets short replies
+/// alone.
 const ADMIT_PERCENT: usize = 75;
 /// Divisor of the memory limit for the bodies of all open requests.
 const REQUEST_MEMORY_DIVISOR: usize = 8;
@@ -257,15 +258,30 @@
         taken + answer_bytes <= self.memory.shares.clients + short_replies
     }
 
+    /// Memory of clients' buffers below which a further request of this client is admitted. One that gets short replies
+    /// has half of their share in addition: those who wait for long ones do not keep it out, and the replies to what is
+    /// admitted have the other half.
+    fn admission_limit(&self, now: MonotonicTime, key: SlotKey) -> usize {
+        let shares = &self.memory.shares;
+        match self.connections.get(key) {
+            Some(conn) if conn.reply_history.reads_slowly(now) => {
+                shares.clients / 100 * UNREAD_CLIENT_PERCENT
+            }
+            Some(conn) if conn.reply_history.gets_short_replies(now) => {
+                shares.clients + shares.short_replies / 2
+            }
+            Some(conn) if conn.has_unread_output() => shares.clients / 100 * UNREAD_CLIENT_PERCENT,
+            _ => shares.clients / 100 * ADMIT_PERCENT,
+        }
+    }
+
     /// Whether memory use and the number of open requests allow one more request of this client.
     pub(super) fn has_capacity(&self, now: MonotonicTime, key: SlotKey) -> bool {
-        let has_unread_answers = self.connections.get(key).is_some_and(|c| c.has_unread_replies(now));
-        let percent = if has_unread_answers { UNREAD_CLIENT_PERCENT } else { ADMIT_PERCENT };
         let processes = self.processes.process_count();
         let max_open = if self.memory.shares.is_short { MIN_OPEN_REQUESTS } else { MAX_OPEN_REQUESTS };
         self.core.request_body_bytes < self.memory.limit / processes / REQUEST_MEMORY_DIVISOR
             && self.core.open_requests() < max_open
-            && self.memory.client_bytes < self.memory.shares.clients / 100 * percent
+            && self.memory.client_bytes < self.admission_limit(now, key)
     }
 
     /// The private memory of this process by holder, for the statistics report.
--- a/gateway/src/reply_history.rs
+++ b/gateway/src/reply_history.rs
@@ -14,11 +14,17 @@
     unsent_since: Option<MonotonicTime>,
     /// Until when the client counts as one that reads slowly.
     reads_slowly_until: MonotonicTime,
+    /// Until when the client counts as one that asks for long replies; none if it was not served yet.
+    gets_long_replies_until: Option<MonotonicTime>,
 }
 
 impl Default for ReplyHistory {
     fn default() -> Self {
-        ReplyHistory { unsent_since: None, reads_slowly_until: MonotonicTime::MIN }
+        ReplyHistory {
+            unsent_since: None,
+            reads_slowly_until: MonotonicTime::MIN,
+            gets_long_replies_until: None,
+        }
     }
 }
 
@@ -39,4 +45,18 @@
     pub fn reads_slowly(&self, now: MonotonicTime) -> bool {
         now < self.reads_slowly_until
     }
+
+    /// Records that the client was served with a reply, which is long or short.
+    pub fn record_served(&mut self, now: MonotonicTime, is_long: bool) {
+        if is_long {
+            self.gets_long_replies_until = Some(now + OBSERVATION_TIME);
+        } else {
+            self.gets_long_replies_until.get_or_insert(now);
+        }
+    }
+
+    /// Whether the client was served, and with short replies alone in the last seconds.
+    pub fn gets_short_replies(&self, now: MonotonicTime) -> bool {
+        self.gets_long_replies_until.is_some_and(|until| until <= now)
+    }
 }
--- a/gateway/tests/net/memory_limit.rs
+++ b/gateway/tests/net/memory_limit.rs
@@ -340,6 +340,44 @@
     value.and_then(|value| value.parse().ok()).expect("a figure")
 }
 
+/// Guards against clients of small objects that are refused, since what others have not read takes all the memory up to
+/// which requests are admitted: in `review/7`, some 300 to 700 requests of usual clients beside slow readers.
+#[test]
+fn a_client_of_small_objects_is_served_while_others_take_the_memory_for_long_replies() {
+    // What the clients' buffers may take at most is a third of the limit.
+    const ADMITTED_BYTES: usize = 32_000_000 / 3 / 4 * 3;
+    // As many as a client may have open: more than there is memory for.
+    const REQUESTS_OF_EACH: usize = 32;
+    let readers = ["c2", "c3", "c4"];
+    let calls = || (1..=REQUESTS_OF_EACH).flat_map(|n| readers.map(|client| (client, n)));
+    // No further attempt is made while the first one is under way.
+    let settings = edited_settings(&[(r#""targetMs":600"#, r#""targetMs":5500"#)]);
+    let mut s = usual_with(Setup { memory_mb: 32, settings, console: true, ..Setup::default() });
+    s.run("c1 > serve 1 $ask call=s1\nstore < PULL s1\nstore > s1 ok remark=HIT | x\nc1 < served 1 | x");
+    for client in readers {
+        s.run(&format!("{client} narrow"));
+    }
+    for (client, n) in calls() {
+        s.run(&format!("{client} > serve {n} $ask call={client}{n}"));
+    }
+    for (client, n) in calls() {
+        s.run(&format!("store < PULL {client}{n}\nstore > {client}{n} ok remark=HIT | #{LARGEST_OBJECT}"));
+    }
+    s.run("figure in_progress 0");
+    assert!(gauge(&mut s, "memory.client_buffers") > ADMITTED_BYTES, "no more is admitted for long replies");
+    for n in 2..=20 {
+        s.run(&format!(
+            "c1 > serve {n} $ask call=s{n}
+             store < PULL s{n}
+             store > s{n} ok remark=HIT | x
+             c1 < served {n} | x"
+        ));
+    }
+    // Whoever is not known to get short replies is still refused.
+    s.run("c5 > serve 1 $ask call=t1");
+    assert!(s.next_answer("c5").0.starts_with("busy 1"));
+}
+
 /// Guards against replies that are never read on, or stores that are blamed, after a store was not read from for want of
 /// memory: more long replies are begun at once than there is memory for.
 #[test]
