--- a/gateway/src/connection.rs
+++ b/gateway/src/connection.rs
@@ -1,7 +1,7 @@
 //! Connections of the gateway: buffers, role, state and time-outs.
 use crate::input_budget::{InputBudget, MAX_ITERATION_TIME};
 use crate::memory::{InputBuffer, OutputBuffer};
-use crate::reply_history::ReplyHistory;
+use crate::reply_history::{ReplyHistory, UNREAD_ANSWERS_TIMEOUT};
 use crate::resp;
 use crate::signed;
 use crate::sockets;
@@ -11,8 +11,6 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-/// Time after which a client that does not read its replies is disconnected.
-pub(crate) const UNREAD_ANSWERS_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time after which a client without requests is disconnected.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time within which a client's message must be complete; for the first one it starts at the connect.
--- a/gateway/src/net/connections.rs
+++ b/gateway/src/net/connections.rs
@@ -5,13 +5,12 @@
 use super::Gateway;
 use crate::connection::{
     ConnectFailure, Connection, ConnectionState, Interest, Role, Timeouts, MAX_BACKLOG_BYTES,
-    UNREAD_ANSWERS_TIMEOUT,
 };
 use crate::deadlines::DeadlineKind;
 use crate::input_budget::{InputBudget, MAX_ITERATION_TIME};
 use crate::memory::{InputBuffer, OutputBuffer};
 use crate::nonblocking::write_available;
-use crate::reply_history::ReplyHistory;
+use crate::reply_history::{ReplyHistory, UNREAD_ANSWERS_TIMEOUT};
 use crate::slots::SlotKey;
 use crate::sockets::begin_connect;
 use crate::system_errors::{is_reset, Failure};
--- a/gateway/src/reply_history.rs
+++ b/gateway/src/reply_history.rs
@@ -4,8 +4,10 @@
 
 /// Time for which output is unsent after which a client counts as one that reads slowly.
 const SLOW_READING_TIME: Duration = Duration::from_millis(100);
-/// Time for which what a client was seen to do counts. It equals the time that it may leave replies unread.
-const OBSERVATION_TIME: Duration = Duration::from_secs(10);
+/// Time after which a client that does not read its replies is disconnected.
+pub(crate) const UNREAD_ANSWERS_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for which what a client was seen to do counts.
+const OBSERVATION_TIME: Duration = UNREAD_ANSWERS_TIMEOUT;
 
 /// What is known of a client's replies.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
