Set the capacity of cached copies, and each process's part of memory, in one place

The capacity was set by the same lines at a change of the limits and at each change of the buffers, the part computed at four places. No change of behaviour.

--- a/gateway/src/net/configuration.rs
+++ b/gateway/src/net/configuration.rs
@@ -17,7 +17,7 @@
 use crate::wire_settings::{ClassSettings, WireClass};
 use larchway::{MonotonicTime, Settings};
 use larchway_distribution::events_file::EventsFile;
-use larchway_object_cache::{CopiesFile, LinkRates, MemoryBudget, ObjectCache, PurgeSource};
+use larchway_object_cache::{CopiesFile, LinkRates, ObjectCache, PurgeSource};
 use larchway_operations::classes::ClassSlot;
 use larchway_operations::request_counters::ReloadOutcome;
 use std::net::{SocketAddr, TcpListener};
@@ -346,12 +346,10 @@
 
     /// Divides the gateway's descriptor and memory limits by the number of its processes.
     pub(super) fn share_limits(&mut self) {
-        let processes = self.processes.process_count();
-        let (sockets, memory) = (self.descriptor_limit / processes, self.memory.limit / processes);
-        let budget = MemoryBudget { limit: memory, reserved: self.memory.client_bytes };
-        self.core.object_cache.iter_mut().for_each(|cache| cache.set_capacity(budget));
-        let limits = DescriptorLimits::share(sockets);
-        let store_connections_in_memory = memory / STORE_MEMORY_DIVISOR / resp::MAX_STRING_BYTES;
+        self.update_copy_capacity();
+        let limits = DescriptorLimits::share(self.descriptor_limit / self.processes.process_count());
+        let store_connections_in_memory =
+            self.memory_of_each_process() / STORE_MEMORY_DIVISOR / resp::MAX_STRING_BYTES;
         self.descriptor_limits = DescriptorLimits {
             store_connections: limits.store_connections.min(store_connections_in_memory),
             ..limits
--- a/gateway/src/net/memory.rs
+++ b/gateway/src/net/memory.rs
@@ -98,9 +98,21 @@
         self.resume_store_inputs(now);
     }
 
+    /// An equal part of the limit for each process of the gateway.
+    pub(super) fn memory_of_each_process(&self) -> usize {
+        self.memory.limit / self.processes.process_count()
+    }
+
+    /// Sets the capacity of the object cache, which gives way to the buffers of clients.
+    pub(super) fn update_copy_capacity(&mut self) {
+        let budget =
+            MemoryBudget { limit: self.memory_of_each_process(), reserved: self.memory.client_bytes };
+        self.core.object_cache.iter_mut().for_each(|cache| cache.set_capacity(budget));
+    }
+
     /// Private memory of the gateway's other processes; an equal part of the limit for one that cannot be measured.
     fn memory_of_other_processes(&self) -> usize {
-        let part = self.memory.limit / self.processes.process_count();
+        let part = self.memory_of_each_process();
         let Some(upgrade) = &self.upgrade else { return 0 };
         let places = upgrade.places().into_iter();
         places
@@ -191,9 +203,7 @@
     /// second, or that send half a message, exhaust the memory together although each buffers little.
     pub(super) fn enforce_client_bytes(&mut self, now: MonotonicTime) {
         // The object cache shrinks first: buffered replies take precedence over cached objects.
-        let memory = self.memory.limit / self.processes.process_count();
-        let budget = MemoryBudget { limit: memory, reserved: self.memory.client_bytes };
-        self.core.object_cache.iter_mut().for_each(|cache| cache.set_capacity(budget));
+        self.update_copy_capacity();
         while self.memory.client_bytes > self.memory.shares.clients {
             let Some((key, input)) = self.largest_input().filter(|input| self.is_excessive_input(*input))
             else {
@@ -277,9 +287,8 @@
 
     /// Whether memory use and the number of open requests allow one more request of this client.
     pub(super) fn has_capacity(&self, now: MonotonicTime, key: SlotKey) -> bool {
-        let processes = self.processes.process_count();
         let max_open = if self.memory.shares.is_short { MIN_OPEN_REQUESTS } else { MAX_OPEN_REQUESTS };
-        self.core.request_body_bytes < self.memory.limit / processes / REQUEST_MEMORY_DIVISOR
+        self.core.request_body_bytes < self.memory_of_each_process() / REQUEST_MEMORY_DIVISOR
             && self.core.open_requests() < max_open
             && self.memory.client_bytes < self.admission_limit(now, key)
     }
