Use the tests' own patience and wait in the memory test

It had a constant and a loop of its own for what scenario::PATIENCE and soon do, and two tests wrote the same settings.

--- a/gateway/tests/net/memory_limit.rs
+++ b/gateway/tests/net/memory_limit.rs
@@ -1,6 +1,7 @@
 //! The limit on memory under load: whatever it is, whatever the size of the answers, and however clients read them.
 use crate::scenario::{
-    call_frame, connect_narrow, edited_settings, request_fields, usual_with, Scenario, Setup, CALL,
+    call_frame, connect_narrow, edited_settings, request_fields, soon, usual_with, Scenario, Setup, CALL,
+    PATIENCE,
 };
 use larchway_gateway::resp::encode_array;
 use std::io::{ErrorKind, Read, Write};
@@ -25,9 +26,6 @@
 /// The file of cached copies with a quarter of the memory.
 const COPIES: &str = r#"{"memory_percent":25,"largest_percent":10,"wait_percent":25}"#;
 
-/// Time within which the first answer comes.
-const PATIENCE: Duration = Duration::from_secs(10);
-
 /// Makes the call ids of all clients of all tests different.
 static NEXT_CALL: AtomicU32 = AtomicU32::new(1);
 
@@ -170,6 +168,11 @@
     }
 }
 
+/// The settings with which no further attempt is made while the first one is under way.
+fn patient_settings() -> &'static str {
+    edited_settings(&[(r#""targetMs":600"#, r#""targetMs":5500"#)])
+}
+
 /// Looks at the memory for this long; the most of it, in kB.
 fn watch(s: &Scenario, span: Duration) -> usize {
     let end = Instant::now() + span;
@@ -181,23 +184,15 @@
     most
 }
 
-/// Whether a new client is answered in time. Its connection may end at once while those of a load still count, since all
+/// Expects a new client to be answered. Its connection may end at once while those of a load still count, since all
 /// together are more than the descriptors allow.
-fn answers_new_client(address: SocketAddr) -> bool {
-    let is_answered = || {
+fn expect_answer_to_new_client(address: SocketAddr) {
+    soon("it still answers", || {
         let mut stream = connect_narrow(address);
         stream.set_read_timeout(Some(PATIENCE)).expect("sets");
         let call = call_frame(CALL, "isWell", 1, &[]);
         stream.write_all(&call).is_ok() && stream.read_exact(&mut [0; 4]).is_ok()
-    };
-    let end = Instant::now() + PATIENCE;
-    while Instant::now() < end {
-        if is_answered() {
-            return true;
-        }
-        std::thread::sleep(LOOK_EVERY);
-    }
-    false
+    });
 }
 
 /// One load on a gateway of this limit.
@@ -321,7 +316,7 @@
             let answered = load.stop();
             case.assert_held(most, when);
             println!("{}, {when}: {answered} answers", case.what);
-            assert!(answers_new_client(s.front_address('c')), "it still answers");
+            expect_answer_to_new_client(s.front_address('c'));
             assert!(answered > 0 || !case.expects_answers());
         }
         println!(
@@ -369,8 +364,7 @@
     const REQUESTS_OF_EACH: usize = 32;
     let readers = ["c2", "c3", "c4"];
     let calls = || (1..=REQUESTS_OF_EACH).flat_map(|n| readers.map(|client| (client, n)));
-    // No further attempt is made while the first one is under way.
-    let settings = edited_settings(&[(r#""targetMs":600"#, r#""targetMs":5500"#)]);
+    let settings = patient_settings();
     let mut s = usual_with(Setup { memory_mb: 32, settings, console: true, ..Setup::default() });
     s.run("c1 > serve 1 $ask call=s1\nstore < PULL s1\nstore > s1 ok remark=HIT | x\nc1 < served 1 | x");
     for client in readers {
@@ -405,8 +399,7 @@
     const REPLIES: usize = 16;
     // Nearly half of the clients' share, so that nothing of it is lent to stores.
     const UNREAD_BYTES: usize = 5_000_000;
-    // No further attempt is made while the first one is under way.
-    let settings = edited_settings(&[(r#""targetMs":600"#, r#""targetMs":5500"#)]);
+    let settings = patient_settings();
     let mut s = usual_with(Setup {
         memory_mb: 32,
         copies: Some(COPIES),
--- a/gateway/tests/net/scenario/expectations.rs
+++ b/gateway/tests/net/scenario/expectations.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 /// Waits until something holds.
-pub(super) fn soon(what: &str, holds: impl Fn() -> bool) {
+pub fn soon(what: &str, holds: impl Fn() -> bool) {
     let end = Instant::now() + PATIENCE;
     while !holds() {
         assert!(Instant::now() < end, "{what}");
--- a/gateway/tests/net/scenario/mod.rs
+++ b/gateway/tests/net/scenario/mod.rs
@@ -53,6 +53,7 @@
 mod traffic;
 
 pub use clients::connect_narrow;
+pub use expectations::soon;
 use faults::Faults;
 pub use files::file;
 pub use settings::{edited_settings, FILES, FRONT, ROW, SECOND, SETTINGS};
